Workspace skeleton with the borders between crates

Cause: parts are to be built side by side, so the borders have to stand first. Change: typed ids, moments, release note types, border traits, the state machines of membership, notes, placement, model requests, calls and orders with thin logic, and the control core that composes them without I/O. Conclusion: each crate can now be filled in on its own.

--- /dev/null
+++ b/components/call/src/call_spec.rs
@@ -0,0 +1,27 @@
+//! What is known of a call.
+
+use crate::claim_key;
+
+/// What is known of a call when it arrives.
+#[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
+#[builder(on(_, into))]
+pub struct CallSpec {
+    /// Request the call belongs to.
+    pub request: ids::RequestId,
+    /// Workspace of the caller.
+    pub workspace: ids::WorkspaceName,
+    /// Class of the call.
+    pub class: ids::ClassName,
+    /// Service the call goes to.
+    pub service: ids::ServiceName,
+    /// Whether the call may run more than once.
+    pub idempotent: bool,
+    /// Key under which the caller may repeat a non-idempotent call.
+    pub key: Option<claim_key::ClaimKey>,
+    /// Hash of method, path and body; a key repeated with another one is a caller's error.
+    pub fingerprint: u128,
+    /// Priority; higher goes first.
+    pub priority: u8,
+    /// Time left to answer.
+    pub time_left: std::time::Duration,
+}
--- /dev/null
+++ b/components/client/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP clients of the systems outside: engines, services, configuration, instance list.
--- /dev/null
+++ b/components/demo/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small site in one process.
--- /dev/null
+++ b/components/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP interface that callers use.
--- /dev/null
+++ b/components/fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems outside, for tests and the demo.
--- /dev/null
+++ b/components/logs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Structured logs and traces.
--- /dev/null
+++ b/components/meter/src/lib.rs
@@ -0,0 +1,1 @@
+//! Metrics of an instance.
--- /dev/null
+++ b/components/note/src/lib.rs
@@ -0,0 +1,47 @@
+//! Release notes: their format, their validation and the state they fold into.
+
+mod call_class;
+mod class_target;
+mod engine_entry;
+mod engine_role;
+mod fencing_support;
+mod generation_class;
+mod model_entry;
+mod note_digest;
+mod note_entries;
+mod note_error;
+mod note_names;
+mod refusal_reason;
+mod release_note;
+mod request_class;
+mod route_rule;
+mod server_entry;
+mod service_entry;
+mod state_in_force;
+mod workspace_entry;
+
+pub use call_class::CallClass;
+pub use class_target::ClassTarget;
+pub use engine_entry::EngineEntry;
+pub use engine_role::EngineRole;
+pub use fencing_support::FencingSupport;
+pub use generation_class::GenerationClass;
+pub use model_entry::ModelEntry;
+pub use note_digest::NoteDigest;
+pub use note_entries::NoteEntries;
+pub use note_error::NoteError;
+pub use note_names::NoteNames;
+pub use refusal_reason::RefusalReason;
+pub use release_note::ReleaseNote;
+pub use request_class::RequestClass;
+pub use route_rule::RouteRule;
+pub use server_entry::ServerEntry;
+pub use service_entry::ServiceEntry;
+pub use state_in_force::StateInForce;
+pub use workspace_entry::WorkspaceEntry;
+
+/// Number of tokens one piece of engine memory holds.
+pub const KV_PIECE_TOKENS: u32 = 2_000;
+
+/// Largest release note that is accepted, in bytes.
+pub const NOTE_LIMIT_BYTES: usize = 1_000_000;
--- /dev/null
+++ b/components/note/src/note_digest.rs
@@ -0,0 +1,24 @@
+//! A digest of a state in force.
+
+/// A digest of a state in force; equal states have equal digests on every instance.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[serde(transparent)]
+pub struct NoteDigest(pub u128);
+
+impl std::fmt::Display for NoteDigest {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/components/note/src/note_entries.rs
@@ -0,0 +1,25 @@
+//! The entries that a note adds or changes.
+
+use crate::{
+    engine_entry, model_entry, request_class, server_entry, service_entry, workspace_entry,
+};
+
+/// The entries that a note adds or changes.
+#[derive(
+    Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize, schemars::JsonSchema,
+)]
+#[serde(deny_unknown_fields, default)]
+pub struct NoteEntries {
+    /// Models.
+    pub models: Vec<model_entry::ModelEntry>,
+    /// Model engines.
+    pub engines: Vec<engine_entry::EngineEntry>,
+    /// Plain services.
+    pub services: Vec<service_entry::ServiceEntry>,
+    /// Backend servers of plain services.
+    pub servers: Vec<server_entry::ServerEntry>,
+    /// Request classes.
+    pub classes: Vec<request_class::RequestClass>,
+    /// Workspaces.
+    pub workspaces: Vec<workspace_entry::WorkspaceEntry>,
+}
--- /dev/null
+++ b/components/place/src/message.rs
@@ -0,0 +1,26 @@
+//! Messages between entry instances and cell owners.
+
+use crate::{lease_claim, lease_update, place_ask, placement, refusal, retarget_ask, spare_advert};
+
+/// A message between an entry instance and a cell owner.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Message {
+    /// Entry to owner: asks for a placement.
+    Ask(place_ask::PlaceAsk),
+    /// Owner to entry: grants one.
+    Placed(placement::Placement),
+    /// Owner to entry: refuses one.
+    Refused(refusal::Refusal),
+    /// Entry to owner: withdraws an ask that isn't answered yet.
+    Withdraw(ids::RequestId, ids::AttemptNumber),
+    /// Entry to owner: news of leases.
+    Updates(Vec<lease_update::LeaseUpdate>),
+    /// Entry to owner: asks for another decode engine.
+    Retarget(retarget_ask::RetargetAsk),
+    /// Entry to new owner: leases held in a cell, the last part flagged.
+    Claims(ids::CellId, Vec<lease_claim::LeaseClaim>, bool),
+    /// Owner to entry: leases that the owner doesn't know any more; their work is to end.
+    Revoked(Vec<ids::LeaseId>),
+    /// Owner to entry: spare capacity.
+    Spare(Vec<spare_advert::SpareAdvert>),
+}
--- /dev/null
+++ b/components/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of an instance: their format, defaults and checks.
--- /dev/null
+++ b/components/wire/src/lib.rs
@@ -0,0 +1,5 @@
+//! Messages between instances and their encoding.
+
+mod peer_message;
+
+pub use peer_message::PeerMessage;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The router's command line.
+
+fn main() {}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Tasks of the maintainers.
+
+fn main() {}
