flow: drive a request through placement, prefill, transfer and decode

Cause: the entry instance only knew the way on which nothing fails. Change: asks are repeated and moved to the next cell or owner, a transfer that fails or stalls moves to another decode engine inside the retention, a silent stream is resumed at its offset, a lost one continues elsewhere, leases are updated, claimed from a new owner and returned, and whatever an engine may hold is cancelled, twice. A late wake doesn't start prefill under an expired lease.

--- a/components/border/src/decode_job.rs
+++ b/components/border/src/decode_job.rs
@@ -7,7 +7,7 @@
     pub request: ids::RequestId,
     /// Attempt the work belongs to.
     pub attempt: ids::AttemptNumber,
-    /// Largest number of tokens to generate.
+    /// Largest number of tokens of the whole answer, counted from offset zero.
     pub max_tokens: u32,
     /// First token wanted; a resumed stream starts behind what was delivered.
     pub offset: u32,
--- a/components/control/src/action.rs
+++ b/components/control/src/action.rs
@@ -44,6 +44,8 @@
     },
     /// End an attempt at an engine and free its memory.
     Cancel(ids::ServerName, ids::RequestId, ids::AttemptNumber),
+    /// Count prompt tokens whose prefill was wasted.
+    PrefillWasted(u32, flow::WasteCause),
     /// Answer the caller of a model request.
     FinishRequest(ids::RequestId, flow::FlowOutcome),
     /// Send a call to a backend server, once, unless it is later than `start_within`.
--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -382,6 +382,9 @@
                 flow::Output::Cancel(engine, request, attempt) => {
                     actions.push(action::Action::Cancel(engine, request, attempt));
                 }
+                flow::Output::Wasted(tokens, cause) => {
+                    actions.push(action::Action::PrefillWasted(tokens, cause));
+                }
                 flow::Output::Finish(request, outcome) => {
                     actions.push(action::Action::FinishRequest(request, outcome));
                 }
--- /dev/null
+++ b/components/control/tests/control/common.rs
@@ -0,0 +1,125 @@
+//! Fixtures: instances' cores and a hand-written exchange of events.
+
+use std::{collections::VecDeque, net};
+
+/// Cores of some instances with the messages between them.
+pub struct Fleet {
+    cores: Vec<control::ControlCore>,
+    now: clock::Moment,
+    /// Everything the cores asked for, one line an action.
+    pub log: Vec<String>,
+}
+
+/// Makes the cores of two instances of one region.
+pub fn two_instances(seed: u64) -> Fleet {
+    let cores = [1, 2]
+        .map(|number| {
+            let config = control::CoreConfig::builder()
+                .own(entry(number))
+                .incarnation(ids::Incarnation(number))
+                .seed(seed + number)
+                .build();
+            control::ControlCore::new(config)
+        })
+        .into();
+    Fleet {
+        cores,
+        now: clock::Moment::from_millis(10),
+        log: Vec::new(),
+    }
+}
+
+/// Makes an instance's entry in the platform's list.
+pub fn entry(number: u64) -> border::InstanceEntry {
+    border::InstanceEntry::builder()
+        .id(ids::InstanceId(number))
+        .address(net::SocketAddr::from(([10, 0, 0, 1], 9_000)))
+        .region("eu-west")
+        .data_centre("dc-1")
+        .build()
+}
+
+/// Makes a request for a quote.
+pub fn quote(request: u128) -> flow::FlowSpec {
+    flow::FlowSpec::builder()
+        .request(ids::RequestId(request))
+        .workspace("coilquote")
+        .class("quote")
+        .model("quote-7b")
+        .prompt_tokens(1_200u32)
+        .max_tokens(100u32)
+        .build()
+}
+
+impl Fleet {
+    /// Gives an event to one core and carries the messages that follow from core to core.
+    pub fn give(&mut self, core: usize, event: control::Event) {
+        let mut queue = VecDeque::from([(core, event)]);
+        while let Some((core, event)) = queue.pop_front() {
+            let mut actions = Vec::new();
+            self.cores[core].handle(self.now, event, &mut actions);
+            for action in actions {
+                self.log.push(format!("{core} {action:?}"));
+                queue.extend(self.follow(core, action));
+            }
+        }
+    }
+
+    /// Lets time pass in small steps and wakes every core that asked for it.
+    pub fn pass_millis(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now = self.now + std::time::Duration::from_millis(1);
+            for core in 0..self.cores.len() {
+                if self.cores[core].next_wake() <= self.now {
+                    self.give(core, control::Event::Wake);
+                }
+            }
+        }
+    }
+
+    /// Returns the number of requests in flight on all cores.
+    pub fn in_flight(&self) -> usize {
+        self.cores.iter().map(control::ControlCore::in_flight).sum()
+    }
+
+    /// Plays the systems outside: everything succeeds at once.
+    fn follow(&self, core: usize, action: control::Action) -> Option<(usize, control::Event)> {
+        let event = match action {
+            control::Action::Send(to, message) => {
+                let to = usize::try_from(to.0).ok()?.checked_sub(1)?;
+                let from = ids::InstanceId(u64::try_from(core).ok()? + 1);
+                return Some((to, control::Event::Peer(from, message)));
+            }
+            control::Action::ReadList => control::Event::Listed(vec![entry(1), entry(2)]),
+            control::Action::ReadService(after) | control::Action::WatchService(after) => {
+                let values = (after < ids::Revision(1)).then(|| border::NoteValue {
+                    revision: ids::Revision(1),
+                    text: include_str!("../../test_data/one_cell.yaml").to_owned(),
+                });
+                control::Event::ServiceAnswered(Some(values.into_iter().collect()))
+            }
+            control::Action::Prefill {
+                request, attempt, ..
+            } => {
+                let result = border::PrefillResult {
+                    kv_handle: 1,
+                    prompt_tokens: 1_200,
+                    cached_tokens: 0,
+                    retention_ms: 800,
+                };
+                control::Event::Prefilled(request, attempt, Ok(result))
+            }
+            control::Action::Import { job, .. } => {
+                control::Event::Imported(job.request, job.attempt, Ok(()))
+            }
+            control::Action::Decode { job, .. } => control::Event::DecodeEnded(
+                job.request,
+                job.attempt,
+                job.max_tokens,
+                Ok(border::FinishReason::Length),
+            ),
+            _ => return None,
+        };
+        Some((core, event))
+    }
+}
--- a/components/flow/src/lib.rs
+++ b/components/flow/src/lib.rs
@@ -5,16 +5,22 @@
 //! engines and ends every request exactly once. Prompts and tokens stay with the traffic side,
 //! which orders tokens with a [`TokenCursor`].
 
+mod cell_board;
 mod flow_outcome;
 mod flow_spec;
-mod flow_table;
+mod flow_stage;
+mod flow_timers;
 mod input;
+mod model_flow;
 mod output;
+mod table;
 mod token_cursor;
+mod waste_cause;
 
 pub use flow_outcome::FlowOutcome;
 pub use flow_spec::FlowSpec;
-pub use flow_table::FlowTable;
 pub use input::Input;
 pub use output::Output;
+pub use table::FlowTable;
 pub use token_cursor::{CursorVerdict, TokenCursor};
+pub use waste_cause::WasteCause;
--- a/components/flow/src/output.rs
+++ b/components/flow/src/output.rs
@@ -1,6 +1,6 @@
 //! What a flow table asks for.
 
-use crate::flow_outcome;
+use crate::{flow_outcome, waste_cause};
 
 /// What a flow table asks for.
 #[derive(Clone, Debug)]
@@ -32,6 +32,8 @@
     },
     /// End an attempt at an engine and free its memory.
     Cancel(ids::ServerName, ids::RequestId, ids::AttemptNumber),
+    /// Report prompt tokens whose prefill was wasted.
+    Wasted(u32, waste_cause::WasteCause),
     /// Answer the caller and forget the request.
     Finish(ids::RequestId, flow_outcome::FlowOutcome),
 }
