--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -167,9 +167,7 @@
             Event::Load(engine, report) => {
                 self.place(now, place::Input::Load(engine, report), actions)
             }
-            Event::Running(engine, list) => {
-                self.place(now, place::Input::Running(engine, list), actions)
-            }
+            Event::Running(engine, list) => self.take_running(now, engine, list, actions),
             Event::CacheEvents(engine, events) => {
                 self.place(now, place::Input::CacheEvents(engine, events), actions);
             }
@@ -238,6 +236,20 @@
         self.call(now, call::Input::DrainBegan, actions);
     }
 
+    fn take_running(
+        &mut self,
+        now: clock::Moment,
+        engine: ids::ServerName,
+        list: Option<Vec<border::RunningEntry>>,
+        actions: &mut Vec<action::Action>,
+    ) {
+        if let Some(list) = &list {
+            let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+            self.order(now, order::Input::Busy(engine.clone(), count), actions);
+        }
+        self.place(now, place::Input::Running(engine, list), actions);
+    }
+
     fn take_status(
         &mut self,
         now: clock::Moment,
@@ -438,6 +450,9 @@
                 order::Output::ReadStatus(engine) => {
                     actions.push(action::Action::ReadStatus(engine))
                 }
+                order::Output::ReadRunning(engine) => {
+                    actions.push(action::Action::ReadRunning(engine));
+                }
                 order::Output::Order(engine, order, within) => {
                     actions.push(action::Action::Order(engine, order, within));
                 }
--- /dev/null
+++ b/components/order/src/engine_plan.rs
@@ -0,0 +1,96 @@
+//! The next step from what an engine reports to what the release notes ask for.
+
+/// What is to happen next at an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum PlanStep {
+    /// Nothing differs.
+    Settled,
+    /// Give an order while the engine goes on working.
+    Order(border::OrderAction),
+    /// Give an order once the engine holds no request.
+    OrderDrained(border::OrderAction),
+}
+
+/// Returns the next step for `engine`, which is to have `role`.
+pub(crate) fn next_step(
+    state: &note::StateInForce,
+    engine: &note::EngineEntry,
+    role: note::EngineRole,
+    status: &border::EngineStatus,
+) -> PlanStep {
+    if role != note::EngineRole::Flexible && status.role != role {
+        return PlanStep::OrderDrained(border::OrderAction::TakeRole(role));
+    }
+    let wanted = wanted_models(state, engine);
+    for (model, version) in &wanted {
+        if status.loaded.contains(&(model.clone(), version.clone())) {
+            continue;
+        }
+        if let Some(stale) = stale_version(status, model) {
+            return PlanStep::OrderDrained(stale);
+        }
+        let load = border::OrderAction::LoadModel(model.clone(), version.clone());
+        return PlanStep::Order(load);
+    }
+    if let Some(step) = adapter_step(state, engine, status) {
+        return step;
+    }
+    match status.loaded.iter().find(|loaded| !wanted.contains(loaded)) {
+        Some((model, version)) => PlanStep::OrderDrained(border::OrderAction::UnloadModel(
+            model.clone(),
+            version.clone(),
+        )),
+        None => PlanStep::Settled,
+    }
+}
+
+fn wanted_models(
+    state: &note::StateInForce,
+    engine: &note::EngineEntry,
+) -> Vec<(ids::ModelName, ids::VersionName)> {
+    engine
+        .models
+        .iter()
+        .filter_map(|name| state.models.get(name))
+        .map(|model| (model.name.clone(), model.version.clone()))
+        .collect()
+}
+
+fn stale_version(
+    status: &border::EngineStatus,
+    model: &ids::ModelName,
+) -> Option<border::OrderAction> {
+    status
+        .loaded
+        .iter()
+        .find(|(loaded, _)| loaded == model)
+        .map(|(model, version)| border::OrderAction::UnloadModel(model.clone(), version.clone()))
+}
+
+fn adapter_step(
+    state: &note::StateInForce,
+    engine: &note::EngineEntry,
+    status: &border::EngineStatus,
+) -> Option<PlanStep> {
+    let models = engine
+        .models
+        .iter()
+        .filter_map(|name| state.models.get(name));
+    let wanted: Vec<_> = models
+        .flat_map(|model| model.adapters.iter().map(|adapter| (&model.name, adapter)))
+        .collect();
+    let missing = wanted
+        .iter()
+        .find(|(_, adapter)| !status.adapters.contains(adapter));
+    if let Some((model, adapter)) = missing {
+        let load = border::OrderAction::LoadAdapter((*model).clone(), (*adapter).clone());
+        return Some(PlanStep::Order(load));
+    }
+    let model = engine.models.first()?;
+    let extra = status
+        .adapters
+        .iter()
+        .find(|loaded| wanted.iter().all(|(_, adapter)| adapter != loaded))?;
+    let unload = border::OrderAction::UnloadAdapter(model.clone(), extra.clone());
+    Some(PlanStep::OrderDrained(unload))
+}
