--- a/components/border/src/call_job.rs
+++ b/components/border/src/call_job.rs
@@ -17,4 +17,6 @@
     pub body: bytes::Bytes,
     /// Time left to answer.
     pub time_left: std::time::Duration,
+    /// Moment after which the first byte must not leave any more.
+    pub start_by: clock::Moment,
 }
--- a/components/border/src/engine_client.rs
+++ b/components/border/src/engine_client.rs
@@ -70,10 +70,11 @@
         engine: net::SocketAddr,
     ) -> Result<engine_status::EngineStatus, border_error::BorderError>;
 
-    /// Gives an order.
+    /// Gives an order, unless its first byte would leave later than `start_by`.
     async fn order(
         &self,
         engine: net::SocketAddr,
         order: engine_order::EngineOrder,
+        start_by: clock::Moment,
     ) -> Result<order_answer::OrderAnswer, border_error::BorderError>;
 }
--- a/components/border/src/lib.rs
+++ b/components/border/src/lib.rs
@@ -22,6 +22,7 @@
 mod running_phase;
 mod service_client;
 mod token_event;
+mod trace_parent;
 mod transfer_job;
 mod weight_store;
 
@@ -47,5 +48,6 @@
 pub use running_phase::RunningPhase;
 pub use service_client::ServiceClient;
 pub use token_event::TokenEvent;
+pub use trace_parent::{TRACE_HEADER, TraceParent};
 pub use transfer_job::TransferJob;
 pub use weight_store::WeightStore;
--- /dev/null
+++ b/components/client/src/connection_pool.rs
@@ -0,0 +1,204 @@
+//! Connections to servers by address.
+
+use std::{collections::BTreeMap, net, sync, time};
+
+use hyper::client::conn::http1;
+
+use crate::{pool_settings, pooled_answer, trace_scope};
+
+/// A body that is in memory before it is sent.
+pub type WholeBody = http_body_util::Full<bytes::Bytes>;
+
+/// A connection without a request under way.
+struct IdleConnection {
+    sender: http1::SendRequest<WholeBody>,
+    since: time::Instant,
+}
+
+/// The unused connections to one server.
+#[derive(Default)]
+struct ServerConnections {
+    /// Counts how often the server's connections were discarded.
+    epoch: u64,
+    idle: Vec<IdleConnection>,
+}
+
+/// Connections to servers, by address, reused when free.
+pub struct ConnectionPool {
+    settings: pool_settings::PoolSettings,
+    clock: sync::Arc<dyn clock::ClockSource>,
+    servers: sync::Mutex<BTreeMap<net::SocketAddr, ServerConnections>>,
+}
+
+impl ConnectionPool {
+    /// Makes a pool without connections.
+    #[must_use]
+    pub fn new(
+        settings: pool_settings::PoolSettings,
+        clock: sync::Arc<dyn clock::ClockSource>,
+    ) -> sync::Arc<Self> {
+        sync::Arc::new(Self {
+            settings,
+            clock,
+            servers: sync::Mutex::default(),
+        })
+    }
+
+    /// Returns the largest answer that is read into memory, in bytes.
+    #[must_use]
+    pub const fn answer_limit_bytes(&self) -> usize {
+        self.settings.answer_limit_bytes
+    }
+
+    /// Sends a request once, unless its first byte would leave later than `start_by`.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotSent` when no byte left, and `Lost` for every later failure.
+    pub async fn send(
+        self: &sync::Arc<Self>,
+        server: net::SocketAddr,
+        mut request: http::Request<WholeBody>,
+        start_by: clock::Moment,
+    ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
+        set_connection_headers(&mut request, server);
+        let (mut sender, epoch) = self.connection(server).await?;
+        if self.clock.now() > start_by {
+            return Err(not_sent("the time to start has passed"));
+        }
+        let answer = sender.try_send_request(request).await;
+        match answer {
+            Ok(response) => Ok(pooled_answer::PooledAnswer::new(
+                response,
+                sender,
+                pooled_answer::PoolReturn {
+                    pool: sync::Arc::clone(self),
+                    server,
+                    epoch,
+                },
+            )),
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                let detail = error.into_error().to_string();
+                Err(if is_unsent {
+                    not_sent(detail)
+                } else {
+                    lost(detail)
+                })
+            }
+        }
+    }
+
+    /// Drops the connections to a server, also those that are in use once they come back.
+    pub fn discard(&self, server: net::SocketAddr) {
+        let mut servers = self.lock();
+        let connections = servers.entry(server).or_default();
+        connections.epoch += 1;
+        connections.idle.clear();
+    }
+
+    /// Forgets the servers that `keep` doesn't hold.
+    pub fn retain(&self, keep: impl Fn(&net::SocketAddr) -> bool) {
+        self.lock().retain(|server, _| keep(server));
+    }
+
+    /// Takes back a connection whose answer was read to its end.
+    pub(crate) fn give_back(
+        &self,
+        server: net::SocketAddr,
+        epoch: u64,
+        sender: http1::SendRequest<WholeBody>,
+    ) {
+        let mut servers = self.lock();
+        let connections = servers.entry(server).or_default();
+        let is_current = connections.epoch == epoch;
+        if is_current && connections.idle.len() < self.settings.idle_limit && !sender.is_closed() {
+            connections.idle.push(IdleConnection {
+                sender,
+                since: time::Instant::now(),
+            });
+        }
+    }
+
+    async fn connection(
+        &self,
+        server: net::SocketAddr,
+    ) -> Result<(http1::SendRequest<WholeBody>, u64), border::BorderError> {
+        while let Some((mut sender, epoch)) = self.take_idle(server) {
+            if sender.ready().await.is_ok() {
+                return Ok((sender, epoch));
+            }
+        }
+        let epoch = self.lock().entry(server).or_default().epoch;
+        let sender = self.connect(server).await?;
+        Ok((sender, epoch))
+    }
+
+    fn take_idle(&self, server: net::SocketAddr) -> Option<(http1::SendRequest<WholeBody>, u64)> {
+        let mut servers = self.lock();
+        let connections = servers.get_mut(&server)?;
+        let limit = self.settings.idle_timeout;
+        connections
+            .idle
+            .retain(|idle| idle.since.elapsed() < limit && !idle.sender.is_closed());
+        let idle = connections.idle.pop()?;
+        Some((idle.sender, connections.epoch))
+    }
+
+    async fn connect(
+        &self,
+        server: net::SocketAddr,
+    ) -> Result<http1::SendRequest<WholeBody>, border::BorderError> {
+        let opening = tokio::net::TcpStream::connect(server);
+        let stream = tokio::time::timeout(self.settings.connect_timeout, opening)
+            .await
+            .map_err(|_| not_sent("the connection didn't open in time"))?
+            .map_err(|error| not_sent(error.to_string()))?;
+        stream
+            .set_nodelay(true)
+            .map_err(|error| not_sent(error.to_string()))?;
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let (sender, connection) = http1::handshake(io)
+            .await
+            .map_err(|error| not_sent(error.to_string()))?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%server, %error, "connection ended");
+            }
+        });
+        Ok(sender)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, BTreeMap<net::SocketAddr, ServerConnections>> {
+        self.servers
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn set_connection_headers(request: &mut http::Request<WholeBody>, server: net::SocketAddr) {
+    let headers = request.headers_mut();
+    if !headers.contains_key(http::header::HOST)
+        && let Ok(host) = http::HeaderValue::from_str(&server.to_string())
+    {
+        headers.insert(http::header::HOST, host);
+    }
+    let trace = trace_scope::current_trace().map(|trace| trace.child().to_string());
+    if let Some(Ok(value)) = trace.map(|text| http::HeaderValue::from_str(&text)) {
+        headers.insert(border::TRACE_HEADER, value);
+    }
+}
+
+/// Makes the error of a request whose first byte never left.
+pub(crate) fn not_sent(detail: impl Into<String>) -> border::BorderError {
+    border::BorderError::NotSent {
+        detail: detail.into(),
+    }
+}
+
+/// Makes the error of a request that may have reached the far end.
+pub(crate) fn lost(detail: impl Into<String>) -> border::BorderError {
+    border::BorderError::Lost {
+        detail: detail.into(),
+    }
+}
--- /dev/null
+++ b/components/client/src/pooled_answer.rs
@@ -0,0 +1,99 @@
+//! An answer on a pooled connection.
+
+use std::{net, sync};
+
+use http_body_util::BodyExt as _;
+use hyper::client::conn::http1;
+
+use crate::connection_pool;
+
+/// Where a connection goes when its answer has been read.
+pub(crate) struct PoolReturn {
+    pub(crate) pool: sync::Arc<connection_pool::ConnectionPool>,
+    pub(crate) server: net::SocketAddr,
+    pub(crate) epoch: u64,
+}
+
+/// An answer whose body is still to be read; dropping it early closes the connection.
+pub struct PooledAnswer {
+    parts: http::response::Parts,
+    body: hyper::body::Incoming,
+    sender: Option<http1::SendRequest<connection_pool::WholeBody>>,
+    origin: PoolReturn,
+}
+
+impl PooledAnswer {
+    pub(crate) fn new(
+        response: http::Response<hyper::body::Incoming>,
+        sender: http1::SendRequest<connection_pool::WholeBody>,
+        origin: PoolReturn,
+    ) -> Self {
+        let (parts, body) = response.into_parts();
+        Self {
+            parts,
+            body,
+            sender: Some(sender),
+            origin,
+        }
+    }
+
+    /// Returns the status of the answer.
+    #[must_use]
+    pub const fn status(&self) -> http::StatusCode {
+        self.parts.status
+    }
+
+    /// Returns the header fields of the answer.
+    #[must_use]
+    pub const fn headers(&self) -> &http::HeaderMap {
+        &self.parts.headers
+    }
+
+    /// Returns the next piece of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Lost` when the connection breaks.
+    pub async fn next_piece(&mut self) -> Result<Option<bytes::Bytes>, border::BorderError> {
+        loop {
+            match self.body.frame().await {
+                None => {
+                    self.give_back();
+                    return Ok(None);
+                }
+                Some(Err(error)) => return Err(connection_pool::lost(error.to_string())),
+                Some(Ok(frame)) => {
+                    if let Ok(piece) = frame.into_data() {
+                        return Ok(Some(piece));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Lost` when the connection breaks and `Malformed` when the body is too large.
+    pub async fn whole_body(&mut self) -> Result<bytes::Bytes, border::BorderError> {
+        let limit = self.origin.pool.answer_limit_bytes();
+        let mut whole = bytes::BytesMut::new();
+        while let Some(piece) = self.next_piece().await? {
+            if whole.len() + piece.len() > limit {
+                return Err(border::BorderError::Malformed {
+                    detail: format!("answer exceeds {limit} bytes"),
+                });
+            }
+            whole.extend_from_slice(&piece);
+        }
+        Ok(whole.freeze())
+    }
+
+    fn give_back(&mut self) {
+        let origin = &self.origin;
+        if let Some(sender) = self.sender.take() {
+            origin.pool.give_back(origin.server, origin.epoch, sender);
+        }
+    }
+}
--- /dev/null
+++ b/components/entry/src/load_gate.rs
@@ -0,0 +1,85 @@
+//! Bounds on the requests and bodies held at once.
+
+use std::{collections::HashMap, sync};
+
+use crate::entry_error;
+
+/// Bounds on what is held at once, for the instance and for each workspace.
+pub struct LoadGate {
+    requests: sync::Arc<tokio::sync::Semaphore>,
+    body_bytes: sync::Arc<tokio::sync::Semaphore>,
+    workspaces: sync::Mutex<HashMap<ids::WorkspaceName, u32>>,
+}
+
+/// A place among the requests in flight; dropping it frees the place.
+pub(crate) struct LoadTicket {
+    gate: sync::Arc<LoadGate>,
+    workspace: ids::WorkspaceName,
+    _request: tokio::sync::OwnedSemaphorePermit,
+}
+
+impl LoadGate {
+    /// Makes a gate with the bounds of `limits`.
+    #[must_use]
+    pub fn new(limits: &settings::RequestLimits) -> sync::Arc<Self> {
+        let most = tokio::sync::Semaphore::MAX_PERMITS;
+        let requests = limits.in_flight_requests.min(most);
+        let body_bytes = limits.held_bytes.min(most);
+        sync::Arc::new(Self {
+            requests: sync::Arc::new(tokio::sync::Semaphore::new(requests)),
+            body_bytes: sync::Arc::new(tokio::sync::Semaphore::new(body_bytes)),
+            workspaces: sync::Mutex::default(),
+        })
+    }
+
+    /// Takes a place for a request of `workspace`.
+    pub(crate) fn enter(
+        self: &sync::Arc<Self>,
+        workspace: &note::WorkspaceEntry,
+    ) -> Result<LoadTicket, entry_error::EntryError> {
+        let request = sync::Arc::clone(&self.requests)
+            .try_acquire_owned()
+            .map_err(|_| entry_error::EntryError::InstanceFull)?;
+        let mut workspaces = self.lock();
+        let count = workspaces.entry(workspace.name.clone()).or_default();
+        if *count >= workspace.in_flight_limit {
+            return Err(entry_error::EntryError::WorkspaceFull);
+        }
+        *count += 1;
+        drop(workspaces);
+        Ok(LoadTicket {
+            gate: sync::Arc::clone(self),
+            workspace: workspace.name.clone(),
+            _request: request,
+        })
+    }
+
+    /// Takes memory for `bytes` bytes of a body.
+    pub(crate) fn hold_bytes(
+        &self,
+        bytes: usize,
+    ) -> Result<tokio::sync::OwnedSemaphorePermit, entry_error::EntryError> {
+        let count = u32::try_from(bytes).unwrap_or(u32::MAX);
+        sync::Arc::clone(&self.body_bytes)
+            .try_acquire_many_owned(count)
+            .map_err(|_| entry_error::EntryError::InstanceFull)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, HashMap<ids::WorkspaceName, u32>> {
+        self.workspaces
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Drop for LoadTicket {
+    fn drop(&mut self) {
+        let mut workspaces = self.gate.lock();
+        if let Some(count) = workspaces.get_mut(&self.workspace) {
+            *count -= 1;
+            if *count == 0 {
+                workspaces.remove(&self.workspace);
+            }
+        }
+    }
+}
