Add push and anti-entropy spread, heartbeats and note validation (border: member and spread messages)

Notes reached an instance only by polling the service, and the membership was the platform's list alone. Spreaders now push notes to a few peers, compare summaries with one peer a second, and fetch whole states in parts; members probe one another, suspect, refute and bury. Views gain `listed`, and a core notices a pause before it acts.

Notes are validated as a pure function of the state in force; entries are shared between states and the digest is kept up to date by a sum of hashes, so a copy and a digest no longer read every entry. Not measured yet.

--- a/components/control/src/action.rs
+++ b/components/control/src/action.rs
@@ -17,6 +17,8 @@
     InForce(sync::Arc<note::StateInForce>),
     /// Report a refused note.
     NoteRefused(ids::Revision, note::RefusalReason),
+    /// Report a peer with another state at the same revision: own summary, then the peer's.
+    NotesDiverged(ids::InstanceId, spread::Summary, spread::Summary),
     /// Use a changed membership.
     ViewChanged(sync::Arc<member::MemberView>),
     /// Read a prompt at an engine.
--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -68,7 +68,7 @@
 
     /// Returns the membership as seen here.
     #[must_use]
-    pub const fn view(&self) -> &member::MemberView {
+    pub fn view(&self) -> &member::MemberView {
         self.members.view()
     }
 
@@ -100,7 +100,20 @@
         event: event::Event,
         actions: &mut Vec<action::Action>,
     ) {
+        self.notice_time(now, actions);
         self.dispatch(now, event, actions);
+        self.settle(now, actions);
+    }
+
+    /// Lets every machine know of a pause before anything is decided at `now`.
+    fn notice_time(&mut self, now: clock::Moment, actions: &mut Vec<action::Action>) {
+        let mut outputs = Vec::new();
+        self.members.notice_time(now, &mut outputs);
+        self.take_member(outputs, actions);
+        self.settle(now, actions);
+    }
+
+    fn settle(&mut self, now: clock::Moment, actions: &mut Vec<action::Action>) {
         while let Some(inner) = self.inner.pop_front() {
             self.deliver(now, inner, actions);
         }
@@ -302,6 +315,10 @@
     ) {
         let mut outputs = Vec::new();
         self.members.handle(now, input, &mut outputs);
+        self.take_member(outputs, actions);
+    }
+
+    fn take_member(&mut self, outputs: Vec<member::Output>, actions: &mut Vec<action::Action>) {
         for output in outputs {
             match output {
                 member::Output::Send(to, message) => {
@@ -336,6 +353,9 @@
                 spread::Output::Refused(revision, reason) => {
                     actions.push(action::Action::NoteRefused(revision, reason));
                 }
+                spread::Output::Diverged(peer, own, other) => {
+                    actions.push(action::Action::NotesDiverged(peer, own, other));
+                }
             }
         }
     }
--- a/components/member/src/member_view.rs
+++ b/components/member/src/member_view.rs
@@ -13,6 +13,8 @@
     pub version: u64,
     /// Whether the view may be acted on; false after a pause until peers have answered.
     pub fresh: bool,
+    /// Whether the platform's list has been read by this process.
+    pub listed: bool,
     /// Whether too many instances went silent at once to be a matter of single failures.
     pub partitioned: bool,
     /// Known instances.
--- a/components/member/src/message.rs
+++ b/components/member/src/message.rs
@@ -1,18 +1,20 @@
 //! Messages between membership tables.
 
-use crate::member_state;
+use crate::member_news;
 
 /// A heartbeat, with news of some other instances.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Heartbeat {
     /// Process of the sender.
     pub incarnation: ids::Incarnation,
+    /// Counts how often the sender has refuted news about this process.
+    pub epoch: u32,
     /// Whether the sender is leaving.
     pub leaving: bool,
     /// Number of the heartbeat, which an acknowledgement repeats.
     pub sequence: u64,
-    /// News of instances: who, which process, what is believed.
-    pub news: Vec<(ids::InstanceId, ids::Incarnation, member_state::MemberState)>,
+    /// News of instances, at most [`crate::NEWS_LIMIT`].
+    pub news: Vec<member_news::MemberNews>,
 }
 
 /// A message between membership tables.
@@ -24,4 +26,6 @@
     Ack(Heartbeat),
     /// Asks the receiver to probe an instance on the sender's behalf.
     ProbeFor(ids::InstanceId),
+    /// Tells that an instance acknowledged a probe made on the receiver's behalf.
+    AckFor(ids::InstanceId, ids::Incarnation, u32),
 }
--- /dev/null
+++ b/components/note/src/entry_kind.rs
@@ -0,0 +1,34 @@
+//! The kinds of entries that a note lists.
+
+/// The kinds of entries that a note lists, named as their keys.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Serialize,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum EntryKind {
+    /// Models.
+    Models,
+    /// Model engines.
+    Engines,
+    /// Plain services.
+    Services,
+    /// Backend servers of plain services.
+    Servers,
+    /// Request classes.
+    Classes,
+    /// Workspaces.
+    Workspaces,
+}
--- a/components/note/src/lib.rs
+++ b/components/note/src/lib.rs
@@ -4,19 +4,31 @@
 mod class_target;
 mod engine_entry;
 mod engine_role;
+mod entry_kind;
+mod entry_map;
+mod fault_place;
 mod fencing_support;
 mod generation_class;
 mod model_entry;
+mod note_check;
 mod note_digest;
 mod note_entries;
+mod note_entry;
 mod note_error;
+mod note_fault;
 mod note_names;
+mod note_part;
+mod note_section;
+mod part_buffer;
+mod range_check;
+mod reference_check;
 mod refusal_reason;
 mod release_note;
 mod request_class;
 mod route_rule;
 mod server_entry;
 mod service_entry;
+mod state_cut;
 mod state_in_force;
 mod workspace_entry;
 
@@ -24,19 +36,29 @@
 pub use class_target::ClassTarget;
 pub use engine_entry::EngineEntry;
 pub use engine_role::EngineRole;
+pub use entry_kind::EntryKind;
+pub use entry_map::EntryMap;
+pub use fault_place::FaultPlace;
 pub use fencing_support::FencingSupport;
 pub use generation_class::GenerationClass;
 pub use model_entry::ModelEntry;
+pub use note_check::faults;
 pub use note_digest::NoteDigest;
 pub use note_entries::NoteEntries;
+pub use note_entry::NoteEntry;
 pub use note_error::NoteError;
+pub use note_fault::NoteFault;
 pub use note_names::NoteNames;
+pub use note_part::NotePart;
+pub use note_section::NoteSection;
+pub use part_buffer::PartBuffer;
 pub use refusal_reason::RefusalReason;
 pub use release_note::ReleaseNote;
 pub use request_class::RequestClass;
 pub use route_rule::RouteRule;
 pub use server_entry::ServerEntry;
 pub use service_entry::ServiceEntry;
+pub use state_cut::{cut, join};
 pub use state_in_force::StateInForce;
 pub use workspace_entry::WorkspaceEntry;
 
@@ -45,3 +67,6 @@
 
 /// Largest release note that is accepted, in bytes.
 pub const NOTE_LIMIT_BYTES: usize = 1_000_000;
+
+/// Largest number of parts that a base note may be divided into.
+pub const PART_LIMIT: u32 = 64;
--- a/components/note/src/note_entries.rs
+++ b/components/note/src/note_entries.rs
@@ -23,3 +23,26 @@
     /// Workspaces.
     pub workspaces: Vec<workspace_entry::WorkspaceEntry>,
 }
+
+impl NoteEntries {
+    /// Returns whether there are no entries.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.models.is_empty()
+            && self.engines.is_empty()
+            && self.services.is_empty()
+            && self.servers.is_empty()
+            && self.classes.is_empty()
+            && self.workspaces.is_empty()
+    }
+
+    /// Appends the entries of another part of the same note.
+    pub fn append(&mut self, part: Self) {
+        self.models.extend(part.models);
+        self.engines.extend(part.engines);
+        self.services.extend(part.services);
+        self.servers.extend(part.servers);
+        self.classes.extend(part.classes);
+        self.workspaces.extend(part.workspaces);
+    }
+}
--- a/components/note/src/note_error.rs
+++ b/components/note/src/note_error.rs
@@ -1,5 +1,7 @@
 //! Errors of reading a release note.
 
+use crate::refusal_reason;
+
 /// Errors of reading a release note.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum NoteError {
@@ -15,4 +17,20 @@
     /// The text isn't a release note.
     #[error("{0}")]
     Syntax(String),
+    /// Parts of a divided base note are missing.
+    #[error("parts of the divided base note are missing")]
+    PartsMissing,
+}
+
+impl NoteError {
+    /// Returns the reason for which a note with this error is refused.
+    #[must_use]
+    pub fn into_refusal(self) -> refusal_reason::RefusalReason {
+        match self {
+            Self::TooLarge { bytes } => refusal_reason::RefusalReason::TooLarge { bytes },
+            error => refusal_reason::RefusalReason::Unreadable {
+                detail: error.to_string(),
+            },
+        }
+    }
 }
--- a/components/note/src/note_names.rs
+++ b/components/note/src/note_names.rs
@@ -19,3 +19,16 @@
     /// Workspaces.
     pub workspaces: Vec<ids::WorkspaceName>,
 }
+
+impl NoteNames {
+    /// Returns whether there are no names.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.models.is_empty()
+            && self.engines.is_empty()
+            && self.services.is_empty()
+            && self.servers.is_empty()
+            && self.classes.is_empty()
+            && self.workspaces.is_empty()
+    }
+}
--- /dev/null
+++ b/components/note/src/reference_check.rs
@@ -0,0 +1,192 @@
+//! Finds references to what doesn't exist.
+
+use crate::{
+    class_target, entry_kind, fault_place, note_entries, note_fault, note_section, refusal_reason,
+    release_note, state_in_force,
+};
+
+/// Returns the dangling references of `after`, the state that `note` would bring into force.
+///
+/// Only what the note touches is looked at, since the state before it had none.
+pub(crate) fn faults(
+    after: &state_in_force::StateInForce,
+    note: &release_note::ReleaseNote,
+) -> Vec<note_fault::NoteFault> {
+    let mut check = ReferenceCheck {
+        after,
+        faults: Vec::new(),
+    };
+    check.entries(note_section::NoteSection::Added, &note.added);
+    check.entries(note_section::NoteSection::Changed, &note.changed);
+    for model in &note.withdrawn.models {
+        check.withdrawn_model(model);
+    }
+    for service in &note.withdrawn.services {
+        check.withdrawn_service(service);
+    }
+    check.faults
+}
+
+struct ReferenceCheck<'a> {
+    after: &'a state_in_force::StateInForce,
+    faults: Vec<note_fault::NoteFault>,
+}
+
+impl ReferenceCheck<'_> {
+    fn entries(&mut self, section: note_section::NoteSection, entries: &note_entries::NoteEntries) {
+        for engine in &entries.engines {
+            let place = place(
+                section,
+                entry_kind::EntryKind::Engines,
+                &engine.name,
+                "models",
+            );
+            self.models(&place, &engine.models);
+            self.server_name(section, entry_kind::EntryKind::Engines, &engine.name);
+        }
+        for server in &entries.servers {
+            let place = place(
+                section,
+                entry_kind::EntryKind::Servers,
+                &server.name,
+                "service",
+            );
+            self.service(&place, &server.service);
+        }
+        for class in &entries.classes {
+            let kind = entry_kind::EntryKind::Classes;
+            match &class.target {
+                class_target::ClassTarget::Generation(generation) => {
+                    self.models(
+                        &place(section, kind, &class.name, "models"),
+                        &generation.models,
+                    );
+                }
+                class_target::ClassTarget::Call(call) => {
+                    self.service(&place(section, kind, &class.name, "service"), &call.service);
+                }
+            }
+        }
+    }
+
+    fn models(&mut self, place: &fault_place::FaultPlace, models: &[ids::ModelName]) {
+        for model in models {
+            if !self.after.models.contains_key(model) {
+                self.dangling(place, model);
+            }
+        }
+    }
+
+    fn service(&mut self, place: &fault_place::FaultPlace, service: &ids::ServiceName) {
+        if !self.after.services.contains_key(service) {
+            self.dangling(place, service);
+        }
+    }
+
+    /// Engines and servers of plain services share one space of names.
+    fn server_name(
+        &mut self,
+        section: note_section::NoteSection,
+        kind: entry_kind::EntryKind,
+        name: &ids::ServerName,
+    ) {
+        if !self.after.servers.contains_key(name) {
+            return;
+        }
+        let place = fault_place::FaultPlace {
+            section,
+            kind,
+            name: name.to_string(),
+            field: None,
+        };
+        let reason = refusal_reason::RefusalReason::AlreadyExists {
+            key: place.key(),
+            name: name.to_string(),
+        };
+        self.push(place, reason);
+    }
+
+    fn withdrawn_model(&mut self, model: &ids::ModelName) {
+        let class = self.after.classes.values().find(|class| {
+            matches!(&class.target, class_target::ClassTarget::Generation(generation)
+                if generation.models.contains(model))
+        });
+        let engine = self
+            .after
+            .engines
+            .values()
+            .find(|engine| engine.models.contains(model));
+        let needed_by = class
+            .map(|class| format!("class `{}`", class.name))
+            .or_else(|| engine.map(|engine| format!("engine `{}`", engine.name)));
+        self.still_needed(entry_kind::EntryKind::Models, model, needed_by);
+    }
+
+    fn withdrawn_service(&mut self, service: &ids::ServiceName) {
+        let class = self.after.classes.values().find(|class| {
+            matches!(&class.target, class_target::ClassTarget::Call(call)
+                if call.service == *service)
+        });
+        let server = self
+            .after
+            .servers
+            .values()
+            .find(|server| server.service == *service);
+        let needed_by = class
+            .map(|class| format!("class `{}`", class.name))
+            .or_else(|| server.map(|server| format!("server `{}`", server.name)));
+        self.still_needed(entry_kind::EntryKind::Services, service, needed_by);
+    }
+
+    fn still_needed(
+        &mut self,
+        kind: entry_kind::EntryKind,
+        name: impl std::fmt::Display,
+        needed_by: Option<String>,
+    ) {
+        let Some(needed_by) = needed_by else {
+            return;
+        };
+        let place = fault_place::FaultPlace {
+            section: note_section::NoteSection::Withdrawn,
+            kind,
+            name: name.to_string(),
+            field: None,
+        };
+        let reason = refusal_reason::RefusalReason::StillNeeded {
+            key: place.key(),
+            name: name.to_string(),
+            needed_by,
+        };
+        self.push(place, reason);
+    }
+
+    fn dangling(&mut self, place: &fault_place::FaultPlace, name: impl std::fmt::Display) {
+        let reason = refusal_reason::RefusalReason::DanglingReference {
+            key: place.key(),
+            name: name.to_string(),
+        };
+        self.push(place.clone(), reason);
+    }
+
+    fn push(&mut self, place: fault_place::FaultPlace, reason: refusal_reason::RefusalReason) {
+        self.faults.push(note_fault::NoteFault {
+            place: Some(place),
+            reason,
+        });
+    }
+}
+
+fn place(
+    section: note_section::NoteSection,
+    kind: entry_kind::EntryKind,
+    name: impl std::fmt::Display,
+    field: &'static str,
+) -> fault_place::FaultPlace {
+    fault_place::FaultPlace {
+        section,
+        kind,
+        name: name.to_string(),
+        field: Some(field),
+    }
+}
--- a/components/note/src/release_note.rs
+++ b/components/note/src/release_note.rs
@@ -1,10 +1,10 @@
 //! A release note.
 
-use crate::{note_entries, note_error, note_names};
+use crate::{note_entries, note_error, note_names, note_part};
 
 /// A release note: what is added, changed and withdrawn at one revision.
 #[derive(
-    Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize, schemars::JsonSchema,
+    Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize, schemars::JsonSchema,
 )]
 #[serde(deny_unknown_fields)]
 pub struct ReleaseNote {
@@ -13,6 +13,9 @@
     /// Whether the note replaces everything before it.
     #[serde(default)]
     pub base: bool,
+    /// Which part of a divided base note this is; absent when the note is whole.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<note_part::NotePart>,
     /// Entries that are new.
     #[serde(default)]
     pub added: note_entries::NoteEntries,
--- a/components/note/src/state_in_force.rs
+++ b/components/note/src/state_in_force.rs
@@ -1,62 +1,89 @@
 //! The state that the release notes fold into.
 
-use std::collections::BTreeMap;
-
 use crate::{
-    engine_entry, model_entry, note_digest, refusal_reason, release_note, request_class,
-    server_entry, service_entry, workspace_entry,
+    engine_entry, entry_map, model_entry, note_check, note_digest, note_entry, refusal_reason,
+    release_note, request_class, server_entry, service_entry, workspace_entry,
 };
 
 /// The state that the release notes fold into; equal revisions have equal states.
+///
+/// Copies share what didn't change, so a note costs no more than the kinds it touches.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct StateInForce {
     /// Revision of the last note folded in.
     pub revision: ids::Revision,
     /// Models by name.
-    pub models: BTreeMap<ids::ModelName, model_entry::ModelEntry>,
+    pub models: entry_map::EntryMap<ids::ModelName, model_entry::ModelEntry>,
     /// Model engines by name.
-    pub engines: BTreeMap<ids::ServerName, engine_entry::EngineEntry>,
+    pub engines: entry_map::EntryMap<ids::ServerName, engine_entry::EngineEntry>,
     /// Plain services by name.
-    pub services: BTreeMap<ids::ServiceName, service_entry::ServiceEntry>,
+    pub services: entry_map::EntryMap<ids::ServiceName, service_entry::ServiceEntry>,
     /// Backend servers of plain services by name.
-    pub servers: BTreeMap<ids::ServerName, server_entry::ServerEntry>,
+    pub servers: entry_map::EntryMap<ids::ServerName, server_entry::ServerEntry>,
     /// Request classes by name.
-    pub classes: BTreeMap<ids::ClassName, request_class::RequestClass>,
+    pub classes: entry_map::EntryMap<ids::ClassName, request_class::RequestClass>,
     /// Workspaces by name.
-    pub workspaces: BTreeMap<ids::WorkspaceName, workspace_entry::WorkspaceEntry>,
+    pub workspaces: entry_map::EntryMap<ids::WorkspaceName, workspace_entry::WorkspaceEntry>,
 }
 
 impl StateInForce {
-    /// Folds `note` into this state.
+    /// Validates `note` and folds it into this state.
     ///
     /// # Errors
     ///
-    /// Returns the reason when the note is refused; this state stays in force.
+    /// Returns the first reason for which the note is refused; this state stays in force.
     pub fn apply(
         &self,
         note: &release_note::ReleaseNote,
     ) -> Result<Self, refusal_reason::RefusalReason> {
-        let mut state = if note.base {
-            Self::default()
-        } else {
-            self.clone()
-        };
-        if !note.base && note.revision != self.revision.next() {
-            return Err(refusal_reason::RefusalReason::RevisionGap {
-                found: note.revision,
-                in_force: self.revision,
-            });
+        match note_check::faults(self, note).into_iter().next() {
+            Some(fault) => Err(fault.reason),
+            None if note.base => Ok(Self::from_base(note)),
+            None => Ok(self.fold(note)),
+        }
+    }
+
+    /// Returns the state that a valid base note brings into force.
+    #[must_use]
+    pub fn from_base(note: &release_note::ReleaseNote) -> Self {
+        Self::default().fold(note)
+    }
+
+    /// Returns this state at a revision whose note was refused.
+    #[must_use]
+    pub fn skip(&self, revision: ids::Revision) -> Self {
+        Self {
+            revision,
+            ..self.clone()
         }
-        state.revision = note.revision;
+    }
+
+    /// Returns the digest of the state, which doesn't depend on how it came about.
+    #[must_use]
+    pub fn digest(&self) -> note_digest::NoteDigest {
+        let sums = [
+            u128::from(self.revision.0),
+            self.models.sum(),
+            self.engines.sum(),
+            self.services.sum(),
+            self.servers.sum(),
+            self.classes.sum(),
+            self.workspaces.sum(),
+        ];
+        let bytes = sums.map(u128::to_le_bytes).concat();
+        note_digest::NoteDigest(xxhash_rust::xxh3::xxh3_128(&bytes))
+    }
+
+    /// Folds a note in without validation.
+    pub(crate) fn fold(&self, note: &release_note::ReleaseNote) -> Self {
+        let mut state = self.skip(note.revision);
         for entries in [&note.added, &note.changed] {
-            insert_all(&mut state.models, &entries.models, |entry| &entry.name);
-            insert_all(&mut state.engines, &entries.engines, |entry| &entry.name);
-            insert_all(&mut state.services, &entries.services, |entry| &entry.name);
-            insert_all(&mut state.servers, &entries.servers, |entry| &entry.name);
-            insert_all(&mut state.classes, &entries.classes, |entry| &entry.name);
-            insert_all(&mut state.workspaces, &entries.workspaces, |entry| {
-                &entry.name
-            });
+            insert_all(&mut state.models, &entries.models);
+            insert_all(&mut state.engines, &entries.engines);
+            insert_all(&mut state.services, &entries.services);
+            insert_all(&mut state.servers, &entries.servers);
+            insert_all(&mut state.classes, &entries.classes);
+            insert_all(&mut state.workspaces, &entries.workspaces);
         }
         remove_all(&mut state.models, &note.withdrawn.models);
         remove_all(&mut state.engines, &note.withdrawn.engines);
@@ -64,28 +91,23 @@
         remove_all(&mut state.servers, &note.withdrawn.servers);
         remove_all(&mut state.classes, &note.withdrawn.classes);
         remove_all(&mut state.workspaces, &note.withdrawn.workspaces);
-        Ok(state)
-    }
-
-    /// Returns the digest of the state.
-    #[must_use]
-    pub fn digest(&self) -> note_digest::NoteDigest {
-        let text = serde_json::to_vec(self).unwrap_or_default();
-        note_digest::NoteDigest(xxhash_rust::xxh3::xxh3_128(&text))
+        state
     }
 }
 
-fn insert_all<Name: Ord + Clone, Entry: Clone>(
-    map: &mut BTreeMap<Name, Entry>,
+fn insert_all<Entry: note_entry::NoteEntry>(
+    map: &mut entry_map::EntryMap<Entry::Name, Entry>,
     entries: &[Entry],
-    name_of: impl Fn(&Entry) -> &Name,
 ) {
     for entry in entries {
-        map.insert(name_of(entry).clone(), entry.clone());
+        map.insert(entry.name().clone(), entry.clone());
     }
 }
 
-fn remove_all<Name: Ord, Entry>(map: &mut BTreeMap<Name, Entry>, names: &[Name]) {
+fn remove_all<Entry: note_entry::NoteEntry>(
+    map: &mut entry_map::EntryMap<Entry::Name, Entry>,
+    names: &[Entry::Name],
+) {
     for name in names {
         map.remove(name);
     }
--- /dev/null
+++ b/components/spread/src/take_notes.rs
@@ -0,0 +1,124 @@
+//! How a spreader takes notes.
+
+use std::sync;
+
+use crate::{message, note_log, note_spreader, output, spread_status};
+
+/// Refused notes that are kept for operators.
+const REFUSED_LIMIT: usize = 64;
+
+impl note_spreader::NoteSpreader {
+    /// Takes an answer of the configuration service.
+    pub(crate) fn take_answer(
+        &mut self,
+        now: clock::Moment,
+        values: Option<Vec<border::NoteValue>>,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let Some(mut values) = values else {
+            self.reader.failed(now, &mut self.random);
+            return;
+        };
+        let before = self.summary;
+        values.sort_by_key(|value| value.revision);
+        for value in &values {
+            self.take_note(note_log::logged(value), outputs);
+        }
+        self.reader.answered(now, before != self.summary);
+    }
+
+    /// Takes a note from the service or a peer, unless it is in force or superseded.
+    pub(crate) fn take_note(
+        &mut self,
+        logged: message::LoggedNote,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        if logged.revision <= self.summary.revision {
+            return;
+        }
+        match self.judge(&logged) {
+            Ok(Some(state)) => self.bring_into_force(state, logged),
+            Ok(None) => {}
+            Err(note::RefusalReason::RevisionGap { .. }) => {}
+            Err(reason) => self.refuse(logged, reason, outputs),
+        }
+    }
+
+    /// Returns the state that a note leads to, or `None` when parts of it are missing.
+    fn judge(
+        &mut self,
+        logged: &message::LoggedNote,
+    ) -> Result<Option<note::StateInForce>, note::RefusalReason> {
+        if logged.text.is_empty() {
+            let bytes = note::NOTE_LIMIT_BYTES + 1;
+            return Err(note::RefusalReason::TooLarge { bytes });
+        }
+        let note =
+            note::ReleaseNote::from_yaml(&logged.text).map_err(note::NoteError::into_refusal)?;
+        if note.revision != logged.revision {
+            return Err(note::RefusalReason::RevisionMismatch {
+                found: note.revision,
+                served: logged.revision,
+            });
+        }
+        let Some(part) = note.part else {
+            return self.state.apply(&note).map(Some);
+        };
+        if let Some(fault) = note::faults(&self.state, &note).into_iter().next() {
+            return Err(fault.reason);
+        }
+        match self.parts.take(part, note) {
+            Some(whole) => self.state.apply(&whole).map(Some),
+            None => Ok(None),
+        }
+    }
+
+    fn bring_into_force(&mut self, state: note::StateInForce, logged: message::LoggedNote) {
+        self.take_state(state);
+        self.log.push(logged.clone());
+        self.unpushed.push(logged);
+    }
+
+    /// Reports a refused note; the notes that follow are judged as if it were empty.
+    fn refuse(
+        &mut self,
+        logged: message::LoggedNote,
+        reason: note::RefusalReason,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        self.report_refusal(logged.revision, reason, outputs);
+        let follows = logged.revision == self.summary.revision.next();
+        if follows && self.summary.revision > ids::Revision(0) {
+            let state = self.state.skip(logged.revision);
+            self.bring_into_force(state, logged);
+        }
+    }
+
+    fn report_refusal(
+        &mut self,
+        revision: ids::Revision,
+        reason: note::RefusalReason,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let refused = spread_status::RefusedNote {
+            revision,
+            message: reason.to_string(),
+            reason,
+        };
+        if self.refused.contains(&refused) {
+            return;
+        }
+        outputs.push(output::Output::Refused(revision, refused.reason.clone()));
+        self.refused.push_back(refused);
+        if self.refused.len() > REFUSED_LIMIT {
+            self.refused.pop_front();
+        }
+    }
+
+    /// Replaces the state in force by a later one.
+    pub(crate) fn take_state(&mut self, state: note::StateInForce) {
+        self.summary = message::Summary::of(&state);
+        self.state = sync::Arc::new(state);
+        self.changed = true;
+    }
+}
--- /dev/null
+++ b/components/spread/src/take_peers.rs
@@ -0,0 +1,171 @@
+//! How a spreader takes messages of peers.
+
+use std::sync;
+
+use crate::{message, note_spreader, output, state_fetch};
+
+impl note_spreader::NoteSpreader {
+    /// Takes a message of a peer.
+    pub(crate) fn take_message(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        message: message::Message,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        if from == self.own {
+            return;
+        }
+        match message {
+            message::Message::Ask(summary) => {
+                self.hear(now, from, summary);
+                self.answer(from, summary, outputs);
+                self.compare_equal(now, from, summary, outputs);
+            }
+            message::Message::Summary(summary) => {
+                self.hear(now, from, summary);
+                self.take_summary(now, from, summary, outputs);
+            }
+            message::Message::Notes(summary, notes) => {
+                self.hear(now, from, summary);
+                self.take_notes(now, from, summary, notes, outputs);
+            }
+            message::Message::FetchPart(summary, number) => {
+                let part = self.donor.part(now, summary, number, &self.state);
+                let part = part.map(message::Message::Part);
+                outputs.extend(part.map(|part| output::Output::Send(from, part)));
+            }
+            message::Message::Part(part) => self.take_part(now, from, part, outputs),
+        }
+    }
+
+    fn hear(&mut self, now: clock::Moment, from: ids::InstanceId, summary: message::Summary) {
+        self.peers.insert(from, (summary, now));
+        self.gate.hear(from, summary);
+    }
+
+    /// Sends a peer the notes it lacks, or what is in force here.
+    fn answer(
+        &self,
+        to: ids::InstanceId,
+        summary: message::Summary,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let answer = if summary.revision < self.summary.revision {
+            message::Message::Notes(self.summary, self.log.after(summary.revision))
+        } else {
+            message::Message::Summary(self.summary)
+        };
+        outputs.push(output::Output::Send(to, answer));
+    }
+
+    fn take_summary(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        summary: message::Summary,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        if summary.revision < self.summary.revision {
+            self.answer(from, summary, outputs);
+        } else if summary.revision > self.summary.revision {
+            self.ask(from, outputs);
+        } else {
+            self.compare_equal(now, from, summary, outputs);
+        }
+    }
+
+    fn take_notes(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        summary: message::Summary,
+        notes: Vec<message::LoggedNote>,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let before = self.summary;
+        let carried = !notes.is_empty();
+        for note in notes {
+            self.take_note(note, outputs);
+        }
+        if summary.revision <= self.summary.revision {
+            self.compare_equal(now, from, summary, outputs);
+        } else if carried || before != self.summary {
+            self.ask(from, outputs);
+        } else {
+            self.begin_fetch(now, from, summary, outputs);
+        }
+    }
+
+    /// Reports a peer that has another state at the same revision; the larger digest prevails.
+    fn compare_equal(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        summary: message::Summary,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let diverged =
+            summary.revision == self.summary.revision && summary.digest != self.summary.digest;
+        if !diverged {
+            return;
+        }
+        self.divergences += 1;
+        outputs.push(output::Output::Diverged(from, self.summary, summary));
+        if summary > self.summary {
+            self.begin_fetch(now, from, summary, outputs);
+        }
+    }
+
+    fn begin_fetch(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        summary: message::Summary,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        if self.fetch.is_none() {
+            let fetch = state_fetch::StateFetch::begin(now, from, summary, outputs);
+            self.fetch = Some(fetch);
+        }
+    }
+
+    fn take_part(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        part: message::StatePart,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let Some(fetch) = &mut self.fetch else {
+            return;
+        };
+        let Some((summary, texts)) = fetch.take(now, from, part, outputs) else {
+            return;
+        };
+        self.fetch = None;
+        self.take_whole(summary, &texts);
+        self.ask(from, outputs);
+    }
+
+    /// Takes a state fetched from a peer when it is whole and later than the one in force.
+    fn take_whole(&mut self, summary: message::Summary, texts: &[sync::Arc<str>]) {
+        if summary <= self.summary {
+            return;
+        }
+        let Ok(state) = note::join(texts) else {
+            return;
+        };
+        if message::Summary::of(&state) != summary {
+            return;
+        }
+        self.log.clear();
+        self.unpushed.clear();
+        self.take_state(state);
+    }
+
+    fn ask(&self, from: ids::InstanceId, outputs: &mut Vec<output::Output>) {
+        let ask = message::Message::Ask(self.summary);
+        outputs.push(output::Output::Send(from, ask));
+    }
+}
--- /dev/null
+++ b/components/spread/src/uniform_chooser.rs
@@ -0,0 +1,33 @@
+//! Chooses peers uniformly at random.
+
+use std::sync;
+
+use rand::seq::IndexedRandom as _;
+
+use crate::peer_chooser;
+
+/// Chooses peers uniformly at random.
+#[derive(Debug, Default)]
+pub struct UniformChooser {
+    peers: Vec<ids::InstanceId>,
+}
+
+impl peer_chooser::PeerChooser for UniformChooser {
+    fn take_view(&mut self, view: &sync::Arc<member::MemberView>) {
+        self.peers = peer_chooser::peers(view)
+            .map(|member| member.instance.id)
+            .collect();
+    }
+
+    fn push_targets(
+        &mut self,
+        count: usize,
+        random: &mut rand_chacha::ChaCha8Rng,
+    ) -> Vec<ids::InstanceId> {
+        self.peers.sample(random, count).copied().collect()
+    }
+
+    fn compare_target(&mut self, random: &mut rand_chacha::ChaCha8Rng) -> Option<ids::InstanceId> {
+        self.peers.choose(random).copied()
+    }
+}
