entry: take shared entries from the state in force

Cause: the state in force now shares its entries behind Arc, so that a note doesn't copy 12,000 engines. Change: the entry handlers hold the shared workspace and class. Conclusion: none of the handlers needed a copy.

--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -12,7 +12,7 @@
 
 /// What a checked request is to be sent as.
 struct CheckedRequest {
-    class: note::RequestClass,
+    class: sync::Arc<note::RequestClass>,
     priority: u8,
     model: ids::ModelName,
     adapter: Option<ids::AdapterName>,
@@ -111,14 +111,24 @@
     let mut query = read(&held.bytes)?;
     let checked = check(context, &parts.headers, &query)?;
     let prompt = std::mem::take(&mut query.prompt);
-    let pending = submit(context, &parts.headers, (workspace, ticket, held), checked, prompt);
+    let pending = submit(
+        context,
+        &parts.headers,
+        (workspace, ticket, held),
+        checked,
+        prompt,
+    );
     Ok((pending, query))
 }
 
 fn submit(
     context: &sync::Arc<entry_context::EntryContext>,
     headers: &http::HeaderMap,
-    (workspace, ticket, held): (note::WorkspaceEntry, load_gate::LoadTicket, body_reader::HeldBody),
+    (workspace, ticket, held): (
+        sync::Arc<note::WorkspaceEntry>,
+        load_gate::LoadTicket,
+        body_reader::HeldBody,
+    ),
     checked: CheckedRequest,
     prompt: String,
 ) -> PendingAnswer {
@@ -127,8 +137,8 @@
     tracing::info!(name: "entry.request", %request, %trace, class = %checked.class.name);
     let spec = flow::FlowSpec::builder()
         .request(request)
-        .workspace(workspace.name)
-        .class(checked.class.name)
+        .workspace(workspace.name.clone())
+        .class(checked.class.name.clone())
         .model(checked.model.clone())
         .maybe_adapter(checked.adapter.clone())
         .prompt_tokens(checked.prompt_tokens)
@@ -144,8 +154,7 @@
         .trace(trace)
         .build();
     let (session, receiver) = answer_session::AnswerSession::new(source);
-    let guard =
-        caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
+    let guard = caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
     context.book.insert_answer(session);
     context.port.request_arrived(spec);
     PendingAnswer {
@@ -162,7 +171,7 @@
 pub(crate) fn workspace_of(
     context: &entry_context::EntryContext,
     headers: &http::HeaderMap,
-) -> Result<note::WorkspaceEntry, entry_error::EntryError> {
+) -> Result<sync::Arc<note::WorkspaceEntry>, entry_error::EntryError> {
     if !context.is_ready() {
         return Err(entry_error::EntryError::NotReady);
     }
@@ -194,7 +203,9 @@
         let expected = format!("between 1 and {} tokens long", context.limits.prompt_tokens);
         return Err(chat_request::out_of_range("prompt", expected));
     }
-    let most = generation.output_limit_tokens.min(context.limits.max_tokens);
+    let most = generation
+        .output_limit_tokens
+        .min(context.limits.max_tokens);
     let max_tokens = query.max_tokens.unwrap_or(most);
     if max_tokens == 0 || max_tokens > most {
         let expected = format!("between 1 and {most}");
@@ -229,7 +240,7 @@
     state: &note::StateInForce,
     headers: &http::HeaderMap,
     model: &ids::ModelName,
-) -> Result<note::RequestClass, entry_error::EntryError> {
+) -> Result<sync::Arc<note::RequestClass>, entry_error::EntryError> {
     let wanted = headers
         .get(crate::CLASS_HEADER)
         .map(|value| value.to_str().unwrap_or_default());
@@ -245,9 +256,7 @@
         .ok_or(entry_error::EntryError::NoClass)
 }
 
-fn parse<Body: serde::de::DeserializeOwned>(
-    body: &[u8],
-) -> Result<Body, entry_error::EntryError> {
+fn parse<Body: serde::de::DeserializeOwned>(body: &[u8]) -> Result<Body, entry_error::EntryError> {
     serde_json::from_slice(body)
         .map_err(|error| entry_error::EntryError::BadBody(error.to_string()))
 }
