border: place counts slots, pieces, queues and links by leases

The owner granted engines in turn and counted nothing. It now keeps a book of each cell: every lease holds a decode slot, its pieces, a place in a prefill queue and link time, and is freed once.

The message WantClaims is new: an owner asks an entry for all its leases.

--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -504,6 +504,7 @@
         place::Message::Placed(_)
             | place::Message::Refused(_)
             | place::Message::Revoked(_)
+            | place::Message::WantClaims(_)
             | place::Message::Spare(_)
     )
 }
--- a/components/place/src/cell.rs
+++ b/components/place/src/cell.rs
@@ -4,6 +4,8 @@
 
 use xxhash_rust::xxh3;
 
+use crate::{cell_group, cell_split};
+
 /// Largest number of engines in one cell.
 pub const CELL_ENGINE_LIMIT: usize = 64;
 
@@ -14,6 +16,8 @@
     pub id: ids::CellId,
     /// Region of the engines.
     pub region: ids::RegionName,
+    /// Data centre of most of the engines.
+    pub data_centre: ids::DataCentreName,
     /// Engines of the cell.
     pub engines: Vec<ids::ServerName>,
     /// Models that the engines serve.
@@ -21,44 +25,35 @@
 }
 
 /// Returns the cells of a state in force, the same on every instance.
+///
+/// [`crate::CellMap`] keeps them across changes of the state.
 #[must_use]
 pub fn cells(state: &note::StateInForce) -> Vec<Cell> {
-    let mut groups: BTreeMap<(&ids::RegionName, &[ids::ModelName]), Vec<&note::EngineEntry>> =
-        BTreeMap::new();
+    let mut groups: BTreeMap<cell_group::CellGroup, cell_split::GroupEngines> = BTreeMap::new();
     for engine in state.engines.values() {
         groups
-            .entry((&engine.region, &engine.models))
+            .entry(cell_group::CellGroup::of(engine))
             .or_default()
-            .push(engine);
+            .insert(engine.name.clone(), engine.data_centre.clone());
     }
     groups
-        .into_iter()
-        .flat_map(|((region, models), engines)| {
-            engines
-                .chunks(CELL_ENGINE_LIMIT)
-                .enumerate()
-                .map(|(part, chunk)| Cell {
-                    id: cell_id(region, models, part),
-                    region: region.clone(),
-                    engines: chunk.iter().map(|engine| engine.name.clone()).collect(),
-                    models: models.to_vec(),
-                })
-                .collect::<Vec<_>>()
-        })
+        .iter()
+        .flat_map(|(group, engines)| cell_split::split(group, engines))
         .collect()
 }
 
-/// Returns the instance that owns `cell` in `view`: the highest by rendezvous hash of its region.
+/// Returns the instance that owns `cell` in `view`.
+///
+/// It is the highest by rendezvous hash among the usable instances of the cell's data centre, or
+/// of its region when that data centre has none.
 #[must_use]
 pub fn owner(cell: &Cell, view: &member::MemberView) -> Option<ids::InstanceId> {
     view.usable()
         .filter(|member| member.instance.region == cell.region)
+        .max_by_key(|member| {
+            let near = member.instance.data_centre == cell.data_centre;
+            let number = member.instance.id.0.to_le_bytes();
+            (near, xxh3::xxh3_64_with_seed(&number, cell.id.0))
+        })
         .map(|member| member.instance.id)
-        .max_by_key(|instance| xxh3::xxh3_64_with_seed(&instance.0.to_le_bytes(), cell.id.0))
-}
-
-fn cell_id(region: &ids::RegionName, models: &[ids::ModelName], part: usize) -> ids::CellId {
-    let names: Vec<&str> = models.iter().map(ids::ModelName::as_str).collect();
-    let text = format!("{region}\n{}\n{part}", names.join("\n"));
-    ids::CellId(xxh3::xxh3_64(text.as_bytes()))
 }
--- /dev/null
+++ b/components/place/src/cell_map.rs
@@ -0,0 +1,127 @@
+//! The cells of the state in force, kept across its changes.
+
+use std::{
+    cmp,
+    collections::{BTreeMap, BTreeSet},
+    sync,
+};
+
+use crate::{cell, cell_group, cell_split};
+
+/// The cells of the state in force; a change of the state costs work for the changed groups only.
+#[derive(Clone, Debug, Default)]
+pub struct CellMap {
+    state: sync::Arc<note::StateInForce>,
+    groups: BTreeMap<cell_group::CellGroup, cell_split::GroupEngines>,
+    group_cells: BTreeMap<cell_group::CellGroup, Vec<ids::CellId>>,
+    cells: BTreeMap<ids::CellId, cell::Cell>,
+    models: BTreeMap<ids::ModelName, BTreeSet<ids::CellId>>,
+}
+
+impl CellMap {
+    /// Takes a state into force; returns whether any cell has changed.
+    pub fn update(&mut self, state: &sync::Arc<note::StateInForce>) -> bool {
+        let before = std::mem::replace(&mut self.state, sync::Arc::clone(state));
+        let changed = self.move_engines(&before.engines, &state.engines);
+        for group in &changed {
+            self.rebuild(group);
+        }
+        !changed.is_empty()
+    }
+
+    /// Returns the cells by their ids.
+    #[must_use]
+    pub const fn cells(&self) -> &BTreeMap<ids::CellId, cell::Cell> {
+        &self.cells
+    }
+
+    /// Returns the cell of an id.
+    #[must_use]
+    pub fn get(&self, id: ids::CellId) -> Option<&cell::Cell> {
+        self.cells.get(&id)
+    }
+
+    /// Returns the cells whose engines serve `model`.
+    pub fn for_model(&self, model: &ids::ModelName) -> impl Iterator<Item = &cell::Cell> {
+        self.models
+            .get(model)
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.cells.get(id))
+    }
+
+    /// Walks both sorted maps side by side; returns the groups whose engines differ.
+    fn move_engines(
+        &mut self,
+        before: &BTreeMap<ids::ServerName, note::EngineEntry>,
+        after: &BTreeMap<ids::ServerName, note::EngineEntry>,
+    ) -> BTreeSet<cell_group::CellGroup> {
+        let mut changed = BTreeSet::new();
+        let mut old_engines = before.values().peekable();
+        let mut new_engines = after.values().peekable();
+        loop {
+            let order = match (old_engines.peek(), new_engines.peek()) {
+                (None, None) => return changed,
+                (Some(_), None) => cmp::Ordering::Less,
+                (None, Some(_)) => cmp::Ordering::Greater,
+                (Some(old), Some(new)) => old.name.cmp(&new.name),
+            };
+            let old = old_engines.next_if(|_| order.is_le());
+            let new = new_engines.next_if(|_| order.is_ge());
+            if let (Some(old), Some(new)) = (old, new)
+                && is_same_place(old, new)
+            {
+                continue;
+            }
+            changed.extend(old.map(|engine| self.take_out(engine)));
+            changed.extend(new.map(|engine| self.put_in(engine)));
+        }
+    }
+
+    fn take_out(&mut self, engine: &note::EngineEntry) -> cell_group::CellGroup {
+        let group = cell_group::CellGroup::of(engine);
+        if let Some(engines) = self.groups.get_mut(&group) {
+            engines.remove(&engine.name);
+        }
+        group
+    }
+
+    fn put_in(&mut self, engine: &note::EngineEntry) -> cell_group::CellGroup {
+        let group = cell_group::CellGroup::of(engine);
+        self.groups
+            .entry(group.clone())
+            .or_default()
+            .insert(engine.name.clone(), engine.data_centre.clone());
+        group
+    }
+
+    fn rebuild(&mut self, group: &cell_group::CellGroup) {
+        for id in self.group_cells.remove(group).unwrap_or_default() {
+            self.cells.remove(&id);
+            for model in &group.models {
+                if let Some(cells) = self.models.get_mut(model) {
+                    cells.remove(&id);
+                }
+            }
+        }
+        let engines = self.groups.get(group);
+        if engines.is_none_or(BTreeMap::is_empty) {
+            self.groups.remove(group);
+            return;
+        }
+        let cells = engines.map(|engines| cell_split::split(group, engines));
+        for cell in cells.unwrap_or_default() {
+            let key = group.clone();
+            self.group_cells.entry(key).or_default().push(cell.id);
+            for model in &group.models {
+                let cells = self.models.entry(model.clone()).or_default();
+                cells.insert(cell.id);
+            }
+            self.cells.insert(cell.id, cell);
+        }
+    }
+}
+
+fn is_same_place(old: &note::EngineEntry, new: &note::EngineEntry) -> bool {
+    old.region == new.region && old.data_centre == new.data_centre && old.models == new.models
+}
--- /dev/null
+++ b/components/place/src/engine_book.rs
@@ -0,0 +1,174 @@
+//! What an owner counts of one engine.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time,
+};
+
+use crate::{engine_reach, foreign_work, keys, work_key};
+
+/// Time after its planned end at which a prefill without news is expected to end.
+const LATE_PREFILL: time::Duration = time::Duration::from_millis(5);
+
+/// Part by which one observation moves an estimate.
+const ESTIMATE_STEP: f64 = 0.1;
+
+/// Bounds of the ratio between the observed and the stated time of a prefill.
+const SCALE_BOUNDS: (f64, f64) = (0.5, 3.0);
+
+/// A prefill that an engine is to do, in the order of the queue.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedPrefill {
+    /// Lease the prefill belongs to.
+    pub lease: keys::LeaseKey,
+    /// Earliest start.
+    pub start_at: clock::Moment,
+    /// Expected time.
+    pub span: time::Duration,
+}
+
+/// What an owner counts of one engine.
+#[derive(Clone, Debug)]
+pub struct EngineBook {
+    /// The engine, as the release notes describe it.
+    pub entry: note::EngineEntry,
+    /// Role the engine has reported.
+    pub role: note::EngineRole,
+    /// Whether the engine takes no new work while it changes its role.
+    pub drained: bool,
+    /// Whether the engine answers.
+    pub reach: engine_reach::EngineReach,
+    /// Prefills that the engine is to do.
+    pub prefills: VecDeque<PlannedPrefill>,
+    /// Leases on the decode side.
+    pub decodes: BTreeSet<keys::LeaseKey>,
+    /// Pieces of memory held by leases on the decode side.
+    pub leased_pieces: u32,
+    /// Work that no lease covers.
+    pub foreign: BTreeMap<work_key::WorkKey, foreign_work::ForeignWork>,
+    /// Time until which transfers are planned on the link.
+    pub link_until: clock::Moment,
+    /// Last load report and when it was read.
+    pub load: Option<(clock::Moment, border::LoadReport)>,
+    /// Ratio between the observed and the stated time of a prefill.
+    pub prefill_scale: f64,
+    /// Streams expected to end in a second, and when that was computed.
+    pub free_rate: (f64, clock::Moment),
+}
+
+impl EngineBook {
+    /// Makes the book of an engine that holds nothing, as far as known.
+    #[must_use]
+    pub fn new(entry: note::EngineEntry) -> Self {
+        Self {
+            role: entry.role,
+            entry,
+            drained: false,
+            reach: engine_reach::EngineReach::default(),
+            prefills: VecDeque::new(),
+            decodes: BTreeSet::new(),
+            leased_pieces: 0,
+            foreign: BTreeMap::new(),
+            link_until: clock::Moment::default(),
+            load: None,
+            prefill_scale: 1.0,
+            free_rate: (0.0, clock::Moment::default()),
+        }
+    }
+
+    /// Takes a changed description of the engine.
+    pub fn take_entry(&mut self, entry: &note::EngineEntry) {
+        if self.entry.role != entry.role {
+            self.role = entry.role;
+        }
+        self.entry.clone_from(entry);
+    }
+
+    /// Returns whether the engine may get new prompts to read.
+    #[must_use]
+    pub fn may_prefill(&self) -> bool {
+        self.is_usable() && self.role != note::EngineRole::Decode
+    }
+
+    /// Returns whether the engine may get new answers to generate.
+    #[must_use]
+    pub fn may_decode(&self) -> bool {
+        self.is_usable() && self.role != note::EngineRole::Prefill
+    }
+
+    /// Returns when the engine has done the prefills that are planned.
+    #[must_use]
+    pub fn prefill_free_at(&self, now: clock::Moment) -> clock::Moment {
+        let mut free_at = clock::Moment::default();
+        for prefill in &self.prefills {
+            let planned = prefill.start_at.max(free_at) + prefill.span;
+            free_at = if planned > now {
+                planned
+            } else {
+                now + LATE_PREFILL
+            };
+        }
+        free_at.max(now)
+    }
+
+    /// Returns the time that reading `tokens` is expected to take.
+    #[must_use]
+    pub fn prefill_span(&self, tokens: u32) -> time::Duration {
+        let rate = f64::from(self.entry.prefill_tokens_per_second.max(1));
+        time::Duration::from_secs_f64(f64::from(tokens) / rate * self.prefill_scale)
+    }
+
+    /// Learns how long a prefill took against what was expected.
+    pub fn learn_prefill(&mut self, expected: time::Duration, taken: time::Duration) {
+        if expected.is_zero() {
+            return;
+        }
+        let ratio = taken.as_secs_f64() / expected.as_secs_f64();
+        let step = 1.0 + ESTIMATE_STEP * (ratio.clamp(SCALE_BOUNDS.0, SCALE_BOUNDS.1) - 1.0);
+        self.prefill_scale = (self.prefill_scale * step).clamp(SCALE_BOUNDS.0, SCALE_BOUNDS.1);
+    }
+
+    /// Returns the time between two tokens when the batch is full.
+    #[must_use]
+    pub fn token_time(&self) -> time::Duration {
+        time::Duration::from_millis(u64::from(self.entry.full_batch_token_ms))
+    }
+
+    /// Returns the decode slots that keep the pace of `pace_ms` between tokens.
+    #[must_use]
+    pub fn slot_limit(&self, pace_ms: u32) -> u32 {
+        let full = self.entry.full_batch_token_ms.max(1);
+        if pace_ms == 0 || full <= pace_ms {
+            return self.entry.decode_slots;
+        }
+        (self.entry.decode_slots * pace_ms / full).max(1)
+    }
+
+    /// Returns the decode slots that are held, by leases and by work without one.
+    #[must_use]
+    pub fn held_slots(&self) -> u32 {
+        let foreign = self.foreign.values().filter(|work| work.holds_slot());
+        count(self.decodes.len()) + count(foreign.count())
+    }
+
+    /// Returns the pieces of memory that are held, by leases and by work without one.
+    #[must_use]
+    pub fn held_pieces(&self) -> u32 {
+        let foreign = self.foreign.values().map(|work| work.kv_pieces);
+        self.leased_pieces + foreign.sum::<u32>()
+    }
+
+    /// Returns the pieces of memory that are free.
+    #[must_use]
+    pub fn free_pieces(&self) -> u32 {
+        self.entry.kv_pieces.saturating_sub(self.held_pieces())
+    }
+
+    fn is_usable(&self) -> bool {
+        self.reach == engine_reach::EngineReach::Up && !self.drained && !self.entry.leaving
+    }
+}
+
+fn count(length: usize) -> u32 {
+    u32::try_from(length).unwrap_or(u32::MAX)
+}
--- a/components/place/src/message.rs
+++ b/components/place/src/message.rs
@@ -19,6 +19,8 @@
     Retarget(retarget_ask::RetargetAsk),
     /// Entry to new owner: leases held in a cell, the last part flagged.
     Claims(ids::CellId, Vec<lease_claim::LeaseClaim>, bool),
+    /// Owner to entry: asks for all leases held in the cell, as claims.
+    WantClaims(ids::CellId),
     /// Owner to entry: leases that the owner doesn't know any more; their work is to end.
     Revoked(Vec<ids::LeaseId>),
     /// Owner to entry: spare capacity.
--- /dev/null
+++ b/components/place/src/output_guess.rs
@@ -0,0 +1,85 @@
+//! What is known of the lengths of a class's answers.
+
+/// Ranges that lengths are counted in.
+const RANGE_COUNT: u16 = 64;
+
+/// Answers that the length stated for the class counts for, at first.
+const PRIOR_WEIGHT: f64 = 20.0;
+
+/// Factor by which old observations lose weight with each new one.
+const FORGETTING: f64 = 0.998;
+
+/// What is known of the lengths of a class's answers.
+#[derive(Clone, Debug)]
+pub struct OutputGuess {
+    /// Tokens in one range.
+    range_tokens: f64,
+    counts: Vec<f64>,
+}
+
+impl OutputGuess {
+    /// Makes a guess from the length that the class states.
+    #[must_use]
+    pub fn new(class: &note::GenerationClass) -> Self {
+        let limit = class.output_limit_tokens.max(u32::from(RANGE_COUNT));
+        let range_tokens = f64::from(limit) / f64::from(RANGE_COUNT);
+        let mean = f64::from(class.expected_output_tokens.max(1));
+        let counts = (0..RANGE_COUNT)
+            .map(|range| {
+                let begin = f64::from(range) * range_tokens;
+                let part = (-begin / mean).exp() - (-(begin + range_tokens) / mean).exp();
+                PRIOR_WEIGHT * part
+            })
+            .collect();
+        Self {
+            range_tokens,
+            counts,
+        }
+    }
+
+    /// Learns the length of an answer.
+    pub fn learn(&mut self, tokens: u32) {
+        for count in &mut self.counts {
+            *count *= FORGETTING;
+        }
+        let range = self.range_of(f64::from(tokens));
+        if let Some(count) = self.counts.get_mut(range) {
+            *count += 1.0;
+        }
+    }
+
+    /// Returns the mean length, in tokens.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        let (sum, weight) = self.counts.iter().zip(0_u16..).fold(
+            (0.0, f64::MIN_POSITIVE),
+            |(sum, weight), (count, range)| {
+                let middle = (f64::from(range) + 0.5) * self.range_tokens;
+                (sum + count * middle, weight + count)
+            },
+        );
+        sum / weight
+    }
+
+    /// Returns the chance that an answer of `generated` tokens so far ends with the next one.
+    #[must_use]
+    pub fn ending_chance(&self, generated: f64) -> f64 {
+        let range = self.range_of(generated);
+        let Some(rest) = self.counts.get(range..) else {
+            return 0.0;
+        };
+        // A few ranges together smooth the estimate.
+        let near: f64 = rest.iter().take(3).sum();
+        let width = self.range_tokens * f64::from(u8::try_from(rest.len().min(3)).unwrap_or(1));
+        let total: f64 = rest.iter().sum::<f64>().max(f64::MIN_POSITIVE);
+        let share = (near / total).min(0.999);
+        1.0 - (1.0 - share).powf(1.0 / width.max(1.0))
+    }
+
+    fn range_of(&self, tokens: f64) -> usize {
+        let range = (tokens / self.range_tokens).floor();
+        let last = u16::try_from(self.counts.len().saturating_sub(1)).unwrap_or(0);
+        let bounded = range.clamp(0.0, f64::from(last));
+        bounded as usize
+    }
+}
--- /dev/null
+++ b/components/place/src/work_key.rs
@@ -0,0 +1,10 @@
+//! Names the work for one attempt of a request.
+
+/// Names the work for one attempt of a request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WorkKey {
+    /// The request.
+    pub request: ids::RequestId,
+    /// The attempt.
+    pub attempt: ids::AttemptNumber,
+}
