--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -5,7 +5,7 @@
 use crate::{
     answer_session, answer_stream, body_reader, caller_guard, chat_request, completion_request,
     entry_context, entry_error, error_answer, generation_query, load_gate, outcome_answer,
-    prompt_text, trace_source, whole_answer,
+    trace_source, whole_answer,
 };
 
 type SharedContext = axum::extract::State<sync::Arc<entry_context::EntryContext>>;
@@ -111,14 +111,24 @@
     let mut query = read(&held.bytes)?;
     let checked = check(context, &parts.headers, &query)?;
     let prompt = std::mem::take(&mut query.prompt);
-    let pending = submit(context, &parts.headers, (workspace, ticket, held), checked, prompt);
+    let pending = submit(
+        context,
+        &parts.headers,
+        (workspace, ticket, held),
+        checked,
+        prompt,
+    );
     Ok((pending, query))
 }
 
 fn submit(
     context: &sync::Arc<entry_context::EntryContext>,
     headers: &http::HeaderMap,
-    (workspace, ticket, held): (note::WorkspaceEntry, load_gate::LoadTicket, body_reader::HeldBody),
+    (workspace, ticket, held): (
+        note::WorkspaceEntry,
+        load_gate::LoadTicket,
+        body_reader::HeldBody,
+    ),
     checked: CheckedRequest,
     prompt: String,
 ) -> PendingAnswer {
@@ -133,7 +143,7 @@
         .maybe_adapter(checked.adapter.clone())
         .prompt_tokens(checked.prompt_tokens)
         .max_tokens(checked.max_tokens)
-        .prefix_blocks(prompt_text::prefix_blocks(&prompt))
+        .prefix_blocks(border::prefix_blocks(&prompt))
         .build();
     let source = answer_session::AnswerSource::builder()
         .request(request)
@@ -144,8 +154,7 @@
         .trace(trace)
         .build();
     let (session, receiver) = answer_session::AnswerSession::new(source);
-    let guard =
-        caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
+    let guard = caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
     context.book.insert_answer(session);
     context.port.request_arrived(spec);
     PendingAnswer {
@@ -189,12 +198,14 @@
     let note::ClassTarget::Generation(generation) = &class.target else {
         return Err(entry_error::EntryError::NoClass);
     };
-    let prompt_tokens = prompt_text::token_estimate(&query.prompt);
+    let prompt_tokens = border::token_estimate(&query.prompt);
     if prompt_tokens == 0 || prompt_tokens > context.limits.prompt_tokens {
         let expected = format!("between 1 and {} tokens long", context.limits.prompt_tokens);
         return Err(chat_request::out_of_range("prompt", expected));
     }
-    let most = generation.output_limit_tokens.min(context.limits.max_tokens);
+    let most = generation
+        .output_limit_tokens
+        .min(context.limits.max_tokens);
     let max_tokens = query.max_tokens.unwrap_or(most);
     if max_tokens == 0 || max_tokens > most {
         let expected = format!("between 1 and {most}");
@@ -245,9 +256,7 @@
         .ok_or(entry_error::EntryError::NoClass)
 }
 
-fn parse<Body: serde::de::DeserializeOwned>(
-    body: &[u8],
-) -> Result<Body, entry_error::EntryError> {
+fn parse<Body: serde::de::DeserializeOwned>(body: &[u8]) -> Result<Body, entry_error::EntryError> {
     serde_json::from_slice(body)
         .map_err(|error| entry_error::EntryError::BadBody(error.to_string()))
 }
--- a/components/entry/src/lib.rs
+++ b/components/entry/src/lib.rs
@@ -25,7 +25,6 @@
 mod header_filter;
 mod load_gate;
 mod outcome_answer;
-mod prompt_text;
 mod request_numbers;
 mod service_route;
 mod session_book;
