daemon: drive the control core and carry out its actions

The control core decides and does nothing itself. One thread with a single-threaded runtime now feeds it events and time; a multi-threaded runtime carries out its actions over HTTP and moves tokens to callers. The queue of events is unbounded by itself, because admitted requests bound what is in it; messages of peers come through a bounded queue.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -97,9 +97,15 @@
         connections.idle.clear();
     }
 
-    /// Forgets the servers that `keep` doesn't hold.
-    pub fn retain(&self, keep: impl Fn(&net::SocketAddr) -> bool) {
-        self.lock().retain(|server, _| keep(server));
+    /// Closes connections that were unused for too long and forgets servers without any.
+    pub fn sweep(&self) {
+        let limit = self.settings.idle_timeout;
+        self.lock().retain(|_, connections| {
+            connections
+                .idle
+                .retain(|idle| idle.since.elapsed() < limit && !idle.sender.is_closed());
+            !connections.idle.is_empty() || connections.epoch > 0
+        });
     }
 
     /// Takes back a connection whose answer was read to its end.
--- /dev/null
+++ b/components/daemon/src/daemon.rs
@@ -0,0 +1,237 @@
+//! Starts an instance.
+
+use std::{net, sync, sync::atomic, thread, time};
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    action_runner, address_book, border_set, control_loop, core_port, daemon_error, daemon_handle,
+    daemon_options, peer_port, system_clock,
+};
+
+/// Messages of peers that may wait for the control thread.
+const MESSAGE_QUEUE: usize = 4_096;
+
+/// Time between two readings of the weight store's limit.
+const STORE_INTERVAL: time::Duration = time::Duration::from_secs(60);
+
+/// Time between two sweeps of unused connections.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
+/// Starts instances.
+pub struct Daemon;
+
+/// A listener with its address.
+struct BoundListener {
+    listener: net::TcpListener,
+    address: net::SocketAddr,
+}
+
+impl Daemon {
+    /// Starts an instance in this process.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`daemon_error::DaemonError`] when an address can't be listened on or a thread
+    /// can't be started.
+    pub fn start(
+        settings: settings::InstanceSettings,
+        options: &daemon_options::DaemonOptions,
+    ) -> Result<daemon_handle::DaemonHandle, daemon_error::DaemonError> {
+        let clock: sync::Arc<dyn clock::ClockSource> =
+            sync::Arc::new(system_clock::SystemClock::start());
+        let callers = bind(settings.listen.callers)?;
+        let peers = bind(settings.listen.peers)?;
+        let traffic = traffic_runtime(options)?;
+        let pool = client::ConnectionPool::new(pool_settings(&settings), sync::Arc::clone(&clock));
+        let borders = border_set::BorderSet::over_http(&settings, &pool);
+        let shares = control_loop::ControlShares {
+            clock: sync::Arc::clone(&clock),
+            state: sync::Arc::default(),
+            snapshot: sync::Arc::default(),
+            ready: sync::Arc::new(atomic::AtomicBool::new(false)),
+            book: sync::Arc::default(),
+        };
+        let incarnation = ids::Incarnation(clock.wall_millis());
+        let (port, events) = core_port::CorePort::new();
+        let (_message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
+        let (commands, command_receiver) = mpsc::unbounded_channel();
+        let core = core(&settings, peers.address, incarnation, options.seed);
+        let context = entry_context(&settings, &shares, port.clone(), incarnation);
+        let runner = action_runner::ActionRunner {
+            own: settings.instance.id,
+            traffic: traffic.handle().clone(),
+            borders: borders.clone(),
+            book: sync::Arc::clone(&shares.book),
+            port: port.clone(),
+            peers: Box::new(peer_port::LonePort),
+            addresses: address_book::AddressBook::default(),
+        };
+        let control = control_loop::ControlLoop {
+            core,
+            runner,
+            shares: shares.clone(),
+            events,
+            messages,
+            commands: command_receiver,
+            progress: control_loop::LoopProgress::default(),
+        };
+        let (entry_stop, stop) = oneshot::channel::<()>();
+        let server = entry_server(&traffic, callers.listener, context)
+            .map_err(|source| listen_error(callers.address, source))?;
+        let entry_done = traffic.spawn(server.run(async {
+            // A dropped sender stops the listener, too.
+            let _ = stop.await;
+        }));
+        traffic.spawn(sweep_connections(pool));
+        traffic.spawn(read_store(borders.store, port));
+        start_control(control)?;
+        Ok(daemon_handle::DaemonHandle {
+            callers: callers.address,
+            peers: peers.address,
+            snapshot: shares.snapshot,
+            ready: shares.ready,
+            commands,
+            traffic: Some(traffic),
+            entry_stop: Some(entry_stop),
+            entry_done: Some(entry_done),
+            drain_bound: time::Duration::from_millis(settings.drain.timeout_ms),
+        })
+    }
+}
+
+fn bind(address: net::SocketAddr) -> Result<BoundListener, daemon_error::DaemonError> {
+    let listener =
+        net::TcpListener::bind(address).map_err(|source| listen_error(address, source))?;
+    let bound = listener
+        .set_nonblocking(true)
+        .and_then(|()| listener.local_addr())
+        .map_err(|source| listen_error(address, source))?;
+    Ok(BoundListener {
+        listener,
+        address: bound,
+    })
+}
+
+const fn listen_error(
+    address: net::SocketAddr,
+    source: std::io::Error,
+) -> daemon_error::DaemonError {
+    daemon_error::DaemonError::Listen { address, source }
+}
+
+fn traffic_runtime(
+    options: &daemon_options::DaemonOptions,
+) -> Result<tokio::runtime::Runtime, daemon_error::DaemonError> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if let Some(threads) = options.traffic_threads {
+        builder.worker_threads(threads.max(1));
+    }
+    builder
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .map_err(|source| daemon_error::DaemonError::Thread {
+            thread: "traffic",
+            source,
+        })
+}
+
+fn pool_settings(settings: &settings::InstanceSettings) -> client::PoolSettings {
+    client::PoolSettings::builder()
+        .connect_timeout(time::Duration::from_millis(settings.timeouts.connect_ms))
+        .build()
+}
+
+fn core(
+    settings: &settings::InstanceSettings,
+    peers: net::SocketAddr,
+    incarnation: ids::Incarnation,
+    seed: Option<u64>,
+) -> control::ControlCore {
+    let place = &settings.instance;
+    let mut address = place.peer_address;
+    if address.port() == 0 {
+        address.set_port(peers.port());
+    }
+    let own = border::InstanceEntry::builder()
+        .id(place.id)
+        .address(address)
+        .region(place.region.clone())
+        .data_centre(place.data_centre.clone())
+        .build();
+    let config = control::CoreConfig::builder()
+        .own(own)
+        .incarnation(incarnation)
+        .seed(seed.unwrap_or(incarnation.0))
+        .build();
+    control::ControlCore::new(config)
+}
+
+fn entry_context(
+    settings: &settings::InstanceSettings,
+    shares: &control_loop::ControlShares,
+    port: core_port::CorePort,
+    incarnation: ids::Incarnation,
+) -> entry::EntryContext {
+    entry::EntryContext::builder()
+        .port(sync::Arc::new(port))
+        .book(sync::Arc::clone(&shares.book))
+        .state(sync::Arc::clone(&shares.state))
+        .ready(sync::Arc::clone(&shares.ready))
+        .limits(settings.limits.clone())
+        .workspace_header(settings.workspace_header.clone())
+        .gate(entry::LoadGate::new(&settings.limits))
+        .numbers(entry::RequestNumbers::new(
+            settings.instance.id,
+            incarnation,
+        ))
+        .clock(sync::Arc::clone(&shares.clock))
+        .build()
+}
+
+fn entry_server(
+    traffic: &tokio::runtime::Runtime,
+    listener: net::TcpListener,
+    context: entry::EntryContext,
+) -> std::io::Result<entry::EntryServer> {
+    let _guard = traffic.enter();
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    Ok(entry::EntryServer::new(listener, sync::Arc::new(context)))
+}
+
+fn start_control(control: control_loop::ControlLoop) -> Result<(), daemon_error::DaemonError> {
+    let thread_error = |source| daemon_error::DaemonError::Thread {
+        thread: "control",
+        source,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(thread_error)?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(control.run()))
+        .map_err(thread_error)?;
+    Ok(())
+}
+
+async fn sweep_connections(pool: sync::Arc<client::ConnectionPool>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        pool.sweep();
+    }
+}
+
+async fn read_store(store: Option<sync::Arc<dyn border::WeightStore>>, port: core_port::CorePort) {
+    let Some(store) = store else {
+        return;
+    };
+    loop {
+        match store.loads_per_minute().await {
+            Ok(loads) => port.tell(control::Event::WeightLimit(loads)),
+            Err(error) => tracing::debug!(%error, "can't read the weight store's limit"),
+        }
+        tokio::time::sleep(STORE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/components/daemon/src/daemon_options.rs
@@ -0,0 +1,10 @@
+//! How a process runs an instance.
+
+/// How a process runs an instance, beyond the instance's settings.
+#[derive(Clone, Debug, bon::Builder)]
+pub struct DaemonOptions {
+    /// Threads that carry traffic; the number of cores unless given.
+    pub traffic_threads: Option<usize>,
+    /// Seed of all randomness of the core; the time of the start unless given.
+    pub seed: Option<u64>,
+}
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -1,1 +1,27 @@
-//! An instance: drives the control core with a thread of its own and carries traffic.
+//! Runs an instance: drives the control core and carries out what it decides.
+//!
+//! One thread with a single-threaded runtime holds the core; a multi-threaded runtime carries the
+//! traffic of callers, engines and services. They meet in one queue of events and in immutable
+//! snapshots.
+
+mod action_runner;
+mod address_book;
+mod border_set;
+mod control_loop;
+mod core_port;
+mod daemon;
+mod daemon_error;
+mod daemon_handle;
+mod daemon_options;
+mod instance_snapshot;
+mod peer_port;
+mod system_clock;
+mod token_pump;
+
+pub use border_set::BorderSet;
+pub use daemon::Daemon;
+pub use daemon_error::DaemonError;
+pub use daemon_handle::DaemonHandle;
+pub use daemon_options::DaemonOptions;
+pub use instance_snapshot::InstanceSnapshot;
+pub use system_clock::SystemClock;
--- /dev/null
+++ b/components/daemon/src/system_clock.rs
@@ -0,0 +1,32 @@
+//! The clocks of the machine.
+
+use std::time;
+
+/// The clocks of the machine, monotonic since the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct SystemClock {
+    start: time::Instant,
+}
+
+impl SystemClock {
+    /// Starts the clock now.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            start: time::Instant::now(),
+        }
+    }
+}
+
+impl clock::ClockSource for SystemClock {
+    fn now(&self) -> clock::Moment {
+        clock::Moment::default() + self.start.elapsed()
+    }
+
+    fn wall_millis(&self) -> u64 {
+        let since_epoch = time::SystemTime::now()
+            .duration_since(time::UNIX_EPOCH)
+            .unwrap_or_default();
+        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    }
+}
