--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -5,14 +5,14 @@
 use crate::{
     answer_session, answer_stream, body_reader, caller_guard, chat_request, completion_request,
     entry_context, entry_error, error_answer, generation_query, load_gate, outcome_answer,
-    prompt_text, trace_source, whole_answer,
+    trace_source, whole_answer,
 };
 
 type SharedContext = axum::extract::State<sync::Arc<entry_context::EntryContext>>;
 
 /// What a checked request is to be sent as.
 struct CheckedRequest {
-    class: sync::Arc<note::RequestClass>,
+    class: note::RequestClass,
     priority: u8,
     model: ids::ModelName,
     adapter: Option<ids::AdapterName>,
@@ -125,7 +125,7 @@
     context: &sync::Arc<entry_context::EntryContext>,
     headers: &http::HeaderMap,
     (workspace, ticket, held): (
-        sync::Arc<note::WorkspaceEntry>,
+        note::WorkspaceEntry,
         load_gate::LoadTicket,
         body_reader::HeldBody,
     ),
@@ -137,13 +137,13 @@
     tracing::info!(name: "entry.request", %request, %trace, class = %checked.class.name);
     let spec = flow::FlowSpec::builder()
         .request(request)
-        .workspace(workspace.name.clone())
-        .class(checked.class.name.clone())
+        .workspace(workspace.name)
+        .class(checked.class.name)
         .model(checked.model.clone())
         .maybe_adapter(checked.adapter.clone())
         .prompt_tokens(checked.prompt_tokens)
         .max_tokens(checked.max_tokens)
-        .prefix_blocks(prompt_text::prefix_blocks(&prompt))
+        .prefix_blocks(border::prefix_blocks(&prompt))
         .build();
     let source = answer_session::AnswerSource::builder()
         .request(request)
@@ -171,7 +171,7 @@
 pub(crate) fn workspace_of(
     context: &entry_context::EntryContext,
     headers: &http::HeaderMap,
-) -> Result<sync::Arc<note::WorkspaceEntry>, entry_error::EntryError> {
+) -> Result<note::WorkspaceEntry, entry_error::EntryError> {
     if !context.is_ready() {
         return Err(entry_error::EntryError::NotReady);
     }
@@ -198,7 +198,7 @@
     let note::ClassTarget::Generation(generation) = &class.target else {
         return Err(entry_error::EntryError::NoClass);
     };
-    let prompt_tokens = prompt_text::token_estimate(&query.prompt);
+    let prompt_tokens = border::token_estimate(&query.prompt);
     if prompt_tokens == 0 || prompt_tokens > context.limits.prompt_tokens {
         let expected = format!("between 1 and {} tokens long", context.limits.prompt_tokens);
         return Err(chat_request::out_of_range("prompt", expected));
@@ -240,7 +240,7 @@
     state: &note::StateInForce,
     headers: &http::HeaderMap,
     model: &ids::ModelName,
-) -> Result<sync::Arc<note::RequestClass>, entry_error::EntryError> {
+) -> Result<note::RequestClass, entry_error::EntryError> {
     let wanted = headers
         .get(crate::CLASS_HEADER)
         .map(|value| value.to_str().unwrap_or_default());
