flow, order: keep cells incrementally and answer an owner that wants claims

Cause: each of the two machines rebuilt all cells from 12,000 engines at every note. Change: both keep a place::CellMap, which works only on the groups a note changes. The end of a prefill is told to the owner at once, and an owner that asks is told every lease of its cell. Conclusion: the test of the whole way now also expects the news of the transfer.

--- a/components/flow/src/cell_board.rs
+++ b/components/flow/src/cell_board.rs
@@ -8,8 +8,7 @@
 /// The cells, their owners and their spare capacity, as an entry instance knows them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CellBoard {
-    cells: BTreeMap<ids::CellId, place::cell::Cell>,
-    by_model: BTreeMap<ids::ModelName, Vec<ids::CellId>>,
+    cells: place::CellMap,
     owners: BTreeMap<ids::CellId, OwnerProcess>,
     spare: BTreeMap<ids::CellId, place::SpareAdvert>,
     view: sync::Arc<member::MemberView>,
@@ -17,19 +16,9 @@
 
 impl CellBoard {
     /// Takes the cells of a state in force; returns the cells with a new owner.
-    pub(crate) fn take_state(&mut self, state: &note::StateInForce) -> Vec<ids::CellId> {
-        self.cells = place::cell::cells(state)
-            .into_iter()
-            .map(|cell| (cell.id, cell))
-            .collect();
-        self.by_model.clear();
-        for cell in self.cells.values() {
-            for model in &cell.models {
-                self.by_model
-                    .entry(model.clone())
-                    .or_default()
-                    .push(cell.id);
-            }
+    pub(crate) fn take_state(&mut self, state: &sync::Arc<note::StateInForce>) -> Vec<ids::CellId> {
+        if !self.cells.update(state) {
+            return Vec::new();
         }
         self.refresh_owners()
     }
@@ -62,11 +51,11 @@
         request: ids::RequestId,
         tried: &[ids::CellId],
     ) -> Option<(ids::CellId, ids::InstanceId)> {
-        self.by_model
-            .get(model)?
-            .iter()
+        self.cells
+            .for_model(model)
+            .map(|cell| cell.id)
             .filter(|cell| !tried.contains(cell))
-            .filter_map(|cell| self.owner(*cell).map(|owner| (*cell, owner)))
+            .filter_map(|cell| self.owner(cell).map(|owner| (cell, owner)))
             .min_by_key(|(cell, _)| self.rank(*cell, request))
     }
 
@@ -80,13 +69,14 @@
 
     fn is_near(&self, cell: ids::CellId) -> bool {
         let own = self.view.members.get(&self.view.own);
-        let region = self.cells.get(&cell).map(|cell| &cell.region);
+        let region = self.cells.get(cell).map(|cell| &cell.region);
         own.is_some_and(|own| Some(&own.instance.region) == region)
     }
 
     fn refresh_owners(&mut self) -> Vec<ids::CellId> {
         let owners: BTreeMap<ids::CellId, OwnerProcess> = self
             .cells
+            .cells()
             .values()
             .filter_map(|cell| {
                 let owner = place::cell::owner(cell, &self.view)?;
--- a/components/flow/src/table/leases.rs
+++ b/components/flow/src/table/leases.rs
@@ -131,20 +131,29 @@
         outputs: &mut Vec<output::Output>,
     ) {
         for cell in cells {
-            let Some(owner) = self.board.owner(*cell) else {
-                continue;
-            };
-            let mut claims = Vec::new();
-            for flow in self.flows.values_mut().filter(|flow| flow.cell == *cell) {
-                let Some(claim) = flow.claim() else { continue };
-                flow.owner = owner;
-                claims.push(claim);
+            if let Some(owner) = self.board.owner(*cell) {
+                self.claim_cell(*cell, owner, outputs);
             }
-            let message = place::Message::Claims(*cell, claims, true);
-            outputs.push(output::Output::Send(owner, message));
         }
     }
 
+    /// Reports the leases of a cell to the instance that counts them now.
+    pub(super) fn claim_cell(
+        &mut self,
+        cell: ids::CellId,
+        owner: ids::InstanceId,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let mut claims = Vec::new();
+        for flow in self.flows.values_mut().filter(|flow| flow.cell == cell) {
+            let Some(claim) = flow.claim() else { continue };
+            flow.owner = owner;
+            claims.push(claim);
+        }
+        let message = place::Message::Claims(cell, claims, true);
+        outputs.push(output::Output::Send(owner, message));
+    }
+
     /// Tells every owner how far the work under its leases has come.
     pub(super) fn update_leases(&mut self, outputs: &mut Vec<output::Output>) {
         let mut by_owner: BTreeMap<ids::InstanceId, Vec<place::LeaseUpdate>> = BTreeMap::new();
--- a/components/flow/src/table/mod.rs
+++ b/components/flow/src/table/mod.rs
@@ -114,6 +114,7 @@
             place::Message::Refused(refusal) => self.take_refused(now, &refusal, outputs),
             place::Message::Revoked(leases) => self.take_revoked(now, &leases, outputs),
             place::Message::Spare(adverts) => self.board.take_spare(adverts),
+            place::Message::WantClaims(cell) => self.claim_cell(cell, from, outputs),
             place::Message::Ask(_)
             | place::Message::Withdraw(..)
             | place::Message::Updates(_)
--- a/components/flow/tests/flow/failures.rs
+++ b/components/flow/tests/flow/failures.rs
@@ -35,8 +35,9 @@
         matches!(&placed[..], [flow::Output::Prefill { engine, .. }] if engine.as_str() == "prefill-a")
     );
     assert!(
-        matches!(&prefilled[..], [flow::Output::Import { engine, .. }] if engine.as_str() == "decode-a")
+        matches!(&prefilled[..], [flow::Output::Import { engine, .. }, flow::Output::Send(..)] if engine.as_str() == "decode-a")
     );
+    assert_eq!(common::phases(&prefilled), [place::LeasePhase::Transfer]);
     assert!(matches!(&imported[0], flow::Output::Decode { job, .. } if job.offset == 0));
     assert_eq!(
         common::outcome(&ended),
@@ -304,6 +305,21 @@
     ));
 }
 
+#[test]
+fn an_owner_that_lost_its_count_is_told_every_lease_of_the_cell() {
+    let mut site = common::site();
+    site.decoding();
+    let cell = place::cell::cells(&common::state())[0].id;
+    let wanted = place::Message::WantClaims(cell);
+
+    let outputs = site.give(flow::Input::Place(common::OWNER, wanted));
+
+    assert!(matches!(
+        &common::messages(&outputs)[..],
+        [(common::OWNER, place::Message::Claims(_, claims, true))] if claims.len() == 1
+    ));
+}
+
 #[test]
 fn an_instance_that_wakes_after_its_lease_expired_sends_nothing_to_the_engine() {
     let mut site = common::site();
--- a/components/order/src/order_reconciler.rs
+++ b/components/order/src/order_reconciler.rs
@@ -40,7 +40,7 @@
     rng: rand_chacha::ChaCha8Rng,
     state: sync::Arc<note::StateInForce>,
     view: sync::Arc<member::MemberView>,
-    cells: Vec<place::cell::Cell>,
+    cells: place::CellMap,
     tracks: BTreeMap<ids::ServerName, engine_track::EngineTrack>,
     planners: BTreeMap<ids::CellId, role_planner::RolePlanner>,
     budget: load_budget::LoadBudget,
@@ -55,7 +55,7 @@
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             state: sync::Arc::default(),
             view: sync::Arc::default(),
-            cells: Vec::new(),
+            cells: place::CellMap::default(),
             tracks: BTreeMap::new(),
             planners: BTreeMap::new(),
             budget: load_budget::LoadBudget::new(DEFAULT_LOADS_PER_MINUTE),
@@ -97,7 +97,7 @@
     ) {
         match input {
             input::Input::State(state) => {
-                self.cells = place::cell::cells(&state);
+                self.cells.update(&state);
                 self.state = state;
                 self.refresh_tracks(now, outputs);
             }
@@ -127,7 +127,7 @@
     fn refresh_tracks(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         let mut tracks = BTreeMap::new();
         let mut owned = 0;
-        for cell in &self.cells {
+        for cell in self.cells.cells().values() {
             if place::cell::owner(cell, &self.view) != Some(self.own) {
                 continue;
             }
@@ -151,8 +151,8 @@
         }
         self.tracks = tracks;
         self.planners
-            .retain(|cell, _| self.cells.iter().any(|known| known.id == *cell));
-        self.budget.set_share(now, owned, self.cells.len());
+            .retain(|cell, _| self.cells.get(*cell).is_some());
+        self.budget.set_share(now, owned, self.cells.cells().len());
     }
 
     fn read_due(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
--- a/components/place/src/cell_book.rs
+++ b/components/place/src/cell_book.rs
@@ -43,7 +43,7 @@
             {
                 Some(book) => book.take_entry(entry),
                 None => {
-                    let book = engine_book::EngineBook::new(entry.clone());
+                    let book = engine_book::EngineBook::new(note::EngineEntry::clone(entry));
                     let key = self.engines.insert(book);
                     self.names.insert(name.clone(), key);
                 }
--- a/components/place/src/cell_map.rs
+++ b/components/place/src/cell_map.rs
@@ -53,8 +53,8 @@
     /// Walks both sorted maps side by side; returns the groups whose engines differ.
     fn move_engines(
         &mut self,
-        before: &BTreeMap<ids::ServerName, note::EngineEntry>,
-        after: &BTreeMap<ids::ServerName, note::EngineEntry>,
+        before: &BTreeMap<ids::ServerName, sync::Arc<note::EngineEntry>>,
+        after: &BTreeMap<ids::ServerName, sync::Arc<note::EngineEntry>>,
     ) -> BTreeSet<cell_group::CellGroup> {
         let mut changed = BTreeSet::new();
         let mut old_engines = before.values().peekable();
