--- a/components/control/tests/control/common.rs
+++ b/components/control/tests/control/common.rs
@@ -109,6 +109,9 @@
                 };
                 control::Event::Prefilled(request, attempt, Ok(result))
             }
+            control::Action::ReadRunning(engine) => {
+                control::Event::Running(engine, Some(Vec::new()))
+            }
             control::Action::Import { job, .. } => {
                 control::Event::Imported(job.request, job.attempt, Ok(()))
             }
--- a/components/flow/src/table/mod.rs
+++ b/components/flow/src/table/mod.rs
@@ -114,6 +114,9 @@
             place::Message::Refused(refusal) => self.take_refused(now, &refusal, outputs),
             place::Message::Revoked(leases) => self.take_revoked(now, &leases, outputs),
             place::Message::Spare(adverts) => self.board.take_spare(adverts),
+            place::Message::WantClaims(cell) => {
+                self.claim_leases(&BTreeSet::from([cell]), outputs);
+            }
             place::Message::Ask(_)
             | place::Message::Withdraw(..)
             | place::Message::Updates(_)
--- a/components/place/src/cell_book.rs
+++ b/components/place/src/cell_book.rs
@@ -1,6 +1,6 @@
 //! What an owner counts of one cell.
 
-use std::{collections::BTreeMap, time};
+use std::{collections::BTreeMap, sync, time};
 
 use crate::{
     ended_works, engine_book, held_lease, keys, lease_phase, output_guess, prefix_hints, work_key,
@@ -43,7 +43,7 @@
             {
                 Some(book) => book.take_entry(entry),
                 None => {
-                    let book = engine_book::EngineBook::new(entry.clone());
+                    let book = engine_book::EngineBook::new(sync::Arc::clone(entry));
                     let key = self.engines.insert(book);
                     self.names.insert(name.clone(), key);
                 }
@@ -51,7 +51,7 @@
         }
         for (key, book) in &mut self.engines {
             if self.names.get(&book.entry.name) == Some(&key) && !names.contains(&book.entry.name) {
-                book.entry.leaving = true;
+                book.withdrawn = true;
             }
         }
         self.drop_withdrawn(names);
@@ -157,11 +157,19 @@
         Some(lease)
     }
 
-    /// Moves the decode side of a lease to another engine.
-    pub fn move_decode(&mut self, key: keys::LeaseKey, decode: keys::EngineKey) {
+    /// Moves the decode side of a lease to another engine, under a later attempt.
+    pub fn move_decode(
+        &mut self,
+        key: keys::LeaseKey,
+        attempt: ids::AttemptNumber,
+        decode: keys::EngineKey,
+    ) {
         let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
+        self.by_work.remove(&lease.work);
+        lease.work.attempt = attempt;
+        self.by_work.insert(lease.work, key);
         let pieces = lease.kv_pieces;
         let earlier = std::mem::replace(&mut lease.decode, decode);
         self.free_decode(key, earlier, pieces);
@@ -188,7 +196,9 @@
         let (start_at, span) = (lease.start_at, lease.prefill_span);
         if was_reading && !lease.is_reading() {
             self.end_prefill(key, prefill);
-            if let Some(book) = self.engines.get_mut(prefill) {
+            if let Some(book) = self.engines.get_mut(prefill)
+                && phase == lease_phase::LeasePhase::Transfer
+            {
                 book.learn_prefill(span, now.since(start_at));
             }
         }
--- a/components/place/src/cell_map.rs
+++ b/components/place/src/cell_map.rs
@@ -8,6 +8,9 @@
 
 use crate::{cell, cell_group, cell_split};
 
+/// Engines of a state in force.
+type EngineMap = note::EntryMap<ids::ServerName, note::EngineEntry>;
+
 /// The cells of the state in force; a change of the state costs work for the changed groups only.
 #[derive(Clone, Debug, Default)]
 pub struct CellMap {
@@ -53,8 +56,8 @@
     /// Walks both sorted maps side by side; returns the groups whose engines differ.
     fn move_engines(
         &mut self,
-        before: &BTreeMap<ids::ServerName, note::EngineEntry>,
-        after: &BTreeMap<ids::ServerName, note::EngineEntry>,
+        before: &EngineMap,
+        after: &EngineMap,
     ) -> BTreeSet<cell_group::CellGroup> {
         let mut changed = BTreeSet::new();
         let mut old_engines = before.values().peekable();
@@ -69,7 +72,7 @@
             let old = old_engines.next_if(|_| order.is_le());
             let new = new_engines.next_if(|_| order.is_ge());
             if let (Some(old), Some(new)) = (old, new)
-                && is_same_place(old, new)
+                && (sync::Arc::ptr_eq(old, new) || is_same_place(old, new))
             {
                 continue;
             }
--- a/components/place/src/cell_owner.rs
+++ b/components/place/src/cell_owner.rs
@@ -147,7 +147,7 @@
         }
         self.refresh_cells(now, outputs);
         for planner in self.planners.values_mut() {
-            planner.sweep(now, &self.context, outputs);
+            planner.sweep(now, &mut self.context, outputs);
             planner.settle_takeover(now, &self.context);
             if lost {
                 planner.read_all_running(now);
@@ -233,6 +233,9 @@
                 }
             }
             message::Message::Claims(cell, claims, last) => {
+                if last {
+                    self.context.news.note_list(now, from);
+                }
                 if let Some(planner) = self.planners.get_mut(&cell) {
                     planner.take_claims(now, from, claims, last, &self.context);
                     planner.dispatch(now, &self.context, outputs);
@@ -298,7 +301,7 @@
         for (id, planner) in &mut self.planners {
             planner.wake(now, &self.context, outputs);
             if sweep {
-                planner.sweep(now, &self.context, outputs);
+                planner.sweep(now, &mut self.context, outputs);
                 if let Some(count) = planner.demand.sample(now, &planner.book) {
                     outputs.push(output::Output::WantPrefill(*id, count));
                 }
--- a/components/place/src/engine_book.rs
+++ b/components/place/src/engine_book.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    time,
+    sync, time,
 };
 
 use crate::{engine_reach, foreign_work, keys, work_key};
@@ -31,11 +31,13 @@
 #[derive(Clone, Debug)]
 pub struct EngineBook {
     /// The engine, as the release notes describe it.
-    pub entry: note::EngineEntry,
+    pub entry: sync::Arc<note::EngineEntry>,
     /// Role the engine has reported.
     pub role: note::EngineRole,
     /// Whether the engine takes no new work while it changes its role.
     pub drained: bool,
+    /// Whether the release notes don't name the engine any more.
+    pub withdrawn: bool,
     /// Whether the engine answers.
     pub reach: engine_reach::EngineReach,
     /// Prefills that the engine is to do.
@@ -59,11 +61,12 @@
 impl EngineBook {
     /// Makes the book of an engine that holds nothing, as far as known.
     #[must_use]
-    pub fn new(entry: note::EngineEntry) -> Self {
+    pub fn new(entry: sync::Arc<note::EngineEntry>) -> Self {
         Self {
             role: entry.role,
             entry,
             drained: false,
+            withdrawn: false,
             reach: engine_reach::EngineReach::default(),
             prefills: VecDeque::new(),
             decodes: BTreeSet::new(),
@@ -77,11 +80,12 @@
     }
 
     /// Takes a changed description of the engine.
-    pub fn take_entry(&mut self, entry: &note::EngineEntry) {
+    pub fn take_entry(&mut self, entry: &sync::Arc<note::EngineEntry>) {
+        self.withdrawn = false;
         if self.entry.role != entry.role {
             self.role = entry.role;
         }
-        self.entry.clone_from(entry);
+        self.entry = sync::Arc::clone(entry);
     }
 
     /// Returns whether the engine may get new prompts to read.
@@ -165,7 +169,10 @@
     }
 
     fn is_usable(&self) -> bool {
-        self.reach == engine_reach::EngineReach::Up && !self.drained && !self.entry.leaving
+        self.reach == engine_reach::EngineReach::Up
+            && !self.drained
+            && !self.withdrawn
+            && !self.entry.leaving
     }
 }
 
--- a/components/place/src/orphan_watch.rs
+++ b/components/place/src/orphan_watch.rs
@@ -1,6 +1,6 @@
 //! Finds and ends work whose entry is gone: by leases without news and by running lists.
 
-use std::time;
+use std::{collections::BTreeSet, time};
 
 use crate::{
     cell_planner, engine_reach, entry_news, foreign_work, held_lease, keys, message, output,
@@ -10,8 +10,11 @@
 /// Time for which an engine must list work without a lease before it may be ended.
 const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(2);
 
+/// Time without news of a lease after which its entry is asked for its claims.
+const QUIET_SPAN: time::Duration = time::Duration::from_secs(3);
+
 /// Time after which a lease that its entry doesn't list any more is ended.
-const UNLISTED_SPAN: time::Duration = time::Duration::from_secs(3);
+const UNLISTED_SPAN: time::Duration = time::Duration::from_secs(5);
 
 /// Time after which a silent entry's leases end although the membership holds it for alive.
 const SILENCE_SPAN: time::Duration = time::Duration::from_secs(30);
@@ -24,9 +27,12 @@
     pub fn sweep(
         &mut self,
         now: clock::Moment,
-        context: &owner_context::OwnerContext,
+        context: &mut owner_context::OwnerContext,
         outputs: &mut Vec<output::Output>,
     ) {
+        for entry in self.doubtful_entries(now) {
+            context.want_claims(now, self.cell.id, entry, outputs);
+        }
         let ended: Vec<keys::LeaseKey> = self
             .book
             .leases()
@@ -39,6 +45,22 @@
         self.end_orphans(now, context, outputs);
     }
 
+    /// Returns the instances whose leases or work went without news for long.
+    fn doubtful_entries(&self, now: clock::Moment) -> BTreeSet<ids::InstanceId> {
+        let quiet = self
+            .book
+            .leases()
+            .filter(|(_, lease)| lease.heard_at.max(lease.start_at) + QUIET_SPAN <= now)
+            .map(|(_, lease)| lease.entry);
+        let unleased = self
+            .book
+            .engines()
+            .flat_map(|(_, engine)| engine.foreign.values())
+            .filter(|foreign| foreign.first_seen + ORPHAN_GRACE <= now)
+            .map(|foreign| foreign.entry);
+        quiet.chain(unleased).collect()
+    }
+
     /// Takes the running list of an engine; `None` says that it couldn't be read.
     pub fn take_running(
         &mut self,
