border: run keyed calls at most once with the leave of a key's witnesses

A repeat under one idempotency key could run a second time through another instance, because the skeleton sent every call as it came. A keyed call now runs only when enough of the key's witnesses, the seven instances that rendezvous hashing ranks first, hold the key for the request. CallSpec gains key_age, AttemptResult and Output keep their form.

--- /dev/null
+++ b/components/call/benches/keeper.rs
@@ -0,0 +1,5 @@
+//! Measures the calls a keeper handles in a second on one core.
+
+fn main() {
+    divan::main();
+}
--- a/components/call/src/call_keeper.rs
+++ b/components/call/src/call_keeper.rs
@@ -1,121 +1,197 @@
 //! The state machine of calls.
 
-use std::{collections::BTreeMap, sync, time};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync, time,
+};
 
-use crate::{attempt_result, call_failure, call_outcome, call_spec, input, output};
+use rand::SeedableRng as _;
 
-/// Time within which the first byte of an attempt may leave.
-const START_WINDOW: time::Duration = time::Duration::from_millis(200);
+use crate::{call_entry, input, keeper_config, key_witness, message, output, service_lane};
 
-/// Routes the calls of one instance and owns a share of the idempotency keys.
+mod arrivals;
+mod attempts;
+mod claims;
+mod endings;
+
+/// Longest time for which calls wait while the view is too old to act on.
+const STALE_HOLD: time::Duration = time::Duration::from_secs(2);
+
+/// Routes the calls of one instance and is a witness of a share of the idempotency keys.
 pub struct CallKeeper {
+    config: keeper_config::KeeperConfig,
     state: sync::Arc<note::StateInForce>,
-    calls: BTreeMap<ids::RequestId, call_spec::CallSpec>,
+    view: sync::Arc<member::MemberView>,
+    generator: rand_chacha::ChaCha8Rng,
+    calls: BTreeMap<ids::RequestId, call_entry::CallEntry>,
+    timers: BTreeSet<(clock::Moment, ids::RequestId)>,
+    lanes: BTreeMap<ids::ServiceName, service_lane::ServiceLane>,
+    /// Services with waiting calls.
+    waiting: BTreeSet<ids::ServiceName>,
+    /// Services at whose servers room has become free during the current input.
+    freed: BTreeSet<ids::ServiceName>,
+    /// Unanswered calls of each workspace.
+    workspaces: BTreeMap<ids::WorkspaceName, u32>,
+    unanswered: usize,
+    /// Until when calls wait because the view is too old to act on.
+    held_until: Option<clock::Moment>,
+    witness: key_witness::KeyWitness,
 }
 
 impl CallKeeper {
+    /// Makes a keeper with the usual settings and without calls.
+    #[must_use]
+    pub fn new(own: ids::InstanceId, seed: u64) -> Self {
+        Self::with_config(
+            keeper_config::KeeperConfig::builder()
+                .own(own)
+                .seed(seed)
+                .build(),
+        )
+    }
+
     /// Makes a keeper without calls.
     #[must_use]
-    pub fn new(_own: ids::InstanceId, _seed: u64) -> Self {
+    pub fn with_config(config: keeper_config::KeeperConfig) -> Self {
         Self {
             state: sync::Arc::default(),
+            view: sync::Arc::default(),
+            generator: rand_chacha::ChaCha8Rng::seed_from_u64(config.seed),
             calls: BTreeMap::new(),
+            timers: BTreeSet::new(),
+            lanes: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            freed: BTreeSet::new(),
+            workspaces: BTreeMap::new(),
+            unanswered: 0,
+            held_until: None,
+            witness: key_witness::KeyWitness::new(&config),
+            config,
         }
     }
 
     /// Returns when the keeper wants to be woken.
     #[must_use]
-    pub const fn next_wake(&self) -> clock::Moment {
-        clock::Moment::MAX
+    pub fn next_wake(&self) -> clock::Moment {
+        let timer = self
+            .timers
+            .first()
+            .map_or(clock::Moment::MAX, |(timer, _)| *timer);
+        let retry = self
+            .waiting
+            .iter()
+            .filter_map(|service| self.lanes.get(service))
+            .map(|lane| lane.retry_at)
+            .min()
+            .unwrap_or(clock::Moment::MAX);
+        let held = self.held_until.unwrap_or(clock::Moment::MAX);
+        timer.min(retry).min(held).min(self.witness.next_wake())
     }
 
-    /// Returns the number of calls in flight.
+    /// Returns the number of calls whose callers wait for an answer.
     #[must_use]
-    pub fn in_flight(&self) -> usize {
-        self.calls.len()
+    pub const fn in_flight(&self) -> usize {
+        self.unanswered
     }
 
     /// Takes one input at `now` and appends what is to be done to `outputs`.
     pub fn handle(
         &mut self,
-        _now: clock::Moment,
+        now: clock::Moment,
         input: input::Input,
         outputs: &mut Vec<output::Output>,
     ) {
+        self.witness.start(now);
         match input {
-            input::Input::State(state) => self.state = state,
-            input::Input::Arrived(spec) => self.start(spec, outputs),
+            input::Input::State(state) => self.take_state(now, state, outputs),
+            input::Input::View(view) => self.take_view(now, view, outputs),
+            input::Input::Arrived(spec) => self.arrive(now, spec, outputs),
             input::Input::Attempted(request, attempt, result) => {
-                self.finish(request, attempt, &result, outputs);
-            }
-            input::Input::CallerGone(request) => {
-                self.calls.remove(&request);
+                self.take_result(now, request, attempt, &result, outputs);
             }
-            input::Input::Message(..)
-            | input::Input::View(_)
-            | input::Input::DrainBegan
-            | input::Input::Wake => {}
+            input::Input::CallerGone(request) => self.abandon(request, outputs),
+            input::Input::Message(from, message) => self.take_message(now, from, message, outputs),
+            input::Input::DrainBegan => self.witness.drain(now, outputs),
+            input::Input::Wake => self.wake(now, outputs),
+        }
+        while let Some(service) = self.freed.pop_first() {
+            self.pump(now, &service, outputs);
         }
     }
 
-    fn start(&mut self, spec: call_spec::CallSpec, outputs: &mut Vec<output::Output>) {
-        let request = spec.request;
-        let server = self
-            .state
-            .servers
-            .values()
-            .find(|server| server.service == spec.service && !server.leaving);
-        let Some(server) = server else {
-            outputs.push(output::Output::Finish(
-                request,
-                failed(border::Outcome::NotRun, call_failure::CallFailure::NoServer),
-            ));
-            return;
-        };
-        outputs.push(output::Output::Attempt {
-            request,
-            attempt: ids::AttemptNumber(0),
-            server: server.name.clone(),
-            time_left: spec.time_left,
-            start_within: START_WINDOW,
-        });
-        self.calls.insert(request, spec);
+    fn take_state(
+        &mut self,
+        now: clock::Moment,
+        state: sync::Arc<note::StateInForce>,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        self.state = state;
+        self.refresh_lanes(now, outputs);
     }
 
-    fn finish(
+    fn take_view(
         &mut self,
-        request: ids::RequestId,
-        attempt: ids::AttemptNumber,
-        result: &attempt_result::AttemptResult,
+        now: clock::Moment,
+        view: sync::Arc<member::MemberView>,
         outputs: &mut Vec<output::Output>,
     ) {
-        if self.calls.remove(&request).is_none() {
-            return;
+        self.view = view;
+        self.witness.take_view(now, &self.view);
+        if self.view.fresh {
+            self.held_until = None;
+        } else if self.held_until.is_none() {
+            self.held_until = Some(now + STALE_HOLD);
+        }
+        self.refresh_lanes(now, outputs);
+    }
+
+    fn wake(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
+        self.witness.wake(now, outputs);
+        while let Some((timer, request)) = self.timers.first().copied() {
+            if timer > now {
+                break;
+            }
+            self.timers.pop_first();
+            self.time_out(now, request, outputs);
+        }
+        if self.held_until.is_some_and(|until| until <= now) {
+            self.held_until = None;
         }
-        let outcome = match result {
-            attempt_result::AttemptResult::Replied(_) => {
-                call_outcome::CallOutcome::Answered(attempt)
+        let services: Vec<_> = self.waiting.iter().cloned().collect();
+        for service in services {
+            self.pump(now, &service, outputs);
+        }
+    }
+
+    fn take_message(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        message: message::Message,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        match message {
+            message::Message::Claimed {
+                key,
+                request,
+                state,
+                vouched,
+            } => {
+                self.take_claimed(now, from, (key, request), (state, vouched), outputs);
             }
-            attempt_result::AttemptResult::Failed(error) if error.proves_not_run() => failed(
-                border::Outcome::NotRun,
-                call_failure::CallFailure::ServerLost,
-            ),
-            attempt_result::AttemptResult::Failed(_) => failed(
-                border::Outcome::Unknown,
-                call_failure::CallFailure::ServerLost,
-            ),
-        };
-        outputs.push(output::Output::Finish(request, outcome));
+            message => self.witness.take_message(now, from, message, outputs),
+        }
     }
-}
 
-const fn failed(
-    outcome: border::Outcome,
-    failure: call_failure::CallFailure,
-) -> call_outcome::CallOutcome {
-    call_outcome::CallOutcome::Failed {
-        outcome,
-        failure,
-        retry_after: None,
+    fn view_is_usable(&self) -> bool {
+        self.view.fresh && !self.view.partitioned
+    }
+
+    fn set_timer(&mut self, request: ids::RequestId, timer: clock::Moment) {
+        if let Some(entry) = self.calls.get_mut(&request) {
+            self.timers.remove(&(entry.timer, request));
+            entry.timer = timer;
+            self.timers.insert((timer, request));
+        }
     }
 }
--- a/components/call/src/call_spec.rs
+++ b/components/call/src/call_spec.rs
@@ -18,6 +18,12 @@
     pub idempotent: bool,
     /// Key under which the caller may repeat a non-idempotent call.
     pub key: Option<claim_key::ClaimKey>,
+    /// Age of the key at arrival, when the key itself tells when it was made (UUID version 7).
+    ///
+    /// Unset when the key tells nothing or a time later than this instance's clock. A key of
+    /// known age can be claimed as soon as the witnesses have been up for that time, and is
+    /// refused for good once it is older than the retention.
+    pub key_age: Option<std::time::Duration>,
     /// Hash of method, path and body; a key repeated with another one is a caller's error.
     pub fingerprint: u128,
     /// Priority; higher goes first.
--- /dev/null
+++ b/components/call/src/claim_store.rs
@@ -0,0 +1,139 @@
+//! The claims that one witness holds.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops, time,
+};
+
+use crate::{claim_key, claim_state::ClaimState, held_claim};
+
+/// A claim with the time until which it is kept.
+#[derive(Clone, Copy, Debug)]
+struct ClaimRecord {
+    claim: held_claim::HeldClaim,
+    expires: clock::Moment,
+}
+
+/// The claims that one witness holds, bounded in number.
+///
+/// A full store refuses new keys; it never forgets one before its time.
+#[derive(Clone, Debug)]
+pub struct ClaimStore {
+    records: BTreeMap<claim_key::ClaimKey, ClaimRecord>,
+    expiries: BTreeSet<(clock::Moment, claim_key::ClaimKey)>,
+    limit: usize,
+    lifetime: time::Duration,
+}
+
+impl ClaimStore {
+    /// Makes an empty store of at most `limit` claims, each kept for `lifetime` after its last change.
+    pub const fn new(limit: usize, lifetime: time::Duration) -> Self {
+        Self {
+            records: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            limit,
+            lifetime,
+        }
+    }
+
+    /// Returns when the next claim expires.
+    pub fn next_expiry(&self) -> clock::Moment {
+        self.expiries
+            .first()
+            .map_or(clock::Moment::MAX, |(expires, _)| *expires)
+    }
+
+    /// Drops the claims whose time has passed.
+    pub fn expire(&mut self, now: clock::Moment) {
+        while let Some((expires, key)) = self.expiries.first().copied() {
+            if expires > now {
+                return;
+            }
+            self.expiries.pop_first();
+            self.records.remove(&key);
+        }
+    }
+
+    /// Claims a key and returns what the store holds of it.
+    pub fn claim(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> ClaimState {
+        let Some(record) = self.records.get(&claim.key) else {
+            return self.claim_free(now, claim);
+        };
+        let held = record.claim;
+        if held.fingerprint != claim.fingerprint {
+            return ClaimState::Mismatch;
+        }
+        if held.request == claim.request && held.state == ClaimState::Running {
+            return ClaimState::Granted;
+        }
+        held.state
+    }
+
+    /// Takes in what became of a claim; a claim that didn't run frees its key.
+    pub fn settle(
+        &mut self,
+        now: clock::Moment,
+        key: claim_key::ClaimKey,
+        request: ids::RequestId,
+        state: ClaimState,
+    ) {
+        let Some(record) = self.records.get(&key) else {
+            return;
+        };
+        let held = record.claim;
+        if held.request != request || held.state != ClaimState::Running {
+            return;
+        }
+        if state == ClaimState::NotRun {
+            self.remove(key);
+        } else {
+            self.insert(now, held_claim::HeldClaim { state, ..held });
+        }
+    }
+
+    /// Takes in a claim that another witness holds.
+    pub fn merge(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> bool {
+        match self.records.get(&claim.key) {
+            Some(record) if record.claim.state != ClaimState::Running => true,
+            Some(_) if claim.state == ClaimState::Running => true,
+            None if self.records.len() >= self.limit => false,
+            _ => {
+                self.insert(now, claim);
+                true
+            }
+        }
+    }
+
+    /// Returns the claims after a key, in the order of their keys.
+    pub fn after(
+        &self,
+        after: Option<claim_key::ClaimKey>,
+    ) -> impl Iterator<Item = &held_claim::HeldClaim> {
+        let start = after.map_or(ops::Bound::Unbounded, ops::Bound::Excluded);
+        self.records
+            .range((start, ops::Bound::Unbounded))
+            .map(|(_, record)| &record.claim)
+    }
+
+    fn claim_free(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> ClaimState {
+        if self.records.len() >= self.limit {
+            return ClaimState::Unknown;
+        }
+        self.insert(now, claim);
+        ClaimState::Granted
+    }
+
+    fn insert(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) {
+        self.remove(claim.key);
+        let expires = now + self.lifetime;
+        self.expiries.insert((expires, claim.key));
+        self.records
+            .insert(claim.key, ClaimRecord { claim, expires });
+    }
+
+    fn remove(&mut self, key: claim_key::ClaimKey) {
+        if let Some(record) = self.records.remove(&key) {
+            self.expiries.remove(&(record.expires, key));
+        }
+    }
+}
--- /dev/null
+++ b/components/call/src/concurrency_limit.rs
@@ -0,0 +1,93 @@
+//! How many calls this instance has open at one backend server.
+
+use std::time;
+
+/// Share of the limit that remains after a sign of overload.
+const CUT_FACTOR: f64 = 0.8;
+
+/// Shortest time between two cuts.
+const CUT_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Weight of a new latency in the recent average.
+const RECENT_WEIGHT: f64 = 0.1;
+
+/// Weight of a new latency in the long average.
+const LONG_WEIGHT: f64 = 0.01;
+
+/// Ratio of recent to long latency that is taken as overload.
+const SLOW_RATIO: f64 = 2.0;
+
+/// Adapts the number of open calls: additive increase, multiplicative decrease.
+///
+/// The limit grows while it is used and latencies stay level, and is cut when the recent latency
+/// exceeds the long average or the server refuses.
+#[derive(Clone, Copy, Debug)]
+pub struct ConcurrencyLimit {
+    limit: f64,
+    ceiling: f64,
+    recent_seconds: Option<f64>,
+    long_seconds: f64,
+    next_cut: clock::Moment,
+}
+
+impl ConcurrencyLimit {
+    /// Makes a limit that starts at `start` and never exceeds `ceiling`.
+    pub fn new(start: u32, ceiling: u32) -> Self {
+        Self {
+            limit: f64::from(start.clamp(1, ceiling.max(1))),
+            ceiling: f64::from(ceiling.max(1)),
+            recent_seconds: None,
+            long_seconds: 0.0,
+            next_cut: clock::Moment::default(),
+        }
+    }
+
+    /// Changes the largest limit.
+    pub fn set_ceiling(&mut self, ceiling: u32) {
+        self.ceiling = f64::from(ceiling.max(1));
+        self.limit = self.limit.min(self.ceiling);
+    }
+
+    /// Returns the number of calls that may be open.
+    pub const fn allowed(&self) -> f64 {
+        self.limit
+    }
+
+    /// Returns the recent latency in seconds, when any is known.
+    pub const fn recent_seconds(&self) -> Option<f64> {
+        self.recent_seconds
+    }
+
+    /// Takes in a call that ended well while `open` calls were open.
+    pub fn succeeded(&mut self, now: clock::Moment, latency: time::Duration, open: u32) {
+        let seconds = latency.as_secs_f64();
+        let recent = self
+            .recent_seconds
+            .map_or(seconds, |recent| blend(recent, seconds, RECENT_WEIGHT));
+        let long = if self.recent_seconds.is_none() {
+            seconds
+        } else {
+            blend(self.long_seconds, seconds, LONG_WEIGHT)
+        };
+        self.recent_seconds = Some(recent);
+        self.long_seconds = long;
+        if recent > long * SLOW_RATIO {
+            self.cut(now);
+        } else if f64::from(open) * 2.0 >= self.limit {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
+        }
+    }
+
+    /// Takes in a sign that the server has too much to do.
+    pub fn cut(&mut self, now: clock::Moment) {
+        if now < self.next_cut {
+            return;
+        }
+        self.next_cut = now + CUT_INTERVAL;
+        self.limit = (self.limit * CUT_FACTOR).max(1.0);
+    }
+}
+
+fn blend(old: f64, new: f64, weight: f64) -> f64 {
+    old + (new - old) * weight
+}
--- a/components/call/src/input.rs
+++ b/components/call/src/input.rs
@@ -5,11 +5,13 @@
 use crate::{attempt_result, call_spec, message};
 
 /// What a call keeper takes.
+///
+/// The driver reads the time that it passes along after it has received what the input tells.
 #[derive(Clone, Debug)]
 pub enum Input {
     /// A caller's call arrived.
     Arrived(call_spec::CallSpec),
-    /// An attempt ended.
+    /// An attempt ended; told exactly once for each attempt.
     Attempted(
         ids::RequestId,
         ids::AttemptNumber,
--- /dev/null
+++ b/components/call/src/key_witness.rs
@@ -0,0 +1,338 @@
+//! The witness's side of claims: what this instance remembers of keys, and how far back.
+
+use std::{collections::VecDeque, sync, time};
+
+use crate::{
+    claim_key, claim_policy, claim_state::ClaimState, claim_store, held_claim, keeper_config,
+    message, output, recall_task, witness_rank,
+};
+
+/// Claims in one message of a hand-over.
+const PAGE_CLAIMS: usize = 1_000;
+
+/// Time for which claims outlive the retention, so that a call may end late.
+const RETENTION_GRACE: time::Duration = time::Duration::from_secs(60);
+
+/// The instances of the region from some time on.
+#[derive(Clone, Debug)]
+struct RosterSpan {
+    since: clock::Moment,
+    roster: Vec<ids::InstanceId>,
+}
+
+/// Remembers the claims of keys that this instance is a witness of.
+///
+/// The witness answers only under a view that may be acted on, and vouches for a key only when it
+/// has been among the key's witnesses for the whole window that the claim names, as one process
+/// or with what it recalled from enough older witnesses.
+pub struct KeyWitness {
+    own: ids::InstanceId,
+    retention: time::Duration,
+    policy: sync::Arc<dyn claim_policy::ClaimPolicy>,
+    store: claim_store::ClaimStore,
+    rosters: VecDeque<RosterSpan>,
+    /// Since when every claim that this instance should know of is known; unset before the start.
+    complete_since: Option<clock::Moment>,
+    /// When an instance last left the roster, by which this one may have moved up in rank.
+    moved_up: Option<clock::Moment>,
+    usable: bool,
+    draining: bool,
+    recall: recall_task::RecallTask,
+}
+
+impl KeyWitness {
+    /// Makes a witness that remembers nothing.
+    pub fn new(config: &keeper_config::KeeperConfig) -> Self {
+        Self {
+            own: config.own,
+            retention: config.key_retention,
+            policy: sync::Arc::clone(&config.claim_policy),
+            store: claim_store::ClaimStore::new(
+                config.claim_limit,
+                config.key_retention + RETENTION_GRACE,
+            ),
+            rosters: VecDeque::new(),
+            complete_since: None,
+            moved_up: None,
+            usable: false,
+            draining: false,
+            recall: recall_task::RecallTask::default(),
+        }
+    }
+
+    /// Returns when the witness wants to be woken.
+    pub fn next_wake(&self) -> clock::Moment {
+        self.store.next_expiry().min(self.recall.next_wake())
+    }
+
+    /// Notes the time of the first input, from which this process remembers.
+    pub fn start(&mut self, now: clock::Moment) {
+        if self.complete_since.is_none() {
+            self.complete_since = Some(now);
+            self.recall.start(now);
+        }
+    }
+
+    /// Drops expired claims and asks again for what is to be recalled.
+    pub fn wake(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
+        self.store.expire(now);
+        for (peer, question) in self.recall.due(now) {
+            outputs.push(output::Output::Send(peer, question));
+        }
+    }
+
+    /// Takes a changed membership.
+    pub fn take_view(&mut self, now: clock::Moment, view: &member::MemberView) {
+        self.usable = view.fresh && !view.partitioned;
+        let Some(own) = view.members.get(&self.own) else {
+            self.usable = false;
+            return;
+        };
+        let roster = witness_rank::roster(view, &own.instance.region);
+        let held = self.rosters.back().map(|span| &span.roster);
+        if held == Some(&roster) {
+            return;
+        }
+        let moves_up = held.is_some_and(|held| {
+            held.len() > witness_rank::WITNESS_COUNT && held.iter().any(|old| !roster.contains(old))
+        });
+        if moves_up {
+            self.moved_up = Some(now);
+        }
+        self.recall.set_peers(&roster, self.own, own.incarnation);
+        self.rosters.push_back(RosterSpan { since: now, roster });
+        self.forget_rosters(now);
+    }
+
+    /// Takes a message for the witness's side.
+    pub fn take_message(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        message: message::Message,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        match message {
+            message::Message::Claim {
+                key,
+                request,
+                fingerprint,
+                window,
+            } => {
+                let claim = held_claim::HeldClaim {
+                    key,
+                    request,
+                    fingerprint,
+                    state: ClaimState::Running,
+                };
+                let answer = self.claim(now, claim, window);
+                outputs.push(output::Output::Send(from, answer));
+            }
+            message::Message::Settle {
+                key,
+                request,
+                state,
+            } => self.store.settle(now, key, request, state),
+            message::Message::Recall { process, after } => {
+                let page = self.recalled(now, from, process, after);
+                outputs.push(output::Output::Send(from, page));
+            }
+            message::Message::HandOver {
+                process,
+                after,
+                claims,
+                known_for,
+                more,
+            } => {
+                let page = recall_task::RecallPage {
+                    process,
+                    after,
+                    claims: &claims,
+                    known_for,
+                    more,
+                };
+                self.take_page(now, from, page, outputs);
+            }
+            message::Message::Claimed { .. } => {}
+        }
+    }
+
+    fn claim(
+        &mut self,
+        now: clock::Moment,
+        claim: held_claim::HeldClaim,
+        window: time::Duration,
+    ) -> message::Message {
+        let speaks = self.speaks_for(claim.key);
+        let state = if speaks {
+            self.store.expire(now);
+            self.store.claim(now, claim)
+        } else {
+            ClaimState::Unknown
+        };
+        message::Message::Claimed {
+            key: claim.key,
+            request: claim.request,
+            state,
+            vouched: speaks && self.vouches_for(now, claim.key, window),
+        }
+    }
+
+    /// Answers a new witness with a page of the claims that it is a witness of.
+    fn recalled(
+        &self,
+        now: clock::Moment,
+        peer: ids::InstanceId,
+        process: ids::Incarnation,
+        after: Option<claim_key::ClaimKey>,
+    ) -> message::Message {
+        let mut roster = self.roster().to_vec();
+        if !roster.contains(&peer) {
+            roster.push(peer);
+        }
+        self.page(now, &roster, peer, Some(process), after).0
+    }
+
+    /// Takes in a page of claims.
+    fn take_page(
+        &mut self,
+        now: clock::Moment,
+        peer: ids::InstanceId,
+        page: recall_task::RecallPage<'_>,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let mut whole = true;
+        for claim in page.claims {
+            whole &= self.store.merge(now, *claim);
+        }
+        if !whole {
+            return;
+        }
+        if let Some(question) = self.recall.take_page(now, peer, &page) {
+            outputs.push(output::Output::Send(peer, question));
+        }
+        self.extend_memory();
+    }
+
+    /// Hands the claims to the instances that are their witnesses once this one is gone.
+    pub fn drain(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
+        self.draining = true;
+        let mut roster = self.roster().to_vec();
+        roster.retain(|instance| *instance != self.own);
+        for peer in &roster {
+            self.hand_over(now, &roster, *peer, outputs);
+        }
+    }
+
+    fn hand_over(
+        &self,
+        now: clock::Moment,
+        roster: &[ids::InstanceId],
+        peer: ids::InstanceId,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let mut after = None;
+        loop {
+            let (page, more) = self.page(now, roster, peer, None, after);
+            let message::Message::HandOver { claims, .. } = &page else {
+                return;
+            };
+            let Some(last) = claims.last() else {
+                return;
+            };
+            after = Some(last.key);
+            outputs.push(output::Output::Send(peer, page));
+            if !more {
+                return;
+            }
+        }
+    }
+
+    fn roster(&self) -> &[ids::InstanceId] {
+        self.rosters.back().map_or(&[], |span| &span.roster)
+    }
+
+    fn page(
+        &self,
+        now: clock::Moment,
+        roster: &[ids::InstanceId],
+        peer: ids::InstanceId,
+        process: Option<ids::Incarnation>,
+        after: Option<claim_key::ClaimKey>,
+    ) -> (message::Message, bool) {
+        let mut wanted = self
+            .store
+            .after(after)
+            .filter(|claim| witness_rank::is_witness(claim.key, roster, peer));
+        let claims = wanted.by_ref().take(PAGE_CLAIMS).copied().collect();
+        let more = wanted.next().is_some();
+        let page = message::Message::HandOver {
+            process,
+            after,
+            claims,
+            known_for: self.known_for(now),
+            more,
+        };
+        (page, more)
+    }
+
+    /// Returns whether this instance may answer claims of `key`.
+    fn speaks_for(&self, key: claim_key::ClaimKey) -> bool {
+        let ranked = self
+            .rosters
+            .back()
+            .is_some_and(|span| witness_rank::is_witness(key, &span.roster, self.own));
+        self.usable && !self.draining && ranked
+    }
+
+    /// Returns whether every claim of `key` within the window that came here is known.
+    fn vouches_for(
+        &self,
+        now: clock::Moment,
+        key: claim_key::ClaimKey,
+        window: time::Duration,
+    ) -> bool {
+        let from = now.before(window.min(self.retention));
+        let started = self.complete_since.is_some_and(|since| since <= from);
+        started && self.was_witness_since(key, from)
+    }
+
+    fn was_witness_since(&self, key: claim_key::ClaimKey, from: clock::Moment) -> bool {
+        self.rosters
+            .iter()
+            .rev()
+            .scan(clock::Moment::MAX, |until, span| {
+                let overlaps = *until > from;
+                *until = span.since;
+                overlaps.then_some(span)
+            })
+            .all(|span| witness_rank::is_witness(key, &span.roster, self.own))
+    }
+
+    fn known_for(&self, now: clock::Moment) -> time::Duration {
+        let complete = self.complete_since.map_or(now, |since| since);
+        now.since(complete.max(self.moved_up.unwrap_or_default()))
+    }
+
+    /// Counts this instance's memory as reaching back as far as that of enough older witnesses.
+    fn extend_memory(&mut self) {
+        let roster = self.roster();
+        let witnesses = roster.len().min(witness_rank::WITNESS_COUNT);
+        let vouchers = self.policy.quorum(witnesses).vouchers;
+        let Some(spare) = witnesses.checked_sub(1 + vouchers) else {
+            return;
+        };
+        let peers = roster.iter().copied().filter(|peer| *peer != self.own);
+        let recalled = self.recall.complete_since(peers, spare);
+        if let (Some(recalled), Some(own)) = (recalled, self.complete_since) {
+            self.complete_since = Some(own.min(recalled));
+        }
+    }
+
+    fn forget_rosters(&mut self, now: clock::Moment) {
+        let oldest = now.before(self.retention);
+        while self.rosters.len() > 1 && self.rosters[1].since <= oldest {
+            self.rosters.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/components/call/src/recall_task.rs
@@ -0,0 +1,140 @@
+//! A new witness's recall of the claims that older witnesses hold.
+
+use std::{collections::BTreeMap, time};
+
+use crate::{claim_key, held_claim, message};
+
+/// Time after the start before the recall begins; a round of claims that was open at the start
+/// is closed by then, so the older witnesses hold all of it.
+const RECALL_DELAY: time::Duration = time::Duration::from_secs(3);
+
+/// Time between two questions to a peer that doesn't answer.
+const RECALL_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
+/// A page of claims as it arrived.
+#[derive(Clone, Copy, Debug)]
+pub struct RecallPage<'page> {
+    /// Process that asked for the page, if any did.
+    pub process: Option<ids::Incarnation>,
+    /// Last key of the page before, if any.
+    pub after: Option<claim_key::ClaimKey>,
+    /// The claims.
+    pub claims: &'page [held_claim::HeldClaim],
+    /// Time back for which the sender knows of every claim it was asked for.
+    pub known_for: time::Duration,
+    /// Whether claims beyond this page remain.
+    pub more: bool,
+}
+
+/// How far the recall from one peer has come.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecallCursor {
+    after: Option<claim_key::ClaimKey>,
+    /// Since when the peer's claims are known here; the latest of its pages counts.
+    since: clock::Moment,
+    done: bool,
+}
+
+/// A new witness's recall of the claims that older witnesses hold.
+#[derive(Clone, Debug, Default)]
+pub struct RecallTask {
+    cursors: BTreeMap<ids::InstanceId, RecallCursor>,
+    /// When the questions go out next; unset before the start.
+    next_ask: Option<clock::Moment>,
+    begun: bool,
+    /// This process, whose questions the pages must answer.
+    process: ids::Incarnation,
+}
+
+impl RecallTask {
+    /// Plans the first questions.
+    pub fn start(&mut self, now: clock::Moment) {
+        self.next_ask = Some(now + RECALL_DELAY);
+    }
+
+    /// Returns when the questions go out next.
+    pub fn next_wake(&self) -> clock::Moment {
+        if self.begun && self.cursors.values().all(|cursor| cursor.done) {
+            return clock::Moment::MAX;
+        }
+        self.next_ask.unwrap_or(clock::Moment::MAX)
+    }
+
+    /// Sets the peers to ask; before the first questions all peers of the roster count, and
+    /// later ones are newer than this instance.
+    pub fn set_peers(
+        &mut self,
+        roster: &[ids::InstanceId],
+        own: ids::InstanceId,
+        process: ids::Incarnation,
+    ) {
+        self.process = process;
+        self.cursors.retain(|peer, _| roster.contains(peer));
+        if self.begun {
+            return;
+        }
+        for peer in roster.iter().filter(|peer| **peer != own) {
+            self.cursors.entry(*peer).or_default();
+        }
+    }
+
+    /// Returns the questions that are due.
+    pub fn due(&mut self, now: clock::Moment) -> Vec<(ids::InstanceId, message::Message)> {
+        if self.next_wake() > now {
+            return Vec::new();
+        }
+        self.begun = !self.cursors.is_empty();
+        self.next_ask = Some(now + RECALL_INTERVAL);
+        self.cursors
+            .iter()
+            .filter(|(_, cursor)| !cursor.done)
+            .map(|(peer, cursor)| (*peer, self.question(cursor.after)))
+            .collect()
+    }
+
+    /// Takes in a page; returns the next question, when more claims remain.
+    pub fn take_page(
+        &mut self,
+        now: clock::Moment,
+        peer: ids::InstanceId,
+        page: &RecallPage<'_>,
+    ) -> Option<message::Message> {
+        let asked = self.begun && page.process == Some(self.process);
+        let cursor = self.cursors.get_mut(&peer)?;
+        if !asked || cursor.done || cursor.after != page.after {
+            return None;
+        }
+        cursor.since = cursor.since.max(now.before(page.known_for));
+        cursor.done = !page.more;
+        cursor.after = page.claims.last().map(|claim| claim.key).or(cursor.after);
+        let after = cursor.after;
+        page.more.then(|| self.question(after))
+    }
+
+    /// Returns since when the claims of all but `spare` of `peers` are known here.
+    pub fn complete_since(
+        &self,
+        peers: impl Iterator<Item = ids::InstanceId>,
+        spare: usize,
+    ) -> Option<clock::Moment> {
+        let mut times: Vec<_> = peers.map(|peer| self.known_since(peer)).collect();
+        times.sort_unstable();
+        let counted = times.len().checked_sub(spare)?;
+        let latest = *times.get(counted.checked_sub(1)?)?;
+        (latest < clock::Moment::MAX).then_some(latest)
+    }
+
+    fn known_since(&self, peer: ids::InstanceId) -> clock::Moment {
+        self.cursors
+            .get(&peer)
+            .filter(|cursor| cursor.done)
+            .map_or(clock::Moment::MAX, |cursor| cursor.since)
+    }
+
+    const fn question(&self, after: Option<claim_key::ClaimKey>) -> message::Message {
+        message::Message::Recall {
+            process: self.process,
+            after,
+        }
+    }
+}
--- /dev/null
+++ b/components/call/src/witness_rank.rs
@@ -0,0 +1,48 @@
+//! Which instances are the witnesses of a key.
+
+use crate::claim_key;
+
+/// Number of witnesses of a key, where the region has as many instances.
+pub const WITNESS_COUNT: usize = 7;
+
+/// Returns the instances of `region` that can be witnesses, silent ones included.
+///
+/// A silent instance may live on the other side of a partition, so it stays until the platform's
+/// list no longer names it.
+pub fn roster(view: &member::MemberView, region: &ids::RegionName) -> Vec<ids::InstanceId> {
+    view.members
+        .iter()
+        .filter(|(_, member)| member.instance.region == *region)
+        .filter(|(_, member)| member.state != member::MemberState::Leaving)
+        .map(|(instance, _)| *instance)
+        .collect()
+}
+
+/// Returns the witnesses of `key`, best rank first.
+pub fn witnesses(key: claim_key::ClaimKey, roster: &[ids::InstanceId]) -> Vec<ids::InstanceId> {
+    let mut ranks: Vec<_> = roster
+        .iter()
+        .map(|instance| (score(key, *instance), *instance))
+        .collect();
+    ranks.sort_unstable_by(|left, right| right.cmp(left));
+    ranks.truncate(WITNESS_COUNT);
+    ranks.into_iter().map(|(_, instance)| instance).collect()
+}
+
+/// Returns whether `instance` is one of the witnesses of `key`.
+pub fn is_witness(
+    key: claim_key::ClaimKey,
+    roster: &[ids::InstanceId],
+    instance: ids::InstanceId,
+) -> bool {
+    let own = (score(key, instance), instance);
+    let better = roster
+        .iter()
+        .filter(|other| (score(key, **other), **other) > own)
+        .count();
+    better < WITNESS_COUNT && roster.contains(&instance)
+}
+
+fn score(key: claim_key::ClaimKey, instance: ids::InstanceId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&key.0.to_le_bytes(), instance.0)
+}
