--- a/components/daemon/src/action_runner.rs
+++ b/components/daemon/src/action_runner.rs
@@ -31,6 +31,12 @@
             control::Action::NoteRefused(revision, reason) => {
                 tracing::warn!(%revision, %reason, "release note refused");
             }
+            control::Action::NotesDiverged(peer, own, theirs) => {
+                tracing::error!(%peer, ?own, ?theirs, "states of one revision differ");
+            }
+            control::Action::PrefillWasted(tokens, cause) => {
+                tracing::info!(tokens, %cause, "prefill wasted");
+            }
             control::Action::ReadList => self.read_list(),
             control::Action::ReadService(revision) => self.read_notes(revision, false),
             control::Action::WatchService(revision) => self.read_notes(revision, true),
--- /dev/null
+++ b/components/daemon/tests/daemon/main.rs
@@ -0,0 +1,6 @@
+//! An instance among stand-ins on loopback.
+
+#![expect(clippy::unwrap_used, reason = "fixtures may panic")]
+
+mod common;
+mod whole_path;
--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -12,7 +12,7 @@
 
 /// What a checked request is to be sent as.
 struct CheckedRequest {
-    class: note::RequestClass,
+    class: sync::Arc<note::RequestClass>,
     priority: u8,
     model: ids::ModelName,
     adapter: Option<ids::AdapterName>,
@@ -125,7 +125,7 @@
     context: &sync::Arc<entry_context::EntryContext>,
     headers: &http::HeaderMap,
     (workspace, ticket, held): (
-        note::WorkspaceEntry,
+        sync::Arc<note::WorkspaceEntry>,
         load_gate::LoadTicket,
         body_reader::HeldBody,
     ),
@@ -137,8 +137,8 @@
     tracing::info!(name: "entry.request", %request, %trace, class = %checked.class.name);
     let spec = flow::FlowSpec::builder()
         .request(request)
-        .workspace(workspace.name)
-        .class(checked.class.name)
+        .workspace(workspace.name.clone())
+        .class(checked.class.name.clone())
         .model(checked.model.clone())
         .maybe_adapter(checked.adapter.clone())
         .prompt_tokens(checked.prompt_tokens)
@@ -171,7 +171,7 @@
 pub(crate) fn workspace_of(
     context: &entry_context::EntryContext,
     headers: &http::HeaderMap,
-) -> Result<note::WorkspaceEntry, entry_error::EntryError> {
+) -> Result<sync::Arc<note::WorkspaceEntry>, entry_error::EntryError> {
     if !context.is_ready() {
         return Err(entry_error::EntryError::NotReady);
     }
@@ -241,7 +241,7 @@
     state: &note::StateInForce,
     headers: &http::HeaderMap,
     model: &ids::ModelName,
-) -> Result<note::RequestClass, entry_error::EntryError> {
+) -> Result<sync::Arc<note::RequestClass>, entry_error::EntryError> {
     let wanted = headers
         .get(crate::CLASS_HEADER)
         .map(|value| value.to_str().unwrap_or_default());
