--- a/components/border/src/trace_parent.rs
+++ b/components/border/src/trace_parent.rs
@@ -21,9 +21,14 @@
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
         let mut fields = text.split('-');
-        let (version, trace, span, flags) =
-            (fields.next()?, fields.next()?, fields.next()?, fields.next()?);
-        let is_shaped = version == "00" && trace.len() == 32 && span.len() == 16 && flags.len() == 2;
+        let (version, trace, span, flags) = (
+            fields.next()?,
+            fields.next()?,
+            fields.next()?,
+            fields.next()?,
+        );
+        let is_shaped =
+            version == "00" && trace.len() == 32 && span.len() == 16 && flags.len() == 2;
         if !is_shaped || fields.next().is_some() {
             return None;
         }
@@ -50,6 +55,10 @@
 impl fmt::Display for TraceParent {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let flags = u8::from(self.sampled);
-        write!(formatter, "00-{:032x}-{:016x}-{flags:02x}", self.trace, self.span)
+        write!(
+            formatter,
+            "00-{:032x}-{:016x}-{flags:02x}",
+            self.trace, self.span
+        )
     }
 }
--- a/components/entry/src/answer_stream.rs
+++ b/components/entry/src/answer_stream.rs
@@ -26,7 +26,11 @@
 ) -> axum::response::Response {
     let first = match answer.next().await {
         Ok(piece) => piece,
-        Err(error) => return error.unwrap_or_else(outcome_answer::lost_error).into_answer(),
+        Err(error) => {
+            return error
+                .unwrap_or_else(outcome_answer::lost_error)
+                .into_answer();
+        }
     };
     let request = answer.request;
     let events = EventStream {
@@ -78,7 +82,9 @@
             error => error,
         };
         if let Some(error) = error {
-            return ["event: error\ndata: ", &error.json(), "\n\n"].concat().into();
+            return ["event: error\ndata: ", &error.json(), "\n\n"]
+                .concat()
+                .into();
         }
         if !self.include_usage {
             return bytes::Bytes::from_static(DONE_EVENT.as_bytes());
--- a/components/entry/src/call_handler.rs
+++ b/components/entry/src/call_handler.rs
@@ -78,7 +78,11 @@
         .class(route.class)
         .service(route.service.clone())
         .idempotent(route.idempotent)
-        .maybe_key(claim_key(&parts.headers, &checked.workspace.name, &route.service))
+        .maybe_key(claim_key(
+            &parts.headers,
+            &checked.workspace.name,
+            &route.service,
+        ))
         .fingerprint(fingerprint(&parts.method, target, &held.bytes))
         .priority(route.priority)
         .time_left(route.timeout)
@@ -146,7 +150,11 @@
     service: &ids::ServiceName,
 ) -> Option<call::ClaimKey> {
     let key = headers.get(crate::KEY_HEADER)?;
-    let parts = [workspace.as_str().as_bytes(), service.as_str().as_bytes(), key.as_bytes()];
+    let parts = [
+        workspace.as_str().as_bytes(),
+        service.as_str().as_bytes(),
+        key.as_bytes(),
+    ];
     Some(call::ClaimKey(hash_parts(&parts)))
 }
 
--- a/components/entry/src/chat_request.rs
+++ b/components/entry/src/chat_request.rs
@@ -68,9 +68,10 @@
     let content = match &message.content {
         None => String::new(),
         Some(MessageContent::Text(text)) => text.clone(),
-        Some(MessageContent::Parts(parts)) => {
-            parts.iter().filter_map(|part| part.text.as_deref()).collect()
-        }
+        Some(MessageContent::Parts(parts)) => parts
+            .iter()
+            .filter_map(|part| part.text.as_deref())
+            .collect(),
     };
     format!("{}: {content}\n", message.role)
 }
--- a/components/entry/src/entry_server.rs
+++ b/components/entry/src/entry_server.rs
@@ -45,7 +45,9 @@
     pub async fn run(self, stop: impl Future<Output = ()>) {
         let connections = graceful::GracefulShutdown::new();
         let limits = &self.context.limits;
-        let slots = limits.in_flight_requests.saturating_mul(CONNECTIONS_PER_REQUEST);
+        let slots = limits
+            .in_flight_requests
+            .saturating_mul(CONNECTIONS_PER_REQUEST);
         let slots = slots.min(tokio::sync::Semaphore::MAX_PERMITS);
         let slots = sync::Arc::new(tokio::sync::Semaphore::new(slots));
         let router = entry_router::router(sync::Arc::clone(&self.context));
--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -111,14 +111,24 @@
     let mut query = read(&held.bytes)?;
     let checked = check(context, &parts.headers, &query)?;
     let prompt = std::mem::take(&mut query.prompt);
-    let pending = submit(context, &parts.headers, (workspace, ticket, held), checked, prompt);
+    let pending = submit(
+        context,
+        &parts.headers,
+        (workspace, ticket, held),
+        checked,
+        prompt,
+    );
     Ok((pending, query))
 }
 
 fn submit(
     context: &sync::Arc<entry_context::EntryContext>,
     headers: &http::HeaderMap,
-    (workspace, ticket, held): (note::WorkspaceEntry, load_gate::LoadTicket, body_reader::HeldBody),
+    (workspace, ticket, held): (
+        note::WorkspaceEntry,
+        load_gate::LoadTicket,
+        body_reader::HeldBody,
+    ),
     checked: CheckedRequest,
     prompt: String,
 ) -> PendingAnswer {
@@ -144,8 +154,7 @@
         .trace(trace)
         .build();
     let (session, receiver) = answer_session::AnswerSession::new(source);
-    let guard =
-        caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
+    let guard = caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
     context.book.insert_answer(session);
     context.port.request_arrived(spec);
     PendingAnswer {
@@ -194,7 +203,9 @@
         let expected = format!("between 1 and {} tokens long", context.limits.prompt_tokens);
         return Err(chat_request::out_of_range("prompt", expected));
     }
-    let most = generation.output_limit_tokens.min(context.limits.max_tokens);
+    let most = generation
+        .output_limit_tokens
+        .min(context.limits.max_tokens);
     let max_tokens = query.max_tokens.unwrap_or(most);
     if max_tokens == 0 || max_tokens > most {
         let expected = format!("between 1 and {most}");
@@ -245,9 +256,7 @@
         .ok_or(entry_error::EntryError::NoClass)
 }
 
-fn parse<Body: serde::de::DeserializeOwned>(
-    body: &[u8],
-) -> Result<Body, entry_error::EntryError> {
+fn parse<Body: serde::de::DeserializeOwned>(body: &[u8]) -> Result<Body, entry_error::EntryError> {
     serde_json::from_slice(body)
         .map_err(|error| entry_error::EntryError::BadBody(error.to_string()))
 }
--- a/components/entry/src/trace_source.rs
+++ b/components/entry/src/trace_source.rs
@@ -1,10 +1,7 @@
 //! The trace context of a caller's request.
 
 /// Returns the caller's trace context, or a new one made from the request's number.
-pub(crate) fn trace_of(
-    headers: &http::HeaderMap,
-    request: ids::RequestId,
-) -> border::TraceParent {
+pub(crate) fn trace_of(headers: &http::HeaderMap, request: ids::RequestId) -> border::TraceParent {
     headers
         .get(border::TRACE_HEADER)
         .and_then(|value| value.to_str().ok())
