--- a/components/wire/src/lib.rs
+++ b/components/wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod call_convert;
 mod claim_convert;
+mod entry_convert;
 mod envelope;
 mod field;
 mod lease_convert;
--- a/components/wire/src/member_convert.rs
+++ b/components/wire/src/member_convert.rs
@@ -1,6 +1,6 @@
 //! Conversions of messages between membership tables.
 
-use crate::{field, proto, wire_error};
+use crate::{entry_convert, field, proto, wire_error};
 
 impl From<member::Message> for proto::MemberMessage {
     fn from(message: member::Message) -> Self {
@@ -9,6 +9,11 @@
             member::Message::Probe(heartbeat) => Body::Probe(heartbeat.into()),
             member::Message::Ack(heartbeat) => Body::Ack(heartbeat.into()),
             member::Message::ProbeFor(instance) => Body::ProbeFor(instance.0),
+            member::Message::AckFor(instance, incarnation, epoch) => Body::AckFor(proto::AckFor {
+                instance: instance.0,
+                incarnation: incarnation.0,
+                epoch,
+            }),
         };
         Self { body: Some(body) }
     }
@@ -23,6 +28,15 @@
             Body::Probe(heartbeat) => Self::Probe(heartbeat.try_into()?),
             Body::Ack(heartbeat) => Self::Ack(heartbeat.try_into()?),
             Body::ProbeFor(instance) => Self::ProbeFor(ids::InstanceId(instance)),
+            Body::AckFor(proto::AckFor {
+                instance,
+                incarnation,
+                epoch,
+            }) => Self::AckFor(
+                ids::InstanceId(instance),
+                ids::Incarnation(incarnation),
+                epoch,
+            ),
         })
     }
 }
@@ -31,15 +45,17 @@
     fn from(heartbeat: member::Heartbeat) -> Self {
         let member::Heartbeat {
             incarnation,
+            epoch,
             leaving,
             sequence,
             news,
         } = heartbeat;
         Self {
             incarnation: incarnation.0,
+            epoch,
             leaving,
             sequence,
-            news: news.into_iter().map(encode_news).collect(),
+            news: field::list(news),
         }
     }
 }
@@ -50,45 +66,59 @@
     fn try_from(heartbeat: proto::Heartbeat) -> Result<Self, Self::Error> {
         let proto::Heartbeat {
             incarnation,
+            epoch,
             leaving,
             sequence,
             news,
         } = heartbeat;
         Ok(Self {
             incarnation: ids::Incarnation(incarnation),
+            epoch,
             leaving,
             sequence,
-            news: news
-                .into_iter()
-                .map(decode_news)
-                .collect::<Result<_, _>>()?,
+            news: field::all(news)?,
         })
     }
 }
 
-fn encode_news(
-    (instance, incarnation, state): (ids::InstanceId, ids::Incarnation, member::MemberState),
-) -> proto::MemberNews {
-    proto::MemberNews {
-        instance: instance.0,
-        incarnation: incarnation.0,
-        state: encode_state(state).into(),
+impl From<member::MemberNews> for proto::MemberNews {
+    fn from(news: member::MemberNews) -> Self {
+        let member::MemberNews {
+            instance,
+            incarnation,
+            epoch,
+            state,
+            entry,
+        } = news;
+        Self {
+            instance: instance.0,
+            incarnation: incarnation.0,
+            epoch,
+            state: encode_state(state).into(),
+            entry: entry.map(entry_convert::encode_entry),
+        }
     }
 }
 
-fn decode_news(
-    news: proto::MemberNews,
-) -> Result<(ids::InstanceId, ids::Incarnation, member::MemberState), wire_error::WireError> {
-    let proto::MemberNews {
-        instance,
-        incarnation,
-        state,
-    } = news;
-    Ok((
-        ids::InstanceId(instance),
-        ids::Incarnation(incarnation),
-        decode_state(state)?,
-    ))
+impl TryFrom<proto::MemberNews> for member::MemberNews {
+    type Error = wire_error::WireError;
+
+    fn try_from(news: proto::MemberNews) -> Result<Self, Self::Error> {
+        let proto::MemberNews {
+            instance,
+            incarnation,
+            epoch,
+            state,
+            entry,
+        } = news;
+        Ok(Self {
+            instance: ids::InstanceId(instance),
+            incarnation: ids::Incarnation(incarnation),
+            epoch,
+            state: decode_state(state)?,
+            entry: entry.map(entry_convert::decode_entry).transpose()?,
+        })
+    }
 }
 
 const fn encode_state(state: member::MemberState) -> proto::MemberState {
--- a/components/wire/src/wire_error.rs
+++ b/components/wire/src/wire_error.rs
@@ -19,6 +19,9 @@
         /// Length that the field must have, in bytes.
         expected: usize,
     },
+    /// An address isn't an IP address with a port.
+    #[error("the address is not an IP address with a port")]
+    Address,
     /// A named value isn't one of those known here.
     #[error("{field} has the unknown value {found}")]
     UnknownValue {
--- a/components/wire/tests/round_trip.rs
+++ b/components/wire/tests/round_trip.rs
@@ -25,6 +25,7 @@
         .message(wire::PeerMessage::Member(member::Message::Probe(
             member::Heartbeat {
                 incarnation: ids::Incarnation(1_764_800_000_000),
+                epoch: 0,
                 leaving: false,
                 sequence: 7,
                 news: Vec::new(),
--- a/components/wire/tests/strategy/mod.rs
+++ b/components/wire/tests/strategy/mod.rs
@@ -1,6 +1,6 @@
 //! Strategies for every kind of message.
 
-use std::time;
+use std::{net, time};
 
 use proptest::{collection, prelude::*, sample};
 use strum::IntoEnumIterator;
@@ -40,38 +40,90 @@
         heartbeat().prop_map(member::Message::Probe),
         heartbeat().prop_map(member::Message::Ack),
         any::<u64>().prop_map(|id| member::Message::ProbeFor(ids::InstanceId(id))),
+        (any::<u64>(), any::<u64>(), any::<u32>()).prop_map(|(id, incarnation, epoch)| {
+            member::Message::AckFor(ids::InstanceId(id), ids::Incarnation(incarnation), epoch)
+        }),
     ]
 }
 
 fn heartbeat() -> impl Strategy<Value = member::Heartbeat> {
-    let news = (any::<u64>(), any::<u64>(), named::<member::MemberState>());
-    let news = news.prop_map(|(id, incarnation, state)| {
-        (ids::InstanceId(id), ids::Incarnation(incarnation), state)
-    });
     (
-        any::<u64>(),
+        (any::<u64>(), any::<u32>()),
         any::<bool>(),
         any::<u64>(),
-        collection::vec(news, 0..LIST_LENGTH),
+        collection::vec(member_news(), 0..LIST_LENGTH),
     )
-        .prop_map(|(incarnation, leaving, sequence, news)| member::Heartbeat {
-            incarnation: ids::Incarnation(incarnation),
+        .prop_map(|(process, leaving, sequence, news)| member::Heartbeat {
+            incarnation: ids::Incarnation(process.0),
+            epoch: process.1,
             leaving,
             sequence,
             news,
         })
 }
 
+fn member_news() -> impl Strategy<Value = member::MemberNews> {
+    (
+        any::<u64>(),
+        (any::<u64>(), any::<u32>()),
+        named::<member::MemberState>(),
+        proptest::option::of(instance_entry()),
+    )
+        .prop_map(|(instance, process, state, entry)| member::MemberNews {
+            instance: ids::InstanceId(instance),
+            incarnation: ids::Incarnation(process.0),
+            epoch: process.1,
+            state,
+            entry,
+        })
+}
+
+fn instance_entry() -> impl Strategy<Value = border::InstanceEntry> {
+    (
+        any::<u64>(),
+        (any::<net::Ipv4Addr>(), any::<u16>()),
+        (".{0,8}", ".{0,8}"),
+        any::<bool>(),
+    )
+        .prop_map(|(id, address, names, leaving)| border::InstanceEntry {
+            id: ids::InstanceId(id),
+            address: address.into(),
+            region: names.0.into(),
+            data_centre: names.1.into(),
+            leaving,
+        })
+}
+
 fn spread_message() -> impl Strategy<Value = spread::Message> {
-    let texts = collection::vec(any::<String>(), 0..LIST_LENGTH);
+    let notes = collection::vec(logged_note(), 0..LIST_LENGTH);
     prop_oneof![
+        summary().prop_map(spread::Message::Ask),
         summary().prop_map(spread::Message::Summary),
-        (summary(), texts).prop_map(|(summary, texts)| {
-            spread::Message::Notes(summary, texts.into_iter().map(Into::into).collect())
-        }),
+        (summary(), notes).prop_map(|(summary, notes)| spread::Message::Notes(summary, notes)),
+        (summary(), any::<u32>())
+            .prop_map(|(summary, number)| spread::Message::FetchPart(summary, number)),
+        state_part().prop_map(spread::Message::Part),
     ]
 }
 
+fn logged_note() -> impl Strategy<Value = spread::LoggedNote> {
+    (any::<u64>(), any::<String>()).prop_map(|(revision, text)| spread::LoggedNote {
+        revision: ids::Revision(revision),
+        text: text.into(),
+    })
+}
+
+fn state_part() -> impl Strategy<Value = spread::StatePart> {
+    (summary(), any::<u32>(), any::<u32>(), any::<String>()).prop_map(
+        |(summary, number, count, text)| spread::StatePart {
+            summary,
+            number,
+            count,
+            text: text.into(),
+        },
+    )
+}
+
 fn summary() -> impl Strategy<Value = spread::Summary> {
     (any::<u64>(), any::<u128>()).prop_map(|(revision, digest)| spread::Summary {
         revision: ids::Revision(revision),
