border: encode the witness messages between call keepers

The codec of peer messages knew the claim messages in their first form, so the workspace did not build with the new ones.

--- a/components/call/src/service_lane.rs
+++ b/components/call/src/service_lane.rs
@@ -1,6 +1,6 @@
 //! The backend servers and the queue of one plain service.
 
-use std::time;
+use std::{sync, time};
 
 use rand::RngExt as _;
 
@@ -51,7 +51,7 @@
     /// Takes the servers of the state in force; known ones keep what was learnt of them.
     pub fn set_servers<'entry>(
         &mut self,
-        entries: impl Iterator<Item = &'entry note::ServerEntry>,
+        entries: impl Iterator<Item = &'entry sync::Arc<note::ServerEntry>>,
         own: Option<&border::InstanceEntry>,
         sharers: u32,
     ) {
--- a/components/call/tests/common/mod.rs
+++ b/components/call/tests/common/mod.rs
@@ -36,6 +36,7 @@
         own: ids::InstanceId(own),
         version: 1,
         fresh: true,
+        listed: true,
         partitioned: false,
         members,
     }
@@ -58,14 +59,11 @@
 pub fn state(
     servers: impl IntoIterator<Item = note::ServerEntry>,
 ) -> sync::Arc<note::StateInForce> {
-    let servers = servers
-        .into_iter()
-        .map(|server| (server.name.clone(), server))
-        .collect();
-    sync::Arc::new(note::StateInForce {
-        servers,
-        ..Default::default()
-    })
+    let mut state = note::StateInForce::default();
+    for server in servers {
+        state.servers.insert(server.name.clone(), server);
+    }
+    sync::Arc::new(state)
 }
 
 /// Returns an idempotent call.
--- a/components/wire/src/call_convert.rs
+++ b/components/wire/src/call_convert.rs
@@ -1,24 +1,54 @@
 //! Conversions of messages between call keepers.
 
+use std::time;
+
 use crate::{claim_convert, field, proto, wire_error};
 
 impl From<call::Message> for proto::CallMessage {
     fn from(message: call::Message) -> Self {
         use proto::call_message::Body;
         let body = match message {
-            call::Message::Claim(key, request, fingerprint) => Body::Claim(proto::Claim {
+            call::Message::Claim {
+                key,
+                request,
+                fingerprint,
+                window,
+            } => Body::Claim(proto::Claim {
                 key: field::wide_bytes(key.0),
                 request: field::request_bytes(request),
                 fingerprint: field::wide_bytes(fingerprint),
+                window_micros: field::span_micros(window),
             }),
-            call::Message::Claimed(key, request, state) => {
-                Body::Claimed(claim_convert::encode_report(key, request, state))
-            }
-            call::Message::Settle(key, request, state) => {
-                Body::Settle(claim_convert::encode_report(key, request, state))
-            }
-            call::Message::HandOver(claims) => Body::HandOver(proto::HandOver {
+            call::Message::Claimed {
+                key,
+                request,
+                state,
+                vouched,
+            } => Body::Claimed(proto::ClaimAnswer {
+                report: Some(claim_convert::encode_report(key, request, state)),
+                vouched,
+            }),
+            call::Message::Settle {
+                key,
+                request,
+                state,
+            } => Body::Settle(claim_convert::encode_report(key, request, state)),
+            call::Message::Recall { process, after } => Body::Recall(proto::Recall {
+                process: process.0,
+                after: claim_convert::encode_after(after),
+            }),
+            call::Message::HandOver {
+                process,
+                after,
+                claims,
+                known_for,
+                more,
+            } => Body::HandOver(proto::HandOver {
                 claims: claims.into_iter().map(claim_convert::encode_held).collect(),
+                process: process.map(|process| process.0),
+                after: claim_convert::encode_after(after),
+                known_for_micros: field::span_micros(known_for),
+                more,
             }),
         };
         Self { body: Some(body) }
@@ -32,18 +62,20 @@
         use proto::call_message::Body;
         match field::required("call message", message.body)? {
             Body::Claim(claim) => decode_claim(&claim),
-            Body::Claimed(report) => {
-                let (key, request, state) = claim_convert::decode_report(&report)?;
-                Ok(Self::Claimed(key, request, state))
-            }
+            Body::Claimed(answer) => decode_answer(answer),
             Body::Settle(report) => {
                 let (key, request, state) = claim_convert::decode_report(&report)?;
-                Ok(Self::Settle(key, request, state))
-            }
-            Body::HandOver(proto::HandOver { claims }) => {
-                let claims = claims.iter().map(claim_convert::decode_held);
-                Ok(Self::HandOver(claims.collect::<Result<_, _>>()?))
+                Ok(Self::Settle {
+                    key,
+                    request,
+                    state,
+                })
             }
+            Body::Recall(recall) => Ok(Self::Recall {
+                process: ids::Incarnation(recall.process),
+                after: claim_convert::decode_after(recall.after.as_ref())?,
+            }),
+            Body::HandOver(page) => decode_page(&page),
         }
     }
 }
@@ -53,10 +85,34 @@
         key,
         request,
         fingerprint,
+        window_micros,
     } = claim;
-    Ok(call::Message::Claim(
-        call::ClaimKey(field::wide_number("key", key)?),
-        field::request_id(request)?,
-        field::wide_number("fingerprint", fingerprint)?,
-    ))
+    Ok(call::Message::Claim {
+        key: claim_convert::decode_key(key)?,
+        request: field::request_id(request)?,
+        fingerprint: field::wide_number("fingerprint", fingerprint)?,
+        window: time::Duration::from_micros(*window_micros),
+    })
+}
+
+fn decode_answer(answer: proto::ClaimAnswer) -> Result<call::Message, wire_error::WireError> {
+    let report = field::required("claim report", answer.report)?;
+    let (key, request, state) = claim_convert::decode_report(&report)?;
+    Ok(call::Message::Claimed {
+        key,
+        request,
+        state,
+        vouched: answer.vouched,
+    })
+}
+
+fn decode_page(page: &proto::HandOver) -> Result<call::Message, wire_error::WireError> {
+    let claims = page.claims.iter().map(claim_convert::decode_held);
+    Ok(call::Message::HandOver {
+        process: page.process.map(ids::Incarnation),
+        after: claim_convert::decode_after(page.after.as_ref())?,
+        claims: claims.collect::<Result<_, _>>()?,
+        known_for: time::Duration::from_micros(page.known_for_micros),
+        more: page.more,
+    })
 }
--- a/components/wire/tests/strategy/mod.rs
+++ b/components/wire/tests/strategy/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use proptest::{collection, prelude::*, sample};
+use proptest::{collection, option, prelude::*, sample};
 use strum::IntoEnumIterator;
 
 /// Longest list in a generated message.
@@ -271,22 +271,71 @@
 }
 
 fn call_message() -> impl Strategy<Value = call::Message> {
-    let held = (
+    let report = || (claim_key(), request(), named::<call::ClaimState>());
+    prop_oneof![
+        (claim_key(), request(), any::<u128>(), span()).prop_map(
+            |(key, request, fingerprint, window)| call::Message::Claim {
+                key,
+                request,
+                fingerprint,
+                window,
+            }
+        ),
+        (report(), any::<bool>()).prop_map(|((key, request, state), vouched)| {
+            call::Message::Claimed {
+                key,
+                request,
+                state,
+                vouched,
+            }
+        }),
+        report().prop_map(|(key, request, state)| call::Message::Settle {
+            key,
+            request,
+            state,
+        }),
+        (any::<u64>(), option::of(claim_key())).prop_map(|(process, after)| {
+            call::Message::Recall {
+                process: ids::Incarnation(process),
+                after,
+            }
+        }),
+        hand_over(),
+    ]
+}
+
+fn hand_over() -> impl Strategy<Value = call::Message> {
+    (
+        option::of(any::<u64>()),
+        option::of(claim_key()),
+        collection::vec(held_claim(), 0..LIST_LENGTH),
+        span(),
+        any::<bool>(),
+    )
+        .prop_map(
+            |(process, after, claims, known_for, more)| call::Message::HandOver {
+                process: process.map(ids::Incarnation),
+                after,
+                claims,
+                known_for,
+                more,
+            },
+        )
+}
+
+fn held_claim() -> impl Strategy<Value = call::HeldClaim> {
+    (
         claim_key(),
         request(),
         any::<u128>(),
         named::<call::ClaimState>(),
-    );
-    prop_oneof![
-        (claim_key(), request(), any::<u128>()).prop_map(|(key, request, fingerprint)| {
-            call::Message::Claim(key, request, fingerprint)
-        }),
-        (claim_key(), request(), named::<call::ClaimState>())
-            .prop_map(|(key, request, state)| call::Message::Claimed(key, request, state)),
-        (claim_key(), request(), named::<call::ClaimState>())
-            .prop_map(|(key, request, state)| call::Message::Settle(key, request, state)),
-        collection::vec(held, 0..LIST_LENGTH).prop_map(call::Message::HandOver),
-    ]
+    )
+        .prop_map(|(key, request, fingerprint, state)| call::HeldClaim {
+            key,
+            request,
+            fingerprint,
+            state,
+        })
 }
 
 fn claim_key() -> impl Strategy<Value = call::ClaimKey> {
