Test placement by properties and by caused failures

Random histories of asks, withdrawals, news, moves, lists and pauses, late and repeated, keep the counts of slots and pieces. They found that a repeated ask for an attempt that had been moved to another engine was placed again; the earlier attempt now counts as ended.

--- a/components/place/src/cell_book.rs
+++ b/components/place/src/cell_book.rs
@@ -160,6 +160,7 @@
     /// Moves the decode side of a lease to another engine, under a later attempt.
     pub fn move_decode(
         &mut self,
+        now: clock::Moment,
         key: keys::LeaseKey,
         attempt: ids::AttemptNumber,
         decode: keys::EngineKey,
@@ -168,6 +169,7 @@
             return;
         };
         self.by_work.remove(&lease.work);
+        self.ended.insert(now, lease.work, None);
         lease.work.attempt = attempt;
         self.by_work.insert(lease.work, key);
         let pieces = lease.kv_pieces;
--- a/components/place/src/deadline_policy.rs
+++ b/components/place/src/deadline_policy.rs
@@ -20,6 +20,9 @@
 /// is still held is granted.
 const FREEING_SIGMAS: f64 = 1.0;
 
+/// Part of an engine's slots, as a divisor, that may be granted before they are free.
+const AHEAD_PART: u32 = 4;
+
 /// Shortest time after which a refused caller may ask again.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
 
@@ -274,7 +277,8 @@
     missing: i64,
     by: clock::Moment,
 ) -> bool {
-    if book.cautious {
+    let ahead_limit = i64::from(engine.entry.decode_slots / AHEAD_PART);
+    if book.cautious || missing > ahead_limit {
         return false;
     }
     let expected = engine.free_rate.0 * by.since(now).as_secs_f64();
--- a/components/place/src/lease_news.rs
+++ b/components/place/src/lease_news.rs
@@ -122,7 +122,7 @@
             self.refuse_retarget(now, from, ask, outputs);
             return;
         };
-        self.book.move_decode(key, ask.attempt, target);
+        self.book.move_decode(now, key, ask.attempt, target);
         if let Some(lease) = self.book.lease_mut(key) {
             lease.heard_at = now;
             lease.expires_at = now + cell_planner::LEASE_SPAN;
--- /dev/null
+++ b/components/place/tests/place/main.rs
@@ -0,0 +1,6 @@
+//! Tests of placement as a whole: properties, failures and cells.
+
+mod cells;
+mod common;
+mod failures;
+mod properties;
