--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -39,7 +39,7 @@
             own,
             members,
             spreader: spread::NoteSpreader::new(own, seed),
-            owner: place::CellOwner::new(own, seed),
+            owner: place::CellOwner::with_policy(own, seed, config.policy),
             flows: flow::FlowTable::new(own, seed),
             keeper: call::CallKeeper::new(own, seed),
             reconciler: order::OrderReconciler::new(own, seed),
--- a/components/control/src/core_config.rs
+++ b/components/control/src/core_config.rs
@@ -9,4 +9,7 @@
     pub incarnation: ids::Incarnation,
     /// Seed of all randomness of the core.
     pub seed: u64,
+    /// How requests are placed in the cells that the instance owns.
+    #[builder(default)]
+    pub policy: place::PolicyKind,
 }
--- a/components/wire/src/place_convert.rs
+++ b/components/wire/src/place_convert.rs
@@ -24,6 +24,7 @@
                 claims: field::list(claims),
                 last,
             }),
+            place::Message::WantClaims(cell) => Body::WantClaims(cell.0),
             place::Message::Revoked(leases) => Body::Revoked(proto::Revocations {
                 leases: field::list(leases),
             }),
@@ -52,6 +53,7 @@
             Body::Claims(proto::LeaseClaims { cell, claims, last }) => {
                 Self::Claims(ids::CellId(cell), field::all(claims)?, last)
             }
+            Body::WantClaims(cell) => Self::WantClaims(ids::CellId(cell)),
             Body::Revoked(proto::Revocations { leases }) => Self::Revoked(field::list(leases)),
             Body::Spare(proto::SpareAdverts { adverts }) => Self::Spare(field::list(adverts)),
         })
--- a/components/wire/tests/strategy/mod.rs
+++ b/components/wire/tests/strategy/mod.rs
@@ -140,6 +140,7 @@
             .prop_map(|(request, attempt)| place::Message::Withdraw(request, attempt)),
         collection::vec(lease_update(), 0..LIST_LENGTH).prop_map(place::Message::Updates),
         retarget_ask().prop_map(place::Message::Retarget),
+        any::<u64>().prop_map(|cell| place::Message::WantClaims(ids::CellId(cell))),
         (
             any::<u64>(),
             collection::vec(lease_claim(), 0..LIST_LENGTH),
