--- a/components/daemon/tests/daemon/main.rs
+++ b/components/daemon/tests/daemon/main.rs
@@ -2,5 +2,6 @@
 
 #![expect(clippy::unwrap_used, reason = "fixtures may panic")]
 
+mod bad_input;
 mod common;
 mod whole_path;
