--- a/components/call/src/call_keeper/arrivals.rs
+++ b/components/call/src/call_keeper/arrivals.rs
@@ -17,10 +17,7 @@
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
         let mut servers: BTreeMap<_, Vec<_>> = BTreeMap::new();
         for entry in state.servers.values() {
-            servers
-                .entry(&entry.service)
-                .or_default()
-                .push(entry.as_ref());
+            servers.entry(&entry.service).or_default().push(entry);
         }
         for service in servers.keys() {
             if !self.lanes.contains_key(*service) {
