--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -183,7 +183,6 @@
     state
         .workspaces
         .get(&ids::WorkspaceName::from(name))
-        .map(AsRef::as_ref)
         .cloned()
         .ok_or(entry_error::EntryError::UnknownWorkspace)
 }
@@ -253,7 +252,6 @@
             note::ClassTarget::Generation(generation) => generation.models.contains(model),
             note::ClassTarget::Call(_) => false,
         })
-        .map(AsRef::as_ref)
         .cloned()
         .ok_or(entry_error::EntryError::NoClass)
 }
