rounds: drive membership and note spread under virtual time

The protocols could only be judged one instance at a time. One loop over the state machines now passes messages with delay, loss and partitions; the study prints times, bytes and calls for each way of choosing peers.

--- a/components/member/src/member_table.rs
+++ b/components/member/src/member_table.rs
@@ -49,7 +49,10 @@
     pub(crate) waiting: BTreeMap<ids::InstanceId, BTreeSet<ids::InstanceId>>,
     pub(crate) refresh: Option<view_refresh::ViewRefresh>,
     view: sync::Arc<member_view::MemberView>,
+    /// Whether the view has changed in what others act on.
     pub(crate) changed: bool,
+    /// Whether processes were heard for the first time, which can wait for the next probe.
+    pub(crate) learned: bool,
     listed: bool,
     pub(crate) sequence: u64,
     last_input: clock::Moment,
@@ -79,6 +82,7 @@
             refresh: Some(view_refresh::ViewRefresh::default()),
             view: sync::Arc::new(view),
             changed: false,
+            learned: false,
             listed: false,
             sequence: 0,
             last_input: clock::Moment::default(),
@@ -201,6 +205,7 @@
         self.probe_indirectly(now, outputs);
         if now >= self.next_probe {
             self.next_probe = now + PROBE_INTERVAL;
+            self.changed |= std::mem::take(&mut self.learned);
             self.end_probe(now);
             self.bury_suspects(now, outputs);
             self.begin_probe(now, outputs);
--- a/components/member/src/table_news.rs
+++ b/components/member/src/table_news.rs
@@ -88,14 +88,7 @@
             self.refute(now, &news, outputs);
             return;
         }
-        if let Some(entry) = &news.entry
-            && !self.records.contains_key(&news.instance)
-            && news.state != member_state::MemberState::Dead
-        {
-            let mut record = member_record::MemberRecord::new(entry.clone());
-            record.announce = true;
-            self.records.insert(news.instance, record);
-        }
+        let joined = self.admit(&news);
         let members = self.records.len();
         let Some(record) = self.records.get_mut(&news.instance) else {
             return;
@@ -109,12 +102,29 @@
         }
         let after = (record.incarnation, record.state());
         self.news.push(news.instance, members);
-        if before != after {
+        let first = before.0 == ids::Incarnation(0) && before.1 == after.1;
+        self.learned |= first;
+        if joined || (before != after && !first) {
             self.changed = true;
             self.spread_if_urgent(news.instance, outputs);
         }
     }
 
+    /// Adds an instance that the platform's list doesn't name yet; returns whether it did.
+    fn admit(&mut self, news: &member_news::MemberNews) -> bool {
+        let Some(entry) = &news.entry else {
+            return false;
+        };
+        let known = self.records.contains_key(&news.instance);
+        if known || news.state == member_state::MemberState::Dead {
+            return false;
+        }
+        let mut record = member_record::MemberRecord::new(entry.clone());
+        record.announce = true;
+        self.records.insert(news.instance, record);
+        true
+    }
+
     fn spread_if_urgent(&mut self, instance: ids::InstanceId, outputs: &mut Vec<output::Output>) {
         let urgent = self.records.get(&instance).is_some_and(|record| {
             record.announce || !matches!(record.state(), member_state::MemberState::Suspect)
--- /dev/null
+++ b/components/rounds/src/chooser_kind.rs
@@ -0,0 +1,25 @@
+//! The ways of choosing peers that are compared.
+
+/// The ways of choosing peers that are compared.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::EnumIter, strum::EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub enum ChooserKind {
+    /// Uniformly at random.
+    Uniform,
+    /// Mostly in the own region.
+    Centre,
+    /// Mostly those that a ranking puts first.
+    Ranked,
+}
+
+impl ChooserKind {
+    /// Makes a chooser of this kind.
+    #[must_use]
+    pub fn chooser(self) -> Box<dyn spread::PeerChooser> {
+        match self {
+            Self::Uniform => Box::new(spread::UniformChooser::default()),
+            Self::Centre => Box::new(spread::CentreChooser::default()),
+            Self::Ranked => Box::new(spread::RankedChooser::default()),
+        }
+    }
+}
--- /dev/null
+++ b/components/rounds/src/fleet_run.rs
@@ -0,0 +1,393 @@
+//! The loop over the machines of a fleet.
+
+use std::{collections::BTreeMap, time};
+
+use rand::{RngExt as _, SeedableRng as _};
+
+use crate::{
+    chooser_kind, fleet_event, fleet_layout, fleet_node, link_model, message_size, run_meter,
+    service_model,
+};
+
+/// Time that the service and the list take to answer.
+const ANSWER_DELAY: time::Duration = time::Duration::from_millis(5);
+
+/// Time that the service lets a watch wait.
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(15);
+
+/// Time by which the platform's list lags.
+const LIST_LAG: time::Duration = time::Duration::from_secs(10);
+
+/// The loop over the machines of a fleet.
+pub struct FleetRun {
+    /// Delay, loss and partitions.
+    pub links: link_model::LinkModel,
+    /// The configuration service.
+    pub service: service_model::ServiceModel,
+    /// What was counted.
+    pub meter: run_meter::RunMeter,
+    now: clock::Moment,
+    nodes: Vec<fleet_node::FleetNode>,
+    queue: BTreeMap<(clock::Moment, u64), fleet_event::DueEvent>,
+    /// For each instance, since when it is up or down, as the list will tell after its lag.
+    since: Vec<(clock::Moment, bool)>,
+    chooser: chooser_kind::ChooserKind,
+    sequence: u64,
+    random: rand_chacha::ChaCha8Rng,
+}
+
+impl FleetRun {
+    /// Makes a run of a fleet whose instances all start within the first half second.
+    #[must_use]
+    pub fn new(
+        layout: fleet_layout::FleetLayout,
+        chooser: chooser_kind::ChooserKind,
+        seed: u64,
+    ) -> Self {
+        let mut run = Self {
+            links: link_model::LinkModel::default(),
+            service: service_model::ServiceModel::default(),
+            meter: run_meter::RunMeter::default(),
+            now: clock::Moment::from_millis(LIST_LAG.as_secs() * 1_000),
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            since: Vec::new(),
+            chooser,
+            sequence: 0,
+            random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+        };
+        for index in 0..layout.instances {
+            let node = run.node(layout.entry(index), 1);
+            run.nodes.push(node);
+            run.since.push((clock::Moment::default(), true));
+        }
+        for index in 0..run.nodes.len() {
+            let delay = time::Duration::from_millis(run.random.random_range(0..500));
+            run.nodes[index].wake_at = run.now + delay;
+            run.push(run.now + delay, index, fleet_event::FleetEvent::Wake);
+        }
+        run
+    }
+
+    /// Returns the time of the run.
+    #[must_use]
+    pub const fn now(&self) -> clock::Moment {
+        self.now
+    }
+
+    /// Returns the instances.
+    #[must_use]
+    pub fn nodes(&self) -> &[fleet_node::FleetNode] {
+        &self.nodes
+    }
+
+    /// Ends the process of an instance.
+    pub fn stop(&mut self, index: usize) {
+        self.nodes[index].is_up = false;
+        self.nodes[index].watch = None;
+        self.since[index] = (self.now, false);
+    }
+
+    /// Starts a new process of an instance in place of the one that may run.
+    pub fn start(&mut self, index: usize) {
+        let process = self.nodes[index].process + 1;
+        let node = self.node(self.nodes[index].entry.clone(), process);
+        self.nodes[index] = node;
+        self.since[index] = (self.now, true);
+        self.push(self.now, index, fleet_event::FleetEvent::Wake);
+    }
+
+    /// Pauses the process of an instance; what arrives meanwhile waits.
+    pub fn pause(&mut self, index: usize, span: time::Duration) {
+        self.nodes[index].paused_until = self.now + span;
+    }
+
+    /// Asks an instance to drain.
+    pub fn drain(&mut self, index: usize) {
+        let mut outputs = Vec::new();
+        let input = member::Input::DrainBegan;
+        self.nodes[index]
+            .members
+            .handle(self.now, input, &mut outputs);
+        self.take_member(index, outputs);
+    }
+
+    /// Publishes a note at the service, which answers the watches that wait for it.
+    pub fn publish(&mut self, revision: u64, text: String, base: bool) {
+        self.service.publish(ids::Revision(revision), text, base);
+        self.answer_watches();
+    }
+
+    /// Changes how the service behaves.
+    pub fn set_service(&mut self, health: service_model::ServiceHealth) {
+        self.service.health = health;
+        self.answer_watches();
+    }
+
+    /// Runs for a span of time.
+    pub fn run_for(&mut self, span: time::Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((moment, _), due) = entry.remove_entry();
+            self.now = self.now.max(moment);
+            self.deliver(due);
+        }
+        self.now = end;
+    }
+
+    fn node(&self, entry: border::InstanceEntry, process: u64) -> fleet_node::FleetNode {
+        let seed = self.now.as_micros() ^ entry.id.0.rotate_left(32) ^ process.rotate_left(48);
+        let config = spread::SpreaderConfig::builder()
+            .own(entry.id)
+            .seed(seed)
+            .chooser(self.chooser.chooser())
+            .build();
+        let incarnation = ids::Incarnation(process);
+        fleet_node::FleetNode {
+            members: member::MemberTable::new(entry.clone(), incarnation, seed),
+            spreader: spread::NoteSpreader::with_config(config),
+            entry,
+            is_up: true,
+            process,
+            started: self.now,
+            paused_until: clock::Moment::default(),
+            history: Vec::new(),
+            ready_at: None,
+            wake_at: self.now,
+            watch: None,
+        }
+    }
+
+    fn push(&mut self, at: clock::Moment, node: usize, event: fleet_event::FleetEvent) {
+        self.sequence += 1;
+        let due = fleet_event::DueEvent {
+            node,
+            process: self.nodes[node].process,
+            event,
+        };
+        self.queue.insert((at, self.sequence), due);
+    }
+
+    fn deliver(&mut self, due: fleet_event::DueEvent) {
+        let node = &self.nodes[due.node];
+        if !node.is_up || node.process != due.process {
+            return;
+        }
+        if self.now < node.paused_until {
+            let until = node.paused_until;
+            self.push(until, due.node, due.event);
+            return;
+        }
+        self.take_event(due.node, due.event);
+        self.observe(due.node);
+        self.plan_wake(due.node);
+    }
+
+    fn take_event(&mut self, index: usize, event: fleet_event::FleetEvent) {
+        match event {
+            fleet_event::FleetEvent::Wake => {
+                if self.now >= self.nodes[index].wake_at {
+                    self.nodes[index].wake_at = clock::Moment::MAX;
+                    self.member(index, member::Input::Wake);
+                    self.spread(index, spread::Input::Wake);
+                }
+            }
+            fleet_event::FleetEvent::Member(from, message) => {
+                self.member(index, member::Input::Message(from, message));
+            }
+            fleet_event::FleetEvent::Spread(from, message) => {
+                self.spread(index, spread::Input::Message(from, message));
+            }
+            fleet_event::FleetEvent::Listed => {
+                let list = self.list();
+                self.member(index, member::Input::Listed(list));
+            }
+            fleet_event::FleetEvent::Read(after) => self.answer_read(index, after),
+            fleet_event::FleetEvent::WatchEnd(number) => {
+                if self.nodes[index]
+                    .watch
+                    .is_some_and(|(open, _)| open == number)
+                {
+                    self.nodes[index].watch = None;
+                    self.spread(index, spread::Input::ServiceAnswered(Some(Vec::new())));
+                }
+            }
+        }
+    }
+
+    fn answer_read(&mut self, index: usize, after: ids::Revision) {
+        let answer = match self.service.health {
+            service_model::ServiceHealth::Silent => return,
+            service_model::ServiceHealth::Down => None,
+            _ => Some(self.service.after(after)),
+        };
+        self.spread(index, spread::Input::ServiceAnswered(answer));
+    }
+
+    /// Returns the platform's list, which shows starts and ends only after its lag.
+    fn list(&self) -> Vec<border::InstanceEntry> {
+        let pairs = self.nodes.iter().zip(&self.since);
+        pairs
+            .filter(|(_, (since, up))| *up || self.now.since(*since) < LIST_LAG)
+            .map(|(node, _)| node.entry.clone())
+            .collect()
+    }
+
+    fn plan_wake(&mut self, index: usize) {
+        let wake = self.nodes[index].next_wake().max(self.now);
+        if wake < self.nodes[index].wake_at {
+            self.nodes[index].wake_at = wake;
+            self.push(wake, index, fleet_event::FleetEvent::Wake);
+        }
+    }
+
+    fn observe(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let summary = node.spreader.summary();
+        let last = node.history.last().map(|(_, summary)| *summary);
+        if last != Some(summary) && summary.revision > ids::Revision(0) {
+            node.history.push((now, summary));
+        }
+        if node.ready_at.is_none() && node.spreader.is_ready() {
+            node.ready_at = Some((now, summary.revision));
+        }
+    }
+
+    fn member(&mut self, index: usize, input: member::Input) {
+        let mut outputs = Vec::new();
+        self.nodes[index]
+            .members
+            .handle(self.now, input, &mut outputs);
+        self.take_member(index, outputs);
+    }
+
+    fn take_member(&mut self, index: usize, outputs: Vec<member::Output>) {
+        for output in outputs {
+            match output {
+                member::Output::Send(to, message) => {
+                    let bytes = message_size::member_bytes(&message);
+                    self.meter.member_messages += 1;
+                    self.meter.member_bytes += u64::try_from(bytes).unwrap_or(u64::MAX);
+                    let from = self.nodes[index].entry.id;
+                    self.send(index, to, fleet_event::FleetEvent::Member(from, message));
+                }
+                member::Output::ReadList => {
+                    self.meter.list_reads += 1;
+                    self.push(
+                        self.now + ANSWER_DELAY,
+                        index,
+                        fleet_event::FleetEvent::Listed,
+                    );
+                }
+                member::Output::ViewChanged(view) => {
+                    self.meter.view_changes += 1;
+                    self.spread(index, spread::Input::View(view));
+                }
+            }
+        }
+    }
+
+    fn spread(&mut self, index: usize, input: spread::Input) {
+        let mut outputs = Vec::new();
+        self.nodes[index]
+            .spreader
+            .handle(self.now, input, &mut outputs);
+        for output in outputs {
+            self.take_spread(index, output);
+        }
+    }
+
+    fn take_spread(&mut self, index: usize, output: spread::Output) {
+        match output {
+            spread::Output::Send(to, message) => self.send_spread(index, to, message),
+            spread::Output::ReadService(after) => {
+                self.meter.service_calls += 1;
+                self.nodes[index].watch = None;
+                self.push(
+                    self.now + ANSWER_DELAY,
+                    index,
+                    fleet_event::FleetEvent::Read(after),
+                );
+            }
+            spread::Output::WatchService(after) => self.watch(index, after),
+            spread::Output::Diverged(..) => self.meter.divergences += 1,
+            spread::Output::InForce(_) | spread::Output::Refused(..) => {}
+        }
+    }
+
+    fn watch(&mut self, index: usize, after: ids::Revision) {
+        self.meter.service_calls += 1;
+        let down = self.service.health == service_model::ServiceHealth::Down;
+        if down || self.service.latest() > after {
+            self.push(
+                self.now + ANSWER_DELAY,
+                index,
+                fleet_event::FleetEvent::Read(after),
+            );
+            return;
+        }
+        self.sequence += 1;
+        let number = self.sequence;
+        self.nodes[index].watch = Some((number, after));
+        self.push(
+            self.now + WATCH_WAIT,
+            index,
+            fleet_event::FleetEvent::WatchEnd(number),
+        );
+    }
+
+    fn answer_watches(&mut self) {
+        let latest = self.service.latest();
+        for index in 0..self.nodes.len() {
+            let Some((_, after)) = self.nodes[index].watch else {
+                continue;
+            };
+            if latest > after {
+                self.nodes[index].watch = None;
+                self.push(
+                    self.now + ANSWER_DELAY,
+                    index,
+                    fleet_event::FleetEvent::Read(after),
+                );
+            }
+        }
+    }
+
+    fn send_spread(&mut self, index: usize, to: ids::InstanceId, message: spread::Message) {
+        let bytes = message_size::spread_bytes(&message);
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.meter.spread_messages += 1;
+        self.meter.spread_bytes += bytes;
+        if matches!(message, spread::Message::Part(_)) {
+            self.meter.part_bytes += bytes;
+        }
+        let from = self.nodes[index].entry.id;
+        let far = self
+            .find(to)
+            .is_some_and(|other| self.nodes[other].entry.region != self.nodes[index].entry.region);
+        if far {
+            self.meter.far_bytes += bytes;
+        }
+        self.send(index, to, fleet_event::FleetEvent::Spread(from, message));
+    }
+
+    fn send(&mut self, index: usize, to: ids::InstanceId, event: fleet_event::FleetEvent) {
+        let Some(target) = self.find(to) else {
+            return;
+        };
+        let (from, to) = (&self.nodes[index].entry, &self.nodes[target].entry);
+        let Some(delay) = self.links.delay(from, to, &mut self.random) else {
+            return;
+        };
+        self.push(self.now + delay, target, event);
+    }
+
+    fn find(&self, instance: ids::InstanceId) -> Option<usize> {
+        let index = usize::try_from(instance.0.checked_sub(1)?).ok()?;
+        (index < self.nodes.len()).then_some(index)
+    }
+}
--- a/components/spread/src/lib.rs
+++ b/components/spread/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use centre_chooser::CentreChooser;
 pub use input::Input;
-pub use message::{LoggedNote, Message, StatePart, Summary};
+pub use message::{LoggedNote, Message, Standing, StatePart, Summary};
 pub use note_log::NOTES_LIMIT_BYTES;
 pub use note_spreader::{COMPARE_INTERVAL, NoteSpreader};
 pub use output::Output;
--- a/components/spread/src/message.rs
+++ b/components/spread/src/message.rs
@@ -22,6 +22,15 @@
     }
 }
 
+/// What an instance has in force, and whether it serves with it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, serde::Serialize)]
+pub struct Standing {
+    /// What is in force.
+    pub summary: Summary,
+    /// Whether the instance serves.
+    pub ready: bool,
+}
+
 /// A note as it is kept and passed on.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LoggedNote {
@@ -48,11 +57,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Message {
     /// Tells what the sender has in force and asks for an answer, with notes that are newer.
-    Ask(Summary),
+    Ask(Standing),
     /// Tells what the sender has in force.
-    Summary(Summary),
+    Tell(Standing),
     /// Tells what the sender has in force and carries notes, oldest first.
-    Notes(Summary, Vec<LoggedNote>),
+    Notes(Standing, Vec<LoggedNote>),
     /// Asks for one part of the state with this summary.
     FetchPart(Summary, u32),
     /// Carries one part of a state.
--- a/components/spread/src/note_spreader.rs
+++ b/components/spread/src/note_spreader.rs
@@ -16,7 +16,7 @@
 pub const COMPARE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Peers that an instance which isn't ready compares summaries with at once.
-const START_COMPARISONS: usize = 3;
+const START_COMPARISONS: usize = 16;
 
 /// Bytes of new notes that are pushed; peers ask for more.
 const PUSH_LIMIT_BYTES: usize = 16_000;
@@ -99,6 +99,14 @@
         self.summary
     }
 
+    /// Returns what peers are told of this instance.
+    pub(crate) const fn standing(&self) -> message::Standing {
+        message::Standing {
+            summary: self.summary,
+            ready: self.gate.is_open(),
+        }
+    }
+
     /// Returns whether this instance may serve with what it has in force.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
@@ -221,7 +229,7 @@
                 .push_targets(START_COMPARISONS, &mut self.random)
         };
         for target in targets {
-            let ask = message::Message::Ask(self.summary);
+            let ask = message::Message::Ask(self.standing());
             outputs.push(output::Output::Send(target, ask));
         }
     }
@@ -242,7 +250,7 @@
             return;
         }
         for target in self.chooser.push_targets(self.fanout, &mut self.random) {
-            let push = message::Message::Notes(self.summary, notes.clone());
+            let push = message::Message::Notes(self.standing(), notes.clone());
             outputs.push(output::Output::Send(target, push));
         }
     }
--- a/components/spread/src/start_gate.rs
+++ b/components/spread/src/start_gate.rs
@@ -1,22 +1,24 @@
 //! Holds a new instance back until it has heard what peers have in force.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{message, readiness};
 
-/// Peers that a new instance hears before it serves, where there are as many.
+/// Serving peers that a new instance hears before it serves, where there are as many.
 const PEERS_HEARD: usize = 2;
 
 /// Holds a new instance back until it has heard what peers have in force.
 ///
-/// As long as the platform lists other instances as live and none of them answers, the instance
-/// stays back: it can't know that what the service gave it is not older than what is in force.
+/// The gate opens once the instance has what the serving peers that it heard had. Where no peer
+/// serves yet, every instance that the platform lists as live must have answered: as long as one
+/// is silent, that one may have a later state than the service now gives.
 #[derive(Debug, Default)]
 pub(crate) struct StartGate {
     listed: bool,
-    expected: usize,
+    expected: BTreeSet<ids::InstanceId>,
     reachable: usize,
-    heard: BTreeSet<ids::InstanceId>,
+    /// Peers that were heard, with whether they serve.
+    heard: BTreeMap<ids::InstanceId, bool>,
     highest: ids::Revision,
     open: bool,
 }
@@ -24,22 +26,26 @@
 impl StartGate {
     /// Takes a changed membership.
     pub(crate) fn take_view(&mut self, view: &member::MemberView) {
+        if self.open {
+            return;
+        }
         self.listed = view.listed;
         let others = view
             .members
             .values()
             .filter(|member| member.instance.id != view.own && !member.instance.leaving);
-        self.expected = others.clone().count();
         self.reachable = others
+            .clone()
             .filter(|member| member.state == member::MemberState::Alive)
             .count();
+        self.expected = others.map(|member| member.instance.id).collect();
     }
 
     /// Takes what a peer has in force.
-    pub(crate) fn hear(&mut self, from: ids::InstanceId, summary: message::Summary) {
+    pub(crate) fn hear(&mut self, from: ids::InstanceId, standing: message::Standing) {
         if !self.open {
-            self.heard.insert(from);
-            self.highest = self.highest.max(summary.revision);
+            self.heard.insert(from, standing.ready);
+            self.highest = self.highest.max(standing.summary.revision);
         }
     }
 
@@ -48,21 +54,18 @@
         self.open
     }
 
-    /// Opens the gate when `revision` is what it waited for, and tells what it waits for.
-    pub(crate) fn check(&mut self, revision: ids::Revision) -> readiness::Readiness {
-        let readiness = self.readiness(revision);
-        self.open = readiness == readiness::Readiness::Ready;
-        readiness
+    /// Opens the gate when `revision` is what it waited for.
+    pub(crate) fn check(&mut self, revision: ids::Revision) {
+        self.open = self.readiness(revision) == readiness::Readiness::Ready;
     }
 
     /// Returns what the gate waits for.
     pub(crate) fn readiness(&self, revision: ids::Revision) -> readiness::Readiness {
-        let wanted = self.reachable.clamp(1, PEERS_HEARD).min(self.expected);
         if self.open {
             readiness::Readiness::Ready
         } else if !self.listed {
             readiness::Readiness::WaitingForList
-        } else if self.heard.len() < wanted {
+        } else if !self.has_heard_enough() {
             readiness::Readiness::WaitingForPeers
         } else if revision == ids::Revision(0) || revision < self.highest {
             readiness::Readiness::WaitingForNotes
@@ -70,4 +73,13 @@
             readiness::Readiness::Ready
         }
     }
+
+    fn has_heard_enough(&self) -> bool {
+        let serving = self.heard.values().filter(|ready| **ready).count();
+        serving >= self.reachable.clamp(1, PEERS_HEARD)
+            || self
+                .expected
+                .iter()
+                .all(|peer| self.heard.contains_key(peer))
+    }
 }
--- a/components/spread/src/take_peers.rs
+++ b/components/spread/src/take_peers.rs
@@ -17,18 +17,18 @@
             return;
         }
         match message {
-            message::Message::Ask(summary) => {
-                self.hear(now, from, summary);
-                self.answer(from, summary, outputs);
-                self.compare_equal(now, from, summary, outputs);
+            message::Message::Ask(standing) => {
+                self.hear(now, from, standing);
+                self.answer(from, standing.summary, outputs);
+                self.compare_equal(now, from, standing.summary, outputs);
             }
-            message::Message::Summary(summary) => {
-                self.hear(now, from, summary);
-                self.take_summary(now, from, summary, outputs);
+            message::Message::Tell(standing) => {
+                self.hear(now, from, standing);
+                self.take_summary(now, from, standing.summary, outputs);
             }
-            message::Message::Notes(summary, notes) => {
-                self.hear(now, from, summary);
-                self.take_notes(now, from, summary, notes, outputs);
+            message::Message::Notes(standing, notes) => {
+                self.hear(now, from, standing);
+                self.take_notes(now, from, standing.summary, notes, outputs);
             }
             message::Message::FetchPart(summary, number) => {
                 let part = self.donor.part(now, summary, number, &self.state);
@@ -39,9 +39,9 @@
         }
     }
 
-    fn hear(&mut self, now: clock::Moment, from: ids::InstanceId, summary: message::Summary) {
-        self.peers.insert(from, (summary, now));
-        self.gate.hear(from, summary);
+    fn hear(&mut self, now: clock::Moment, from: ids::InstanceId, standing: message::Standing) {
+        self.peers.insert(from, (standing.summary, now));
+        self.gate.hear(from, standing);
     }
 
     /// Sends a peer the notes it lacks, or what is in force here.
@@ -52,9 +52,9 @@
         outputs: &mut Vec<output::Output>,
     ) {
         let answer = if summary.revision < self.summary.revision {
-            message::Message::Notes(self.summary, self.log.after(summary.revision))
+            message::Message::Notes(self.standing(), self.log.after(summary.revision))
         } else {
-            message::Message::Summary(self.summary)
+            message::Message::Tell(self.standing())
         };
         outputs.push(output::Output::Send(to, answer));
     }
@@ -165,7 +165,7 @@
     }
 
     fn ask(&self, from: ids::InstanceId, outputs: &mut Vec<output::Output>) {
-        let ask = message::Message::Ask(self.summary);
+        let ask = message::Message::Ask(self.standing());
         outputs.push(output::Output::Send(from, ask));
     }
 }
