wire: encode whether an instance serves with what it has in force

Cause: spreaders now tell their standing, which the encoding didn't know. Change: the standing is a message of its own; asks, tells and notes carry it. Conclusion: none.

--- a/components/wire/src/spread_convert.rs
+++ b/components/wire/src/spread_convert.rs
@@ -6,10 +6,10 @@
     fn from(message: spread::Message) -> Self {
         use proto::spread_message::Body;
         let body = match message {
-            spread::Message::Ask(summary) => Body::Ask(summary.into()),
-            spread::Message::Summary(summary) => Body::Summary(summary.into()),
-            spread::Message::Notes(summary, notes) => Body::Notes(proto::Notes {
-                summary: Some(summary.into()),
+            spread::Message::Ask(standing) => Body::Ask(standing.into()),
+            spread::Message::Tell(standing) => Body::Tell(standing.into()),
+            spread::Message::Notes(standing, notes) => Body::Notes(proto::Notes {
+                standing: Some(standing.into()),
                 notes: field::list(notes),
             }),
             spread::Message::FetchPart(summary, number) => Body::FetchPart(proto::PartAsk {
@@ -28,10 +28,11 @@
     fn try_from(message: proto::SpreadMessage) -> Result<Self, Self::Error> {
         use proto::spread_message::Body;
         Ok(match field::required("spread message", message.body)? {
-            Body::Ask(summary) => Self::Ask(summary.try_into()?),
-            Body::Summary(summary) => Self::Summary(summary.try_into()?),
-            Body::Notes(proto::Notes { summary, notes }) => {
-                Self::Notes(decode_summary(summary)?, field::list(notes))
+            Body::Ask(standing) => Self::Ask(standing.try_into()?),
+            Body::Tell(standing) => Self::Tell(standing.try_into()?),
+            Body::Notes(proto::Notes { standing, notes }) => {
+                let standing = field::required("standing", standing)?;
+                Self::Notes(standing.try_into()?, field::list(notes))
             }
             Body::FetchPart(proto::PartAsk { summary, number }) => {
                 Self::FetchPart(decode_summary(summary)?, number)
@@ -47,6 +48,28 @@
     field::required("summary", summary)?.try_into()
 }
 
+impl From<spread::Standing> for proto::Standing {
+    fn from(standing: spread::Standing) -> Self {
+        let spread::Standing { summary, ready } = standing;
+        Self {
+            summary: Some(summary.into()),
+            ready,
+        }
+    }
+}
+
+impl TryFrom<proto::Standing> for spread::Standing {
+    type Error = wire_error::WireError;
+
+    fn try_from(standing: proto::Standing) -> Result<Self, Self::Error> {
+        let proto::Standing { summary, ready } = standing;
+        Ok(Self {
+            summary: decode_summary(summary)?,
+            ready,
+        })
+    }
+}
+
 impl From<spread::LoggedNote> for proto::LoggedNote {
     fn from(note: spread::LoggedNote) -> Self {
         let spread::LoggedNote { revision, text } = note;
--- a/components/wire/tests/strategy/mod.rs
+++ b/components/wire/tests/strategy/mod.rs
@@ -97,9 +97,9 @@
 fn spread_message() -> impl Strategy<Value = spread::Message> {
     let notes = collection::vec(logged_note(), 0..LIST_LENGTH);
     prop_oneof![
-        summary().prop_map(spread::Message::Ask),
-        summary().prop_map(spread::Message::Summary),
-        (summary(), notes).prop_map(|(summary, notes)| spread::Message::Notes(summary, notes)),
+        standing().prop_map(spread::Message::Ask),
+        standing().prop_map(spread::Message::Tell),
+        (standing(), notes).prop_map(|(standing, notes)| spread::Message::Notes(standing, notes)),
         (summary(), any::<u32>())
             .prop_map(|(summary, number)| spread::Message::FetchPart(summary, number)),
         state_part().prop_map(spread::Message::Part),
@@ -124,6 +124,10 @@
     )
 }
 
+fn standing() -> impl Strategy<Value = spread::Standing> {
+    (summary(), any::<bool>()).prop_map(|(summary, ready)| spread::Standing { summary, ready })
+}
+
 fn summary() -> impl Strategy<Value = spread::Summary> {
     (any::<u64>(), any::<u128>()).prop_map(|(revision, digest)| spread::Summary {
         revision: ids::Revision(revision),
