daemon: connect instances by the peer hub

Messages between instances went nowhere. The runner now hands them to the hub, which also learns the addresses of a changed membership, and a drain waits until the last messages have left.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -41,7 +41,6 @@
         let clock: sync::Arc<dyn clock::ClockSource> =
             sync::Arc::new(system_clock::SystemClock::start());
         let callers = bind(settings.listen.callers)?;
-        let peers = bind(settings.listen.peers)?;
         let traffic = traffic_runtime(options)?;
         let pool = client::ConnectionPool::new(pool_settings(&settings), sync::Arc::clone(&clock));
         let borders = border_set::BorderSet::over_http(&settings, &pool);
@@ -54,9 +53,10 @@
         };
         let incarnation = ids::Incarnation(clock.wall_millis());
         let (port, events) = core_port::CorePort::new();
-        let (_message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
+        let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
+        let hub = peer_hub(&traffic, &settings, incarnation, message_sender)?;
         let (commands, command_receiver) = mpsc::unbounded_channel();
-        let core = core(&settings, peers.address, incarnation, options.seed);
+        let core = core(&settings, hub.address(), incarnation, options.seed);
         let context = entry_context(&settings, &shares, port.clone(), incarnation);
         let runner = action_runner::ActionRunner {
             own: settings.instance.id,
@@ -64,7 +64,9 @@
             borders: borders.clone(),
             book: sync::Arc::clone(&shares.book),
             port: port.clone(),
-            peers: Box::new(peer_port::LonePort),
+            peers: Box::new(peer_port::HubPort {
+                hub: sync::Arc::clone(&hub),
+            }),
             addresses: address_book::AddressBook::default(),
         };
         let control = control_loop::ControlLoop {
@@ -88,7 +90,7 @@
         start_control(control)?;
         Ok(daemon_handle::DaemonHandle {
             callers: callers.address,
-            peers: peers.address,
+            hub,
             snapshot: shares.snapshot,
             ready: shares.ready,
             commands,
@@ -143,6 +145,23 @@
         .build()
 }
 
+fn peer_hub(
+    traffic: &tokio::runtime::Runtime,
+    settings: &settings::InstanceSettings,
+    incarnation: ids::Incarnation,
+    messages: mpsc::Sender<(ids::InstanceId, wire::PeerMessage)>,
+) -> Result<sync::Arc<peer::PeerHub>, daemon_error::DaemonError> {
+    let _guard = traffic.enter();
+    let config = peer::PeerConfig::builder()
+        .own(settings.instance.id)
+        .incarnation(incarnation)
+        .listen(settings.listen.peers)
+        .connect_timeout(time::Duration::from_millis(settings.timeouts.connect_ms))
+        .build();
+    let hub = peer::PeerHub::start(config, messages)?;
+    Ok(sync::Arc::new(hub))
+}
+
 fn core(
     settings: &settings::InstanceSettings,
     peers: net::SocketAddr,
--- a/components/daemon/src/daemon_error.rs
+++ b/components/daemon/src/daemon_error.rs
@@ -15,6 +15,9 @@
         #[source]
         source: io::Error,
     },
+    /// The connections to other instances can't be started.
+    #[error("can't start the connections to other instances")]
+    Peer(#[from] peer::PeerError),
     /// A thread or its runtime can't be started.
     #[error("can't start the {thread} thread")]
     Thread {
--- a/components/daemon/src/daemon_handle.rs
+++ b/components/daemon/src/daemon_handle.rs
@@ -9,10 +9,13 @@
 /// Time that callers' connections get to close after the last answer.
 const CLOSE_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// Time that the last messages to other instances get to leave.
+const FLUSH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// A running instance; dropping it kills it.
 pub struct DaemonHandle {
     pub(crate) callers: net::SocketAddr,
-    pub(crate) peers: net::SocketAddr,
+    pub(crate) hub: sync::Arc<peer::PeerHub>,
     pub(crate) snapshot: sync::Arc<arc_swap::ArcSwap<instance_snapshot::InstanceSnapshot>>,
     pub(crate) ready: sync::Arc<atomic::AtomicBool>,
     pub(crate) commands: mpsc::UnboundedSender<control_loop::ControlCommand>,
@@ -31,8 +34,8 @@
 
     /// Returns the address for other instances.
     #[must_use]
-    pub const fn peers(&self) -> net::SocketAddr {
-        self.peers
+    pub fn peers(&self) -> net::SocketAddr {
+        self.hub.address()
     }
 
     /// Returns whether the instance takes callers.
@@ -57,6 +60,7 @@
             return false;
         }
         let is_idle = drained.await.unwrap_or(false);
+        self.hub.flush(FLUSH_TIMEOUT).await;
         if let Some(stop) = self.entry_stop.take() {
             // The listener may have ended already.
             let _ = stop.send(());
--- a/components/daemon/src/peer_port.rs
+++ b/components/daemon/src/peer_port.rs
@@ -1,5 +1,7 @@
 //! The way to other instances.
 
+use std::sync;
+
 /// Sends messages to other instances; none of the methods blocks.
 pub(crate) trait PeerPort: Send {
     /// Sends a message, or drops it when it can't be sent now.
@@ -9,13 +11,17 @@
     fn set_peers(&self, view: &member::MemberView);
 }
 
-/// An instance without others.
-pub(crate) struct LonePort;
+/// The way to other instances over the hub's connections.
+pub(crate) struct HubPort {
+    pub(crate) hub: sync::Arc<peer::PeerHub>,
+}
 
-impl PeerPort for LonePort {
-    fn send(&self, to: ids::InstanceId, _message: wire::PeerMessage) {
-        tracing::debug!(%to, "no connection to the peer");
+impl PeerPort for HubPort {
+    fn send(&self, to: ids::InstanceId, message: wire::PeerMessage) {
+        self.hub.send(to, message);
     }
 
-    fn set_peers(&self, _view: &member::MemberView) {}
+    fn set_peers(&self, view: &member::MemberView) {
+        self.hub.set_peers(view);
+    }
 }
--- a/components/daemon/tests/daemon/bad_input.rs
+++ b/components/daemon/tests/daemon/bad_input.rs
@@ -35,7 +35,10 @@
 async fn post_chat(instance: net::SocketAddr, body: &str) -> fakes::CallerAnswer {
     let caller = fakes::SiteCaller::new("coilquote");
     let request = http::Request::post("/v1/chat/completions");
-    caller.send(instance, request, body.to_owned()).await.unwrap()
+    caller
+        .send(instance, request, body.to_owned())
+        .await
+        .unwrap()
 }
 
 fn chat_with(extra: &str) -> String {
@@ -67,8 +70,16 @@
     let (site, instance) = strict_site().await;
     let cases = [
         ("{", 400, "bad_body"),
-        (r#"{"model": "drafts", "messages": []}"#, 400, "out_of_range"),
-        (r#"{"model": "nobody", "messages": [{"role": "user"}]}"#, 404, "unknown_model"),
+        (
+            r#"{"model": "drafts", "messages": []}"#,
+            400,
+            "out_of_range",
+        ),
+        (
+            r#"{"model": "nobody", "messages": [{"role": "user"}]}"#,
+            404,
+            "unknown_model",
+        ),
     ];
 
     for (body, status, code) in cases {
@@ -167,7 +178,9 @@
     )
     .await;
 
-    let refused = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 503"));
+    let refused = answers
+        .iter()
+        .filter(|answer| answer.starts_with("HTTP/1.1 503"));
     assert!(refused.count() >= 2, "{answers:?}");
     assert_nothing_held(&site, &instance).await;
 }
--- a/components/demo/tests/demo/main.rs
+++ b/components/demo/tests/demo/main.rs
@@ -1,7 +1,5 @@
 //! The demo as a test.
 
-#![expect(clippy::unwrap_used, reason = "a demo that can't start fails its test")]
-
 use std::time;
 
 #[tokio::test(flavor = "multi_thread")]
