--- a/components/daemon/tests/daemon/common.rs
+++ b/components/daemon/tests/daemon/common.rs
@@ -29,7 +29,9 @@
         .build();
     let instance = daemon::Daemon::start(settings, &options).unwrap();
     site.list.set(vec![site.instance(id, instance.peers())]);
-    wait_until(|| instance.is_ready()).await;
+    // A lone instance owns the only cell once it has seen itself in the platform's list.
+    let owns_cell = || !instance.snapshot().owned_cells.is_empty();
+    wait_until(|| instance.is_ready() && owns_cell()).await;
     instance
 }
 
--- a/components/demo/src/call_client.rs
+++ b/components/demo/src/call_client.rs
@@ -34,6 +34,7 @@
                 Err(_) => String::new(),
             };
             last = self.result(kind_of(&sent), Some(target.place));
+            last.code = sent.ok().and_then(|answer| fakes::error_code(&answer.body));
             let may_repeat = self.idempotent || last.kind == request_result::ResultKind::NotRun;
             if last.kind == request_result::ResultKind::Answered || !may_repeat {
                 return last;
--- a/components/demo/src/demo_report.rs
+++ b/components/demo/src/demo_report.rs
@@ -1,5 +1,7 @@
 //! What happened in a demo.
 
+use std::collections::BTreeMap;
+
 use crate::fault_script;
 
 /// What happened in a demo.
@@ -21,6 +23,8 @@
     pub unknown: usize,
     /// Requests and calls whose connection broke.
     pub connection_lost: usize,
+    /// Last errors of requests and calls that weren't answered, by kind and code.
+    pub errors: BTreeMap<String, usize>,
     /// Answers that ended as whole without being the whole answer to their request.
     pub wrong_answers: usize,
     /// Share of the prompt tokens read whose answer wasn't delivered.
--- a/components/demo/src/generation_client.rs
+++ b/components/demo/src/generation_client.rs
@@ -59,11 +59,14 @@
             }
         };
         let retry_after = stream.header("retry-after-ms").to_owned();
-        if stream.header("plantainreach-outcome") == "not_run" {
-            return (self.result(request_result::ResultKind::NotRun), retry_after);
-        }
+        let is_refused = stream.header("plantainreach-outcome") == "not_run";
         let read = self.read(&mut stream).await;
-        let mut result = self.result(self.kind_of(&stream, read));
+        let mut result = if is_refused {
+            self.result(request_result::ResultKind::NotRun)
+        } else {
+            self.result(self.kind_of(&stream, read))
+        };
+        result.code = fakes::error_code(&stream.text);
         result.request = u128::from_str_radix(stream.header("plantainreach-request"), 16)
             .ok()
             .map(ids::RequestId);
--- a/components/demo/src/request_result.rs
+++ b/components/demo/src/request_result.rs
@@ -29,6 +29,8 @@
     pub number: usize,
     /// How the request ended.
     pub kind: ResultKind,
+    /// Code of the error that the router gave last.
+    pub code: Option<String>,
     /// Number that the router gave the request.
     pub request: Option<ids::RequestId>,
     /// Instance that answered last, by its place in the demo.
@@ -48,6 +50,7 @@
         Self {
             number,
             kind,
+            code: None,
             request: None,
             instance: None,
             first_token: None,
--- a/components/demo/src/tally.rs
+++ b/components/demo/src/tally.rs
@@ -1,6 +1,6 @@
 //! Counts what became of all requests.
 
-use std::time;
+use std::{collections::BTreeMap, time};
 
 use crate::{call_client, demo_report, demo_site, fault_script, planned_request, request_result};
 
@@ -39,6 +39,7 @@
             not_run: self.count(request_result::ResultKind::NotRun),
             unknown: self.count(request_result::ResultKind::Unknown),
             connection_lost: self.count(request_result::ResultKind::ConnectionLost),
+            errors: self.errors(),
             wrong_answers: self.count(request_result::ResultKind::Wrong),
             wasted_prefill_share: share(wasted, ledger.total()),
             duplicate_calls: self.duplicate_calls(),
@@ -55,6 +56,19 @@
         results.filter(|result| result.kind == kind).count()
     }
 
+    fn errors(&self) -> BTreeMap<String, usize> {
+        let mut errors = BTreeMap::new();
+        for result in self.results {
+            let is_answered = result.kind == request_result::ResultKind::Answered;
+            let Some(code) = result.code.as_deref().filter(|_| !is_answered) else {
+                continue;
+            };
+            let name = format!("{}/{code}", result.kind);
+            *errors.entry(name).or_default() += 1;
+        }
+        errors
+    }
+
     /// Counts the answers in time; calls have no target beside their timeout.
     fn in_time(&self) -> usize {
         let results = self.results.iter();
--- a/components/demo/tests/demo/main.rs
+++ b/components/demo/tests/demo/main.rs
@@ -16,3 +16,13 @@
     assert_eq!(report.broken_promises(), Vec::<&str>::new(), "{report:?}");
     assert!(report.answered > 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn three_instances_keep_every_promise_under_faults() {
+    let options = demo::DemoOptions::builder().seed(1).build();
+
+    let report = demo::run(options).await.unwrap();
+
+    println!("{}", demo::report_table(&report));
+    assert_eq!(report.broken_promises(), Vec::<&str>::new(), "{report:?}");
+}
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -30,7 +30,7 @@
 pub use list_stand::ListStand;
 pub use prefill_ledger::PrefillLedger;
 pub use service_stand::{ServiceBehaviour, ServiceStand};
-pub use site_caller::{CallerAnswer, SiteCaller, StreamAnswer};
+pub use site_caller::{CallerAnswer, SiteCaller, StreamAnswer, error_code};
 pub use site_figures::SiteFigures;
 pub use site_stand::SiteStand;
 pub use stand_clock::StandClock;
--- a/components/fakes/src/site_caller.rs
+++ b/components/fakes/src/site_caller.rs
@@ -223,3 +223,12 @@
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default()
 }
+
+/// Returns the code of the error in an answer or at the end of a stream.
+#[must_use]
+pub fn error_code(text: &str) -> Option<String> {
+    let last = text.lines().rev().find(|line| !line.is_empty())?;
+    let json = last.strip_prefix("data: ").unwrap_or(last);
+    let error: serde_json::Value = serde_json::from_str(json).ok()?;
+    error["error"]["code"].as_str().map(str::to_owned)
+}
