control: let a site choose how long idempotency keys are kept

A keeper vouches for a key only after it has run for the whole retention of 300 s, so that every keyed call of a site that had just started ended as key_uncertain. The retention is now an option of the process.

--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -33,6 +33,11 @@
     pub fn new(config: core_config::CoreConfig) -> Self {
         let own = config.own.id;
         let seed = config.seed;
+        let keeper = call::KeeperConfig::builder()
+            .own(own)
+            .seed(seed)
+            .maybe_key_retention(config.key_retention)
+            .build();
         let members = member::MemberTable::new(config.own, config.incarnation, seed);
         let view = sync::Arc::new(members.view().clone());
         Self {
@@ -41,7 +46,7 @@
             spreader: spread::NoteSpreader::new(own, seed),
             owner: place::CellOwner::with_policy(own, seed, config.policy),
             flows: flow::FlowTable::new(own, seed),
-            keeper: call::CallKeeper::new(own, seed),
+            keeper: call::CallKeeper::with_config(keeper),
             reconciler: order::OrderReconciler::new(own, seed),
             draining: false,
             inner: VecDeque::from([Inner::View(view)]),
--- a/components/control/src/core_config.rs
+++ b/components/control/src/core_config.rs
@@ -12,4 +12,6 @@
     /// How requests are placed in the cells that the instance owns.
     #[builder(default)]
     pub policy: place::PolicyKind,
+    /// Time within which a repeat of a call under the same key doesn't run it again.
+    pub key_retention: Option<std::time::Duration>,
 }
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -56,7 +56,7 @@
         let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
         let hub = peer_hub(&traffic, &settings, incarnation, message_sender)?;
         let (commands, command_receiver) = mpsc::unbounded_channel();
-        let core = core(&settings, hub.address(), incarnation, options.seed);
+        let core = core(&settings, hub.address(), incarnation, options);
         let context = entry_context(&settings, &shares, port.clone(), incarnation);
         let runner = action_runner::ActionRunner {
             own: settings.instance.id,
@@ -166,7 +166,7 @@
     settings: &settings::InstanceSettings,
     peers: net::SocketAddr,
     incarnation: ids::Incarnation,
-    seed: Option<u64>,
+    options: &daemon_options::DaemonOptions,
 ) -> control::ControlCore {
     let place = &settings.instance;
     let mut address = place.peer_address;
@@ -182,7 +182,8 @@
     let config = control::CoreConfig::builder()
         .own(own)
         .incarnation(incarnation)
-        .seed(seed.unwrap_or(incarnation.0))
+        .seed(options.seed.unwrap_or(incarnation.0))
+        .maybe_key_retention(options.key_retention)
         .build();
     control::ControlCore::new(config)
 }
--- a/components/daemon/src/daemon_options.rs
+++ b/components/daemon/src/daemon_options.rs
@@ -7,4 +7,8 @@
     pub traffic_threads: Option<usize>,
     /// Seed of all randomness of the core; the time of the start unless given.
     pub seed: Option<u64>,
+    /// Time within which a repeat of a call under the same key doesn't run it again.
+    ///
+    /// An instance can't vouch for a key before it has run for as long.
+    pub key_retention: Option<std::time::Duration>,
 }
--- a/components/demo/src/demo_site.rs
+++ b/components/demo/src/demo_site.rs
@@ -10,6 +10,9 @@
 /// Time between two looks at something that is waited for.
 pub(crate) const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
+/// Time for which the demo's instances remember keys; before it they can't vouch for any.
+const KEY_RETENTION: time::Duration = time::Duration::from_secs(2);
+
 /// Threads that carry the traffic of one instance.
 const TRAFFIC_THREADS: usize = 2;
 
@@ -39,6 +42,7 @@
             let daemon_options = daemon::DaemonOptions::builder()
                 .traffic_threads(TRAFFIC_THREADS)
                 .seed(options.seed + id)
+                .key_retention(KEY_RETENTION)
                 .build();
             let instance = daemon::Daemon::start(stands.settings(id), &daemon_options)?;
             entries.push(stands.instance(id, instance.peers()));
@@ -55,6 +59,7 @@
             instances,
         };
         site.wait_ready().await?;
+        tokio::time::sleep(KEY_RETENTION).await;
         Ok(site)
     }
 
