client: ask again over a fresh connection while prefill or import is silent

A connection that something between the two ends had forgotten held a prefill until its timeout of 30 s, long after the first token was due. A slow answer costs one more connection and no second prefill.

--- a/components/client/src/config_gateway.rs
+++ b/components/client/src/config_gateway.rs
@@ -32,6 +32,7 @@
             server: self.service,
             timeout,
             start_by: clock::Moment::MAX,
+            fresh: false,
         }
     }
 }
--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -58,11 +58,37 @@
     pub async fn send(
         self: &sync::Arc<Self>,
         server: net::SocketAddr,
+        request: http::Request<WholeBody>,
+        start_by: clock::Moment,
+    ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
+        let connection = self.connection(server).await?;
+        self.send_on(connection, server, request, start_by).await
+    }
+
+    /// Sends a request once over a connection that nothing else has used.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotSent` when no byte left, and `Lost` for every later failure.
+    pub async fn send_fresh(
+        self: &sync::Arc<Self>,
+        server: net::SocketAddr,
+        request: http::Request<WholeBody>,
+    ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
+        let epoch = self.epoch(server);
+        let sender = self.connect(server).await?;
+        self.send_on((sender, epoch), server, request, clock::Moment::MAX)
+            .await
+    }
+
+    async fn send_on(
+        self: &sync::Arc<Self>,
+        (mut sender, epoch): (http1::SendRequest<WholeBody>, u64),
+        server: net::SocketAddr,
         mut request: http::Request<WholeBody>,
         start_by: clock::Moment,
     ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
         set_connection_headers(&mut request, server);
-        let (mut sender, epoch) = self.connection(server).await?;
         if self.clock.now() > start_by {
             return Err(not_sent("the time to start has passed"));
         }
@@ -135,11 +161,15 @@
                 return Ok((sender, epoch));
             }
         }
-        let epoch = self.lock().entry(server).or_default().epoch;
+        let epoch = self.epoch(server);
         let sender = self.connect(server).await?;
         Ok((sender, epoch))
     }
 
+    fn epoch(&self, server: net::SocketAddr) -> u64 {
+        self.lock().entry(server).or_default().epoch
+    }
+
     fn take_idle(&self, server: net::SocketAddr) -> Option<(http1::SendRequest<WholeBody>, u64)> {
         let mut servers = self.lock();
         let connections = servers.get_mut(&server)?;
--- a/components/client/src/engine_gateway.rs
+++ b/components/client/src/engine_gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::{connection_pool, engine_timeouts, json_exchange, token_lines};
+use crate::{connection_pool, engine_timeouts, json_exchange, repeated_ask, token_lines};
 
 /// Names an attempt of a request to an engine.
 #[derive(Debug, serde::Serialize)]
@@ -37,6 +37,19 @@
             server: engine,
             timeout,
             start_by: clock::Moment::MAX,
+            fresh: false,
+        }
+    }
+
+    const fn patient(
+        &self,
+        engine: net::SocketAddr,
+        timeout: time::Duration,
+    ) -> repeated_ask::RepeatedAsk<'_> {
+        repeated_ask::RepeatedAsk {
+            pool: &self.pool,
+            server: engine,
+            timeout,
         }
     }
 
@@ -53,7 +66,7 @@
         engine: net::SocketAddr,
         job: border::PrefillJob,
     ) -> Result<border::PrefillResult, border::BorderError> {
-        self.exchange(engine, self.timeouts.prefill)
+        self.patient(engine, self.timeouts.prefill)
             .post("/engine/prefill", &job)
             .await
     }
@@ -64,7 +77,7 @@
         engine: net::SocketAddr,
         job: border::TransferJob,
     ) -> Result<(), border::BorderError> {
-        self.exchange(engine, self.timeouts.transfer)
+        self.patient(engine, self.timeouts.transfer)
             .post("/engine/import", &job)
             .await
     }
--- a/components/client/src/json_exchange.rs
+++ b/components/client/src/json_exchange.rs
@@ -10,6 +10,8 @@
     pub(crate) server: net::SocketAddr,
     pub(crate) timeout: time::Duration,
     pub(crate) start_by: clock::Moment,
+    /// Whether the exchange gets a connection of its own.
+    pub(crate) fresh: bool,
 }
 
 impl JsonExchange<'_> {
@@ -49,8 +51,7 @@
         &self,
         request: http::Request<connection_pool::WholeBody>,
     ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
-        let sending = self.pool.send(self.server, request, self.start_by);
-        let mut answer = self.in_time(sending).await?;
+        let mut answer = self.in_time(self.send(request)).await?;
         if answer.status().is_success() {
             return Ok(answer);
         }
@@ -59,6 +60,16 @@
         Err(status_error(status, &String::from_utf8_lossy(&detail)))
     }
 
+    async fn send(
+        &self,
+        request: http::Request<connection_pool::WholeBody>,
+    ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
+        if self.fresh {
+            return self.pool.send_fresh(self.server, request).await;
+        }
+        self.pool.send(self.server, request, self.start_by).await
+    }
+
     async fn read<Answer: serde::de::DeserializeOwned>(
         &self,
         answer: &mut pooled_answer::PooledAnswer,
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -13,6 +13,7 @@
 mod list_gateway;
 mod pool_settings;
 mod pooled_answer;
+mod repeated_ask;
 mod service_gateway;
 mod store_gateway;
 mod token_lines;
--- a/components/client/src/list_gateway.rs
+++ b/components/client/src/list_gateway.rs
@@ -32,6 +32,7 @@
             server: self.service,
             timeout: READ_TIMEOUT,
             start_by: clock::Moment::MAX,
+            fresh: false,
         };
         exchange.get("/instances").await
     }
--- a/components/client/src/store_gateway.rs
+++ b/components/client/src/store_gateway.rs
@@ -32,6 +32,7 @@
             server: self.service,
             timeout: READ_TIMEOUT,
             start_by: clock::Moment::MAX,
+            fresh: false,
         };
         exchange.get("/limits/loads_per_minute").await
     }
--- a/components/daemon/tests/daemon/main.rs
+++ b/components/daemon/tests/daemon/main.rs
@@ -4,4 +4,7 @@
 
 mod bad_input;
 mod common;
+mod graceful_drain;
+mod lost_engines;
+mod silent_connections;
 mod whole_path;
--- a/components/fakes/src/engine_fleet.rs
+++ b/components/fakes/src/engine_fleet.rs
@@ -87,8 +87,17 @@
             .build();
         let (sender, receiver) = oneshot::channel();
         self.with(engine, |state, slot, now, events| {
-            slot.model.prefill(now, work, events)?;
-            slot.prefills.insert(key, sender);
+            if let Some(result) = slot.results.get(&key) {
+                // The receiver is returned below, so that sending can't fail.
+                let _ = sender.send(result.clone());
+                return Ok(receiver);
+            }
+            match slot.model.prefill(now, work, events) {
+                // A repeat attaches to the work under way.
+                Ok(()) | Err(engine_model::ModelError::Repeated) => {}
+                Err(error) => return Err(error),
+            }
+            slot.prefills.entry(key).or_default().push(sender);
             let plan = answer_plan::AnswerPlan::of_prompt(&job.prompt);
             state.plans.entry(job.request).or_insert(plan);
             Ok(receiver)
@@ -110,8 +119,17 @@
             .build();
         let (sender, receiver) = oneshot::channel();
         self.with(engine, |_, slot, now, events| {
-            slot.model.import(now, work, events)?;
-            slot.imports.insert(key, sender);
+            if slot.imported.contains(&key) {
+                // The receiver is returned below, so that sending can't fail.
+                let _ = sender.send(());
+                return Ok(receiver);
+            }
+            match slot.model.import(now, work, events) {
+                // A repeat attaches to the work under way.
+                Ok(()) | Err(engine_model::ModelError::Repeated) => {}
+                Err(error) => return Err(error),
+            }
+            slot.imports.entry(key).or_default().push(sender);
             slot.sources.insert(key, (job.source, job.kv_handle));
             Ok(receiver)
         })
@@ -162,10 +180,7 @@
         // Only a dead engine fails here, and it has freed its memory.
         let _ = self.with(engine, |_, slot, now, events| {
             slot.model.cancel(now, key, events);
-            slot.prefills.remove(&key);
-            slot.imports.remove(&key);
-            slot.sources.remove(&key);
-            slot.records.remove(&key);
+            slot.forget(key);
             Ok(())
         });
     }
@@ -266,15 +281,21 @@
             engine_model::EngineEvent::Exported(handle) => self.sent(now, engine, handle),
             engine_model::EngineEvent::Prefilled(key, result) => {
                 self.ledger.note(key.request, &result);
-                let waiter = self.engines.get_mut(&engine)?.prefills.remove(&key)?;
-                // Whoever asked may be gone; the result is then dropped later.
-                let _ = waiter.send(result);
+                let slot = self.engines.get_mut(&engine)?;
+                for waiter in slot.prefills.remove(&key).into_iter().flatten() {
+                    // Whoever asked may be gone; the result is then dropped later.
+                    let _ = waiter.send(result.clone());
+                }
+                slot.results.insert(key, result);
                 None
             }
             engine_model::EngineEvent::Imported(key) => {
-                let waiter = self.engines.get_mut(&engine)?.imports.remove(&key)?;
-                // Whoever asked may be gone; the work is then cancelled later.
-                let _ = waiter.send(());
+                let slot = self.engines.get_mut(&engine)?;
+                for waiter in slot.imports.remove(&key).into_iter().flatten() {
+                    // Whoever asked may be gone; the work is then cancelled later.
+                    let _ = waiter.send(());
+                }
+                slot.imported.insert(key);
                 None
             }
             engine_model::EngineEvent::Token {
@@ -286,7 +307,10 @@
                 slot.records.get(&key)?.note(offset, finish);
                 None
             }
-            engine_model::EngineEvent::Dropped(_) => None,
+            engine_model::EngineEvent::Dropped(key) => {
+                self.engines.get_mut(&engine)?.results.remove(&key);
+                None
+            }
         }
     }
 
@@ -308,8 +332,7 @@
         }
         let slot = self.engines.get_mut(&engine)?;
         slot.model.cancel(now, key, &mut events);
-        slot.imports.remove(&key);
-        slot.sources.remove(&key);
+        slot.forget(key);
         Some((engine, events))
     }
 
--- a/components/fakes/src/engine_slot.rs
+++ b/components/fakes/src/engine_slot.rs
@@ -1,16 +1,23 @@
 //! One engine of a fleet of stand-ins.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use tokio::sync::oneshot;
 
 use crate::{engine_model, token_record};
 
+/// Those who wait for work, by attempt.
+pub(crate) type Waiters<Done> = BTreeMap<engine_model::WorkKey, Vec<oneshot::Sender<Done>>>;
+
 /// One engine of a fleet of stand-ins, with those who wait for it.
 pub(crate) struct EngineSlot {
     pub(crate) model: engine_model::EngineModel,
-    pub(crate) prefills: BTreeMap<engine_model::WorkKey, oneshot::Sender<border::PrefillResult>>,
-    pub(crate) imports: BTreeMap<engine_model::WorkKey, oneshot::Sender<()>>,
+    pub(crate) prefills: Waiters<border::PrefillResult>,
+    /// Results of prefills that are kept or on their way.
+    pub(crate) results: BTreeMap<engine_model::WorkKey, border::PrefillResult>,
+    pub(crate) imports: Waiters<()>,
+    /// Attempts whose KV cache has arrived.
+    pub(crate) imported: BTreeSet<engine_model::WorkKey>,
     /// Engine and handle that each import under way comes from.
     pub(crate) sources: BTreeMap<engine_model::WorkKey, (std::net::SocketAddr, u64)>,
     pub(crate) records: BTreeMap<engine_model::WorkKey, token_record::TokenRecord>,
@@ -35,7 +42,9 @@
         Self {
             model: engine_model::EngineModel::new(figures),
             prefills: BTreeMap::new(),
+            results: BTreeMap::new(),
             imports: BTreeMap::new(),
+            imported: BTreeSet::new(),
             sources: BTreeMap::new(),
             records: BTreeMap::new(),
             loaded,
@@ -46,6 +55,16 @@
         }
     }
 
+    /// Forgets everything of an attempt.
+    pub(crate) fn forget(&mut self, key: engine_model::WorkKey) {
+        self.prefills.remove(&key);
+        self.results.remove(&key);
+        self.imports.remove(&key);
+        self.imported.remove(&key);
+        self.sources.remove(&key);
+        self.records.remove(&key);
+    }
+
     /// Carries out an order.
     pub(crate) fn order(&mut self, order: border::EngineOrder) -> border::OrderAnswer {
         if self.checks_fence && order.fence < self.fence {
--- a/components/fakes/src/engine_stand.rs
+++ b/components/fakes/src/engine_stand.rs
@@ -46,6 +46,15 @@
         &self.entry
     }
 
+    /// Returns whether the engine holds work.
+    #[must_use]
+    pub fn holds_work(&self) -> bool {
+        let running = self.fleet.read(self.address(), |slot, now| {
+            !slot.model.running(now).is_empty()
+        });
+        running.unwrap_or(false)
+    }
+
     /// Ends the engine at once; its memory is gone.
     pub fn kill(&self) {
         self.server.kill();
