--- a/components/daemon/tests/daemon/lost_engines.rs
+++ b/components/daemon/tests/daemon/lost_engines.rs
@@ -63,6 +63,7 @@
     let refused = caller.send(address, second, "").await.unwrap();
 
     assert_eq!(lost.outcome(), Some(border::Outcome::Unknown));
+    assert!(lost.header("retry-after").is_empty(), "{lost:?}");
     assert_eq!(refused.outcome(), Some(border::Outcome::NotRun));
     assert!(!refused.header("retry-after").is_empty(), "{refused:?}");
     assert_eq!(site.orders[0].runs().len(), 1);
--- a/components/entry/src/call_handler.rs
+++ b/components/entry/src/call_handler.rs
@@ -15,6 +15,8 @@
     request: ids::RequestId,
     end: tokio::sync::oneshot::Receiver<call_session::CallEnd>,
     guard: caller_guard::CallerGuard,
+    /// Whether the caller may repeat the call under a key.
+    keyed: bool,
 }
 
 /// What a checked call is sent with.
@@ -72,17 +74,14 @@
         .map_or("/", http::uri::PathAndQuery::as_str);
     let route = checked.route;
     tracing::info!(name: "entry.call", %request, %trace, service = %route.service);
+    let key = claim_key(&parts.headers, &checked.workspace.name, &route.service);
     let spec = call::CallSpec::builder()
         .request(request)
         .workspace(checked.workspace.name.clone())
         .class(route.class)
         .service(route.service.clone())
         .idempotent(route.idempotent)
-        .maybe_key(claim_key(
-            &parts.headers,
-            &checked.workspace.name,
-            &route.service,
-        ))
+        .maybe_key(key)
         .fingerprint(fingerprint(&parts.method, target, &held.bytes))
         .priority(route.priority)
         .time_left(route.timeout)
@@ -104,6 +103,7 @@
         request,
         end,
         guard,
+        keyed: key.is_some(),
     }
 }
 
@@ -119,7 +119,12 @@
                 retry_after,
             },
             _,
-        )) => outcome_answer::call_error(outcome, failure, retry_after).into_answer(),
+        )) => {
+            // A call that may have run must not be invited to run again, unless a key guards it.
+            let may_repeat = pending.keyed || outcome == border::Outcome::NotRun;
+            let retry_after = retry_after.filter(|_| may_repeat);
+            outcome_answer::call_error(outcome, failure, retry_after).into_answer()
+        }
         Ok((call::CallOutcome::Answered(_), None)) | Err(_) => {
             outcome_answer::lost_error().into_answer()
         }
