--- /dev/null
+++ b/components/admin/src/admin_server.rs
@@ -0,0 +1,89 @@
+//! The server on the admin address.
+
+use std::{future, net, sync};
+
+use axum::{extract, response, routing};
+
+use crate::{admin_error, engine_report, state_report, state_source};
+
+/// Largest body of a request, in bytes; operators send none.
+const BODY_LIMIT_BYTES: usize = 1_024;
+
+/// What the handlers read from.
+#[derive(Clone)]
+struct AdminContext {
+    source: sync::Arc<dyn state_source::StateSource>,
+    meter: meter::Meter,
+}
+
+/// Answers operators on the admin address.
+pub struct AdminServer {
+    listener: tokio::net::TcpListener,
+    address: net::SocketAddr,
+    context: AdminContext,
+}
+
+impl AdminServer {
+    /// Listens on the admin address; port 0 takes any free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`admin_error::AdminError::Listen`] when the address can't be listened on.
+    pub async fn bind(
+        address: net::SocketAddr,
+        source: sync::Arc<dyn state_source::StateSource>,
+        meter: meter::Meter,
+    ) -> Result<Self, admin_error::AdminError> {
+        let listen_error = |source| admin_error::AdminError::Listen { address, source };
+        let listener = tokio::net::TcpListener::bind(address)
+            .await
+            .map_err(listen_error)?;
+        let address = listener.local_addr().map_err(listen_error)?;
+        Ok(Self {
+            listener,
+            address,
+            context: AdminContext { source, meter },
+        })
+    }
+
+    /// Returns the address the server listens on.
+    #[must_use]
+    pub const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Answers until `stopped` is done.
+    pub async fn run(self, stopped: impl future::Future<Output = ()> + Send + 'static) {
+        let router = axum::Router::new()
+            .route("/state", routing::get(state))
+            .route("/engines", routing::get(engines))
+            .route("/metrics", routing::get(metrics))
+            .layer(extract::DefaultBodyLimit::max(BODY_LIMIT_BYTES))
+            .with_state(self.context);
+        let served = axum::serve(self.listener, router)
+            .with_graceful_shutdown(stopped)
+            .await;
+        if let Err(error) = served {
+            tracing::error!(%error, "no longer answering operators");
+        }
+    }
+}
+
+async fn state(
+    extract::State(context): extract::State<AdminContext>,
+) -> axum::Json<state_report::StateReport> {
+    axum::Json(context.source.state())
+}
+
+async fn engines(
+    extract::State(context): extract::State<AdminContext>,
+) -> axum::Json<Vec<engine_report::EngineReport>> {
+    axum::Json(context.source.engines())
+}
+
+async fn metrics(
+    extract::State(context): extract::State<AdminContext>,
+) -> impl response::IntoResponse {
+    let headers = [(http::header::CONTENT_TYPE, meter::Meter::CONTENT_TYPE)];
+    (headers, context.meter.render())
+}
