--- a/components/logs/src/log_guard.rs
+++ b/components/logs/src/log_guard.rs
@@ -1,8 +1,6 @@
 //! Starts logs and spans of a process.
 
-use tracing_subscriber::{
-    Layer as _, filter, layer::SubscriberExt as _, util::SubscriberInitExt as _,
-};
+use tracing_subscriber::{Layer as _, filter, layer::SubscriberExt as _};
 
 use crate::{line_format, log_error, log_layer, span_export};
 
