control: an instance is ready only once it stands in the platform's list

Cause: an instance with notes in force but without the list took callers and refused the first for want of an owner. Change: ready needs the list to have been read.

--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -56,7 +56,7 @@
     /// Returns whether this instance may take callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.draining && self.spreader.is_ready()
+        !self.draining && self.spreader.is_ready() && self.members.view().listed
     }
 
     /// Returns the number of requests and calls in flight.
