flow: import from a prefill engine that a note has withdrawn meanwhile

Cause: the address of the exporting engine was looked up when prefill ended; a note that withdrew the engine in between made the transfer impossible and the prefill was wasted. Change: the address is kept from the moment of placement.

--- a/components/flow/src/model_flow.rs
+++ b/components/flow/src/model_flow.rs
@@ -38,6 +38,8 @@
     pub(crate) tried: Vec<ids::CellId>,
     /// What was granted.
     pub(crate) placement: Option<place::Placement>,
+    /// Address of the placed prefill engine, kept should a note withdraw it.
+    pub(crate) source: Option<std::net::SocketAddr>,
     /// When the lease expires unless it is updated.
     pub(crate) lease_until: clock::Moment,
     /// Prefill result that may still be imported.
--- a/components/flow/src/table/asking.rs
+++ b/components/flow/src/table/asking.rs
@@ -43,6 +43,7 @@
             asked: false,
             tried: Vec::new(),
             placement: None,
+            source: None,
             lease_until: now,
             retained: None,
             delivered: 0,
--- a/components/flow/src/table/engines.rs
+++ b/components/flow/src/table/engines.rs
@@ -90,7 +90,7 @@
         let (Some(placement), Some(retained)) = (&flow.placement, &flow.retained) else {
             return;
         };
-        let Some(source) = self.state.engines.get(&retained.engine) else {
+        let Some(source) = flow.source else {
             self.redo(
                 now,
                 request,
@@ -103,7 +103,7 @@
             .request(request)
             .attempt(flow.attempt)
             .entry(self.own)
-            .source(source.address)
+            .source(source)
             .kv_handle(retained.result.kv_handle)
             .prompt_tokens(retained.result.prompt_tokens)
             .kv_pieces(placement.kv_pieces)
--- a/components/flow/src/table/leases.rs
+++ b/components/flow/src/table/leases.rs
@@ -36,11 +36,14 @@
         flow.asked = false;
         flow.lease_until = now + placement.expires_in;
         let start_at = now + placement.start_in;
-        flow.placement = Some(placement);
         if flow.stage == flow_stage::FlowStage::Retargeting {
+            flow.placement = Some(placement);
             self.import(now, request, outputs);
             return;
         }
+        let engine = self.state.engines.get(&placement.prefill);
+        flow.source = engine.map(|engine| engine.address);
+        flow.placement = Some(placement);
         flow.stage = flow_stage::FlowStage::Waiting { start_at };
         if start_at > now {
             self.wake_at(request, start_at);
--- a/components/flow/tests/flow/failures.rs
+++ b/components/flow/tests/flow/failures.rs
@@ -109,6 +109,24 @@
         if engine.as_str() == "decode-b" && job.kv_handle == 9));
 }
 
+#[test]
+fn a_note_that_withdraws_the_prefill_engine_does_not_waste_its_result() {
+    let mut site = common::site();
+    site.give(flow::Input::Arrived(common::quote()));
+    site.grant(0, 1, "decode-a");
+    let mut state = common::state();
+    state.engines.remove(&"prefill-a".into());
+    site.give(flow::Input::State(std::sync::Arc::new(state)));
+
+    let outputs = site.give(flow::Input::Prefilled(
+        REQUEST,
+        ids::AttemptNumber(0),
+        Ok(common::cache()),
+    ));
+
+    assert!(matches!(&outputs[0], flow::Output::Import { job, .. } if job.source.port() == 7_001));
+}
+
 #[test]
 fn a_transfer_that_stalls_moves_to_another_engine_inside_the_retention() {
     let mut site = common::site();
