call: tests of routing, keys and an outage; memory that reaches back beyond the process

A fresh process vouched for keys at once where its clock starts at zero: the start of the window was cut off at the clock's start, so it looked as old as the window. The memory's reach is now kept as a span, which a recall may extend beyond the process's own start. Servers with nothing open now cost the same, because a lower limit alone kept idle servers from being chosen.

--- a/components/call/src/call_keeper.rs
+++ b/components/call/src/call_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync, time,
+    fmt, sync, time,
 };
 
 use rand::SeedableRng as _;
@@ -18,6 +18,7 @@
 const STALE_HOLD: time::Duration = time::Duration::from_secs(2);
 
 /// Routes the calls of one instance and is a witness of a share of the idempotency keys.
+#[derive(Clone)]
 pub struct CallKeeper {
     config: keeper_config::KeeperConfig,
     state: sync::Arc<note::StateInForce>,
@@ -195,3 +196,15 @@
         }
     }
 }
+
+impl fmt::Debug for CallKeeper {
+    /// Shows the calls and the claims; keepers that show the same treat equal calls alike, but for
+    /// what they have learnt of the backend servers.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("CallKeeper")
+            .field("calls", &self.calls)
+            .field("witness", &self.witness)
+            .finish_non_exhaustive()
+    }
+}
--- a/components/call/src/fair_queue.rs
+++ b/components/call/src/fair_queue.rs
@@ -17,7 +17,7 @@
 }
 
 /// The waiting calls of one workspace at one priority.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct WorkspaceLine {
     calls: BTreeMap<u64, ids::RequestId>,
     /// Calls that the workspace may still send in its turn.
@@ -25,7 +25,7 @@
 }
 
 /// The waiting calls of one priority; workspaces take turns by deficit round robin.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct PriorityBand {
     lines: BTreeMap<ids::WorkspaceName, WorkspaceLine>,
     turns: VecDeque<ids::WorkspaceName>,
@@ -34,7 +34,7 @@
 /// A bounded queue: higher priorities first, workspaces by weight within a priority.
 ///
 /// When the queue is full, the workspace with the most waiting calls loses its newest one.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct FairQueue {
     bands: BTreeMap<cmp::Reverse<u8>, PriorityBand>,
     by_length: BTreeSet<(usize, ids::WorkspaceName)>,
--- a/components/call/src/key_witness.rs
+++ b/components/call/src/key_witness.rs
@@ -1,10 +1,10 @@
 //! The witness's side of claims: what this instance remembers of keys, and how far back.
 
-use std::{collections::VecDeque, sync, time};
+use std::{collections::VecDeque, fmt, sync, time};
 
 use crate::{
     claim_key, claim_policy, claim_state::ClaimState, claim_store, held_claim, keeper_config,
-    message, output, recall_task, witness_rank,
+    known_span, message, output, recall_task, witness_rank,
 };
 
 /// Claims in one message of a hand-over.
@@ -25,14 +25,15 @@
 /// The witness answers only under a view that may be acted on, and vouches for a key only when it
 /// has been among the key's witnesses for the whole window that the claim names, as one process
 /// or with what it recalled from enough older witnesses.
+#[derive(Clone)]
 pub struct KeyWitness {
     own: ids::InstanceId,
     retention: time::Duration,
     policy: sync::Arc<dyn claim_policy::ClaimPolicy>,
     store: claim_store::ClaimStore,
     rosters: VecDeque<RosterSpan>,
-    /// Since when every claim that this instance should know of is known; unset before the start.
-    complete_since: Option<clock::Moment>,
+    /// How far back every claim that this instance should know of is known; unset before the start.
+    known: Option<known_span::KnownSpan>,
     /// When an instance last left the roster, by which this one may have moved up in rank.
     moved_up: Option<clock::Moment>,
     usable: bool,
@@ -52,7 +53,7 @@
                 config.key_retention + RETENTION_GRACE,
             ),
             rosters: VecDeque::new(),
-            complete_since: None,
+            known: None,
             moved_up: None,
             usable: false,
             draining: false,
@@ -67,8 +68,8 @@
 
     /// Notes the time of the first input, from which this process remembers.
     pub fn start(&mut self, now: clock::Moment) {
-        if self.complete_since.is_none() {
-            self.complete_since = Some(now);
+        if self.known.is_none() {
+            self.known = Some(known_span::KnownSpan::new(now, time::Duration::ZERO));
             self.recall.start(now);
         }
     }
@@ -211,7 +212,7 @@
         if let Some(question) = self.recall.take_page(now, peer, &page) {
             outputs.push(output::Output::Send(peer, question));
         }
-        self.extend_memory();
+        self.extend_memory(now);
     }
 
     /// Hands the claims to the instances that are their witnesses once this one is gone.
@@ -292,9 +293,14 @@
         key: claim_key::ClaimKey,
         window: time::Duration,
     ) -> bool {
-        let from = now.before(window.min(self.retention));
-        let started = self.complete_since.is_some_and(|since| since <= from);
-        started && self.was_witness_since(key, from)
+        let window = window.min(self.retention);
+        self.remembered(now) >= window && self.was_witness_since(key, now.before(window))
+    }
+
+    /// Returns how far back this instance's memory is complete, whatever its rank was.
+    fn remembered(&self, now: clock::Moment) -> time::Duration {
+        self.known
+            .map_or(time::Duration::ZERO, |known| known.length(now))
     }
 
     fn was_witness_since(&self, key: claim_key::ClaimKey, from: clock::Moment) -> bool {
@@ -309,13 +315,15 @@
             .all(|span| witness_rank::is_witness(key, &span.roster, self.own))
     }
 
+    /// Returns how far back this instance knows of every claim it was a witness of.
     fn known_for(&self, now: clock::Moment) -> time::Duration {
-        let complete = self.complete_since.map_or(now, |since| since);
-        now.since(complete.max(self.moved_up.unwrap_or_default()))
+        let remembered = self.remembered(now);
+        self.moved_up
+            .map_or(remembered, |moved_up| remembered.min(now.since(moved_up)))
     }
 
     /// Counts this instance's memory as reaching back as far as that of enough older witnesses.
-    fn extend_memory(&mut self) {
+    fn extend_memory(&mut self, now: clock::Moment) {
         let roster = self.roster();
         let witnesses = roster.len().min(witness_rank::WITNESS_COUNT);
         let vouchers = self.policy.quorum(witnesses).vouchers;
@@ -323,9 +331,9 @@
             return;
         };
         let peers = roster.iter().copied().filter(|peer| *peer != self.own);
-        let recalled = self.recall.complete_since(peers, spare);
-        if let (Some(recalled), Some(own)) = (recalled, self.complete_since) {
-            self.complete_since = Some(own.min(recalled));
+        let recalled = self.recall.known_for(now, peers, spare);
+        if recalled > self.remembered(now) {
+            self.known = Some(known_span::KnownSpan::new(now, recalled));
         }
     }
 
@@ -336,3 +344,15 @@
         }
     }
 }
+
+impl fmt::Debug for KeyWitness {
+    /// Shows the claims and how far back they are known.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("KeyWitness")
+            .field("store", &self.store)
+            .field("known", &self.known)
+            .field("usable", &self.usable)
+            .finish_non_exhaustive()
+    }
+}
--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -24,6 +24,7 @@
 mod input;
 mod keeper_config;
 mod key_witness;
+mod known_span;
 mod message;
 mod output;
 mod recall_task;
--- a/components/call/src/recall_task.rs
+++ b/components/call/src/recall_task.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time};
 
-use crate::{claim_key, held_claim, message};
+use crate::{claim_key, held_claim, known_span, message};
 
 /// Time after the start before the recall begins; a round of claims that was open at the start
 /// is closed by then, so the older witnesses hold all of it.
@@ -30,8 +30,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct RecallCursor {
     after: Option<claim_key::ClaimKey>,
-    /// Since when the peer's claims are known here; the latest of its pages counts.
-    since: clock::Moment,
+    /// How far back the peer's claims are known here, by the first of its pages.
+    known: Option<known_span::KnownSpan>,
     done: bool,
 }
 
@@ -104,31 +104,33 @@
         if !asked || cursor.done || cursor.after != page.after {
             return None;
         }
-        cursor.since = cursor.since.max(now.before(page.known_for));
+        cursor
+            .known
+            .get_or_insert_with(|| known_span::KnownSpan::new(now, page.known_for));
         cursor.done = !page.more;
         cursor.after = page.claims.last().map(|claim| claim.key).or(cursor.after);
         let after = cursor.after;
         page.more.then(|| self.question(after))
     }
 
-    /// Returns since when the claims of all but `spare` of `peers` are known here.
-    pub fn complete_since(
+    /// Returns how far back the claims of all but `spare` of `peers` are known here.
+    pub fn known_for(
         &self,
+        now: clock::Moment,
         peers: impl Iterator<Item = ids::InstanceId>,
         spare: usize,
-    ) -> Option<clock::Moment> {
-        let mut times: Vec<_> = peers.map(|peer| self.known_since(peer)).collect();
-        times.sort_unstable();
-        let counted = times.len().checked_sub(spare)?;
-        let latest = *times.get(counted.checked_sub(1)?)?;
-        (latest < clock::Moment::MAX).then_some(latest)
+    ) -> time::Duration {
+        let mut spans: Vec<_> = peers.map(|peer| self.known_of(now, peer)).collect();
+        spans.sort_unstable();
+        spans.get(spare).copied().unwrap_or_default()
     }
 
-    fn known_since(&self, peer: ids::InstanceId) -> clock::Moment {
+    fn known_of(&self, now: clock::Moment, peer: ids::InstanceId) -> time::Duration {
         self.cursors
             .get(&peer)
             .filter(|cursor| cursor.done)
-            .map_or(clock::Moment::MAX, |cursor| cursor.since)
+            .and_then(|cursor| cursor.known)
+            .map_or(time::Duration::ZERO, |known| known.length(now))
     }
 
     const fn question(&self, after: Option<claim_key::ClaimKey>) -> message::Message {
--- a/components/call/src/service_lane.rs
+++ b/components/call/src/service_lane.rs
@@ -25,6 +25,7 @@
 const LATENCY_WEIGHT: f64 = 0.05;
 
 /// The backend servers and the queue of one plain service.
+#[derive(Clone)]
 pub struct ServiceLane {
     /// Calls that wait for a server.
     pub queue: fair_queue::FairQueue,
@@ -231,7 +232,7 @@
 }
 
 fn cost(gate: &server_gate::ServerGate, now: clock::Moment) -> f64 {
-    let load = (f64::from(gate.open) + 1.0) / gate.allowed(now).max(f64::MIN_POSITIVE);
+    let load = f64::from(gate.open) / gate.allowed(now).max(f64::MIN_POSITIVE);
     match (gate.local, gate.near) {
         (true, _) => load,
         (false, true) => load + OTHER_CENTRE_COST,
--- a/components/call/tests/common/fleet.rs
+++ b/components/call/tests/common/fleet.rs
@@ -33,6 +33,8 @@
 struct FleetNode {
     keeper: call::CallKeeper,
     process: u32,
+    /// When the process and its clock started.
+    started: u64,
     alive: bool,
     resumes: Option<u64>,
     wake: u64,
@@ -107,6 +109,7 @@
         let node = FleetNode {
             keeper: call::CallKeeper::with_config(config),
             process,
+            started: self.now,
             alive: true,
             resumes: None,
             wake: u64::MAX,
@@ -305,9 +308,13 @@
             node.late.push(FleetEvent::Input(id, process, input));
             return;
         }
-        let outputs = super::give(&mut node.keeper, now, input);
+        let outputs = super::give(&mut node.keeper, now - node.started, input);
         let wake = node.keeper.next_wake();
-        let wake_ms = wake.as_micros().div_ceil(1_000).max(now + 1);
+        let wake_ms = (wake
+            .as_micros()
+            .div_ceil(1_000)
+            .saturating_add(node.started))
+        .max(now + 1);
         if wake < clock::Moment::MAX && (wake_ms < node.wake || node.wake <= now) {
             node.wake = wake_ms;
             self.push(wake_ms, FleetEvent::Wake(id, process));
