--- a/components/call/src/claim_store.rs
+++ b/components/call/src/claim_store.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    ops, time,
+    fmt, ops, time,
 };
 
 use crate::{claim_key, claim_state::ClaimState, held_claim};
@@ -17,7 +17,7 @@
 /// The claims that one witness holds, bounded in number.
 ///
 /// A full store refuses new keys; it never forgets one before its time.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ClaimStore {
     records: BTreeMap<claim_key::ClaimKey, ClaimRecord>,
     expiries: BTreeSet<(clock::Moment, claim_key::ClaimKey)>,
@@ -137,3 +137,10 @@
         }
     }
 }
+
+impl fmt::Debug for ClaimStore {
+    /// Shows the claims without the times at which they expire.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_list().entries(self.after(None)).finish()
+    }
+}
--- a/components/call/src/key_witness.rs
+++ b/components/call/src/key_witness.rs
@@ -37,7 +37,6 @@
     /// When an instance last left the roster, by which this one may have moved up in rank.
     moved_up: Option<clock::Moment>,
     usable: bool,
-    draining: bool,
     recall: recall_task::RecallTask,
 }
 
@@ -56,7 +55,6 @@
             known: None,
             moved_up: None,
             usable: false,
-            draining: false,
             recall: recall_task::RecallTask::default(),
         }
     }
@@ -216,8 +214,9 @@
     }
 
     /// Hands the claims to the instances that are their witnesses once this one is gone.
-    pub fn drain(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
-        self.draining = true;
+    ///
+    /// The witness goes on answering until its process ends.
+    pub fn drain(&self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         let mut roster = self.roster().to_vec();
         roster.retain(|instance| *instance != self.own);
         for peer in &roster {
@@ -283,7 +282,7 @@
             .rosters
             .back()
             .is_some_and(|span| witness_rank::is_witness(key, &span.roster, self.own));
-        self.usable && !self.draining && ranked
+        self.usable && ranked
     }
 
     /// Returns whether every claim of `key` within the window that came here is known.
--- a/components/call/src/witness_rank.rs
+++ b/components/call/src/witness_rank.rs
@@ -5,15 +5,14 @@
 /// Number of witnesses of a key, where the region has as many instances.
 pub const WITNESS_COUNT: usize = 7;
 
-/// Returns the instances of `region` that can be witnesses, silent ones included.
+/// Returns the instances of `region`, which can be witnesses, silent and leaving ones included.
 ///
-/// A silent instance may live on the other side of a partition, so it stays until the platform's
-/// list no longer names it.
+/// A silent instance may live on the other side of a partition, and one that leaves may come back
+/// as a new process, so both stay until the membership drops them.
 pub fn roster(view: &member::MemberView, region: &ids::RegionName) -> Vec<ids::InstanceId> {
     view.members
         .iter()
         .filter(|(_, member)| member.instance.region == *region)
-        .filter(|(_, member)| member.state != member::MemberState::Leaving)
         .map(|(instance, _)| *instance)
         .collect()
 }
