--- a/components/call/src/call_spec.rs
+++ b/components/call/src/call_spec.rs
@@ -18,7 +18,7 @@
     pub idempotent: bool,
     /// Key under which the caller may repeat a non-idempotent call.
     pub key: Option<claim_key::ClaimKey>,
-    /// Age of the key at arrival, when the key itself tells when it was made (UUID version 7).
+    /// Age of the key at arrival, when the key itself tells when it was made: see [`crate::key_age`].
     ///
     /// Unset when the key tells nothing or a time later than this instance's clock. A key of
     /// known age can be claimed as soon as the witnesses have been up for that time, and is
