border: count what the core does and answer operators on the admin address

The daemon had no metrics and nobody listened on the admin address. A recorder derives the metrics from the core's events and actions, so that neither the state machines nor the handlers know of them; goodput follows from the arrival, the first and the last token against the targets of the class in force. The core gains three readings for that: its owner, the status of notes and the open orders.

--- a/components/admin/src/admin_server.rs
+++ b/components/admin/src/admin_server.rs
@@ -1,6 +1,6 @@
 //! The server on the admin address.
 
-use std::{future, net, sync};
+use std::{future, io, net, sync};
 
 use axum::{extract, response, routing};
 
@@ -18,7 +18,7 @@
 
 /// Answers operators on the admin address.
 pub struct AdminServer {
-    listener: tokio::net::TcpListener,
+    listener: net::TcpListener,
     address: net::SocketAddr,
     context: AdminContext,
 }
@@ -29,15 +29,14 @@
     /// # Errors
     ///
     /// Returns [`admin_error::AdminError::Listen`] when the address can't be listened on.
-    pub async fn bind(
+    pub fn bind(
         address: net::SocketAddr,
         source: sync::Arc<dyn state_source::StateSource>,
         meter: meter::Meter,
     ) -> Result<Self, admin_error::AdminError> {
         let listen_error = |source| admin_error::AdminError::Listen { address, source };
-        let listener = tokio::net::TcpListener::bind(address)
-            .await
-            .map_err(listen_error)?;
+        let listener = net::TcpListener::bind(address).map_err(listen_error)?;
+        listener.set_nonblocking(true).map_err(listen_error)?;
         let address = listener.local_addr().map_err(listen_error)?;
         Ok(Self {
             listener,
@@ -60,15 +59,23 @@
             .route("/metrics", routing::get(metrics))
             .layer(extract::DefaultBodyLimit::max(BODY_LIMIT_BYTES))
             .with_state(self.context);
-        let served = axum::serve(self.listener, router)
-            .with_graceful_shutdown(stopped)
-            .await;
-        if let Err(error) = served {
+        if let Err(error) = serve(self.listener, router, stopped).await {
             tracing::error!(%error, "no longer answering operators");
         }
     }
 }
 
+async fn serve(
+    listener: net::TcpListener,
+    router: axum::Router,
+    stopped: impl future::Future<Output = ()> + Send + 'static,
+) -> io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    axum::serve(listener, router)
+        .with_graceful_shutdown(stopped)
+        .await
+}
+
 async fn state(
     extract::State(context): extract::State<AdminContext>,
 ) -> axum::Json<state_report::StateReport> {
--- a/components/admin/tests/reading_back.rs
+++ b/components/admin/tests/reading_back.rs
@@ -108,20 +108,19 @@
     ]
 }
 
-async fn start_server() -> admin::AdminServer {
+fn bound_server() -> admin::AdminServer {
     let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
     admin::AdminServer::bind(
         address,
         sync::Arc::new(FixedSource),
         meter::Meter::default(),
     )
-    .await
     .expect("loopback can be listened on")
 }
 
 #[tokio::test]
 async fn the_client_reads_what_the_server_tells() {
-    let server = start_server().await;
+    let server = bound_server();
     let client = admin::AdminClient::new(server.address());
     tokio::spawn(server.run(std::future::pending()));
 
@@ -134,7 +133,7 @@
 
 #[tokio::test]
 async fn an_address_without_an_instance_is_named_in_the_error() {
-    let server = start_server().await;
+    let server = bound_server();
     let address = server.address();
     drop(server);
 
--- a/components/control/src/control_core.rs
+++ b/components/control/src/control_core.rs
@@ -82,6 +82,24 @@
         self.owner.owned().values()
     }
 
+    /// Returns the placement of the cells that this instance owns.
+    #[must_use]
+    pub const fn owner(&self) -> &place::CellOwner {
+        &self.owner
+    }
+
+    /// Returns what operators read back about release notes.
+    #[must_use]
+    pub fn note_status(&self, now: clock::Moment) -> spread::SpreadStatus {
+        self.spreader.status(now)
+    }
+
+    /// Returns the orders to engines that aren't settled.
+    #[must_use]
+    pub fn open_orders(&self, now: clock::Moment) -> Vec<order::OrderReport> {
+        self.reconciler.open_orders(now)
+    }
+
     /// Returns when [`event::Event::Wake`] is due; it may be in the past.
     #[must_use]
     pub fn next_wake(&self) -> clock::Moment {
--- a/components/daemon/src/control_loop.rs
+++ b/components/daemon/src/control_loop.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{action_runner, instance_snapshot};
+use crate::{action_runner, core_meter, instance_snapshot};
 
 /// Events that are taken before time and commands are looked at again.
 const EVENT_BATCH: usize = 64;
@@ -48,6 +48,7 @@
     pub(crate) events: mpsc::UnboundedReceiver<control::Event>,
     pub(crate) messages: mpsc::Receiver<(ids::InstanceId, wire::PeerMessage)>,
     pub(crate) commands: mpsc::UnboundedReceiver<ControlCommand>,
+    pub(crate) meter: core_meter::CoreMeter,
     pub(crate) progress: LoopProgress,
 }
 
@@ -102,9 +103,11 @@
 
     fn take(&mut self, event: control::Event) {
         let now = self.shares.clock.now();
+        self.meter.take_event(now, &event);
         let mut actions = std::mem::take(&mut self.progress.actions);
         self.core.handle(now, event, &mut actions);
         for action in actions.drain(..) {
+            self.meter.take_action(now, &action);
             self.note_change(&action);
             self.runner.run(now, action);
         }
@@ -141,6 +144,11 @@
         snapshot.draining = self.progress.drain.is_some();
         snapshot.in_flight = self.core.in_flight();
         snapshot.owned_cells = self.core.owned_cells().cloned().collect();
+        let status = self.core.note_status(now);
+        self.meter.refresh(&self.core, &status);
+        snapshot.notes = Some(status);
+        snapshot.orders = self.core.open_orders(now);
+        snapshot.count_engines(self.core.owner());
         self.shares.snapshot.store(sync::Arc::new(snapshot.clone()));
     }
 
--- a/components/daemon/src/core_meter.rs
+++ b/components/daemon/src/core_meter.rs
@@ -44,7 +44,8 @@
             }
             Event::CallerGone(request) => self.cancel(*request),
             Event::Prefilled(_, _, Ok(result)) => {
-                self.meter.requests().prefilled(result.prompt_tokens);
+                let read = result.prompt_tokens.saturating_sub(result.cached_tokens);
+                self.meter.requests().prefilled(read);
             }
             Event::Delivered(request, _, tokens) | Event::DecodeEnded(request, _, tokens, _) => {
                 self.deliver(now, *request, *tokens);
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -5,8 +5,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    action_runner, address_book, border_set, control_loop, core_port, daemon_error, daemon_handle,
-    daemon_options, peer_port, system_clock,
+    action_runner, address_book, admin_source, border_set, control_loop, core_meter, core_port,
+    daemon_error, daemon_handle, daemon_options, peer_port, system_clock,
 };
 
 /// Messages of peers that may wait for the control thread.
@@ -18,6 +18,9 @@
 /// Time between two sweeps of unused connections.
 const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(5);
 
+/// Time between two readings of the counts of messages between instances.
+const STATS_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Starts instances.
 pub struct Daemon;
 
@@ -55,6 +58,7 @@
         let (port, events) = core_port::CorePort::new();
         let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
         let hub = peer_hub(&traffic, &settings, incarnation, message_sender)?;
+        let meter = meter::Meter::default();
         let (commands, command_receiver) = mpsc::unbounded_channel();
         let core = core(&settings, hub.address(), incarnation, options);
         let context = entry_context(&settings, &shares, port.clone(), incarnation);
@@ -76,8 +80,20 @@
             events,
             messages,
             commands: command_receiver,
+            meter: core_meter::CoreMeter::new(meter.clone()),
             progress: control_loop::LoopProgress::default(),
         };
+        let source = admin_source::AdminSource {
+            own: settings.instance.id,
+            incarnation,
+            place: settings.instance.clone(),
+            snapshot: sync::Arc::clone(&shares.snapshot),
+        };
+        let admin =
+            admin::AdminServer::bind(settings.listen.admin, sync::Arc::new(source), meter.clone())?;
+        let admin_address = admin.address();
+        traffic.spawn(admin.run(std::future::pending()));
+        traffic.spawn(share_stats(sync::Arc::clone(&hub), meter));
         let (entry_stop, stop) = oneshot::channel::<()>();
         let server = entry_server(&traffic, callers.listener, context)
             .map_err(|source| listen_error(callers.address, source))?;
@@ -90,6 +106,7 @@
         start_control(control)?;
         Ok(daemon_handle::DaemonHandle {
             callers: callers.address,
+            admin: admin_address,
             hub,
             snapshot: shares.snapshot,
             ready: shares.ready,
@@ -236,6 +253,22 @@
     Ok(())
 }
 
+async fn share_stats(hub: sync::Arc<peer::PeerHub>, meter: meter::Meter) {
+    loop {
+        tokio::time::sleep(STATS_INTERVAL).await;
+        let stats = hub.stats();
+        let peers = meter.peers();
+        peers.sent(stats.sent_messages, stats.sent_bytes);
+        peers.received(stats.received_messages, stats.received_bytes);
+        peers.streams(stats.streams_opened, stats.streams_replaced);
+        peers.dropped("queue_full", stats.dropped_full);
+        peers.dropped("unknown_peer", stats.dropped_unknown);
+        peers.dropped("unreachable", stats.dropped_unreachable);
+        peers.dropped("inbound_full", stats.dropped_inbound);
+        peers.dropped("malformed", stats.dropped_malformed);
+    }
+}
+
 async fn sweep_connections(pool: sync::Arc<client::ConnectionPool>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
--- a/components/daemon/src/daemon_error.rs
+++ b/components/daemon/src/daemon_error.rs
@@ -27,4 +27,8 @@
         #[source]
         source: io::Error,
     },
+    /// Operators can't be answered.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Admin(#[from] admin::AdminError),
 }
--- a/components/daemon/src/daemon_handle.rs
+++ b/components/daemon/src/daemon_handle.rs
@@ -15,6 +15,7 @@
 /// A running instance; dropping it kills it.
 pub struct DaemonHandle {
     pub(crate) callers: net::SocketAddr,
+    pub(crate) admin: net::SocketAddr,
     pub(crate) hub: sync::Arc<peer::PeerHub>,
     pub(crate) snapshot: sync::Arc<arc_swap::ArcSwap<instance_snapshot::InstanceSnapshot>>,
     pub(crate) ready: sync::Arc<atomic::AtomicBool>,
@@ -32,6 +33,12 @@
         self.callers
     }
 
+    /// Returns the address for operators.
+    #[must_use]
+    pub const fn admin(&self) -> net::SocketAddr {
+        self.admin
+    }
+
     /// Returns the address for other instances.
     #[must_use]
     pub fn peers(&self) -> net::SocketAddr {
--- a/components/daemon/src/instance_snapshot.rs
+++ b/components/daemon/src/instance_snapshot.rs
@@ -1,6 +1,8 @@
 //! What an instance shows of itself.
 
-use std::sync;
+use std::{collections::BTreeMap, sync};
+
+use crate::engine_count;
 
 /// What an instance shows of itself to operators; immutable.
 #[derive(Clone, Debug, Default)]
@@ -21,4 +23,33 @@
     pub draining: bool,
     /// The last note refused, and why.
     pub refused: Option<(ids::Revision, note::RefusalReason)>,
+    /// What peers and the configuration service told of release notes; `None` before the start.
+    pub notes: Option<spread::SpreadStatus>,
+    /// Orders to engines that aren't settled.
+    pub orders: Vec<order::OrderReport>,
+    /// Leases in each cell that the instance owns.
+    pub leases: BTreeMap<ids::CellId, usize>,
+    /// What is counted of the engines of these cells.
+    pub engines: BTreeMap<ids::ServerName, engine_count::EngineCount>,
+}
+
+impl InstanceSnapshot {
+    /// Takes what is counted of the cells that the instance owns.
+    pub(crate) fn count_engines(&mut self, owner: &place::CellOwner) {
+        self.leases.clear();
+        self.engines.clear();
+        for cell in &self.owned_cells {
+            let Some(planner) = owner.planner(cell.id) else {
+                continue;
+            };
+            self.leases.insert(cell.id, planner.book.leases().count());
+            let engines = planner.book.engines().map(|(_, engine)| {
+                (
+                    engine.entry.name.clone(),
+                    engine_count::EngineCount::of(engine),
+                )
+            });
+            self.engines.extend(engines);
+        }
+    }
 }
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,13 +6,19 @@
 
 mod action_runner;
 mod address_book;
+mod admin_source;
+mod answer_clock;
 mod border_set;
 mod control_loop;
+mod core_meter;
+#[cfg(test)]
+mod core_meter_tests;
 mod core_port;
 mod daemon;
 mod daemon_error;
 mod daemon_handle;
 mod daemon_options;
+mod engine_count;
 mod instance_snapshot;
 mod peer_port;
 mod system_clock;
@@ -23,5 +29,6 @@
 pub use daemon_error::DaemonError;
 pub use daemon_handle::DaemonHandle;
 pub use daemon_options::DaemonOptions;
+pub use engine_count::EngineCount;
 pub use instance_snapshot::InstanceSnapshot;
 pub use system_clock::SystemClock;
