Document the router and check the pages against the code

There were no pages for operators and developers. Three timeouts that nothing read are gone from the settings: the time for calls stands in the release notes.

--- a/components/daemon/tests/daemon/main.rs
+++ b/components/daemon/tests/daemon/main.rs
@@ -6,5 +6,6 @@
 mod common;
 mod graceful_drain;
 mod lost_engines;
+mod reading_back;
 mod silent_connections;
 mod whole_path;
--- a/components/settings/src/stage_timeouts.rs
+++ b/components/settings/src/stage_timeouts.rs
@@ -1,6 +1,7 @@
 //! Longest waits for others.
 
-/// Longest waits for engines, backend servers and the platform, each in milliseconds.
+/// Longest waits for engines, each in milliseconds; those for backend servers are in the release
+/// notes.
 #[derive(
     Clone,
     Debug,
@@ -25,19 +26,9 @@
     /// Time between two tokens after which a stream counts as lost, in milliseconds.
     #[builder(default = 2_000)]
     pub token_gap_ms: u64,
-    /// Time for a backend server to answer a call, in milliseconds.
-    #[builder(default = 30_000)]
-    pub call_ms: u64,
     /// Time for an engine to answer a cancel, an order or a reading, in milliseconds.
     #[builder(default = 1_000)]
     pub engine_reading_ms: u64,
-    /// Time for the platform's services to answer a read, in milliseconds.
-    #[builder(default = 2_000)]
-    pub platform_read_ms: u64,
-    /// Time after which an unanswered watch of the configuration service is renewed, in
-    /// milliseconds.
-    #[builder(default = 30_000)]
-    pub platform_watch_ms: u64,
 }
 
 impl Default for StageTimeouts {
--- a/components/settings/src/value_check.rs
+++ b/components/settings/src/value_check.rs
@@ -129,10 +129,7 @@
         ("timeouts.prefill_ms", timeouts.prefill_ms),
         ("timeouts.transfer_ms", timeouts.transfer_ms),
         ("timeouts.token_gap_ms", timeouts.token_gap_ms),
-        ("timeouts.call_ms", timeouts.call_ms),
         ("timeouts.engine_reading_ms", timeouts.engine_reading_ms),
-        ("timeouts.platform_read_ms", timeouts.platform_read_ms),
-        ("timeouts.platform_watch_ms", timeouts.platform_watch_ms),
     ];
     for (key, span_ms) in spans {
         check_span(key, span_ms, faults);
--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,118 @@
+//! The command line: exit codes, help and the pages that describe it.
+
+use std::{fs, path, process};
+
+/// Exit code of wrong input.
+const WRONG_INPUT: i32 = 2;
+
+/// Exit code of work that failed.
+const WORK_FAILED: i32 = 1;
+
+fn run(arguments: &[&str]) -> process::Output {
+    process::Command::new(env!("CARGO_BIN_EXE_plantainreach"))
+        .args(arguments)
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .output()
+        .expect("the binary runs")
+}
+
+fn output_text(output: &process::Output) -> String {
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    format!("{stdout}{stderr}")
+}
+
+fn page(name: &str) -> String {
+    let path = path::Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
+    fs::read_to_string(path).expect("the page is there")
+}
+
+/// Returns the first words of the lines below a heading of a help text.
+fn names_below(help: &str, heading: &str) -> Vec<String> {
+    help.lines()
+        .skip_while(|line| *line != heading)
+        .skip(1)
+        .take_while(|line| !line.is_empty())
+        .filter_map(|line| line.strip_prefix("  "))
+        .filter(|line| !line.starts_with(' '))
+        .filter_map(|line| line.split([' ', ',']).next())
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn every_subcommand_and_option_is_documented() {
+    let install = page("docs/operators/install.md");
+    let commands = names_below(&output_text(&run(&["--help"])), "Commands:");
+
+    assert_eq!(commands, ["serve", "check", "status", "demo"]);
+    for command in commands {
+        assert!(
+            install.contains(&format!("`plantainreach {command}")),
+            "{command}"
+        );
+        let options = names_below(&output_text(&run(&[&command, "--help"])), "Options:");
+        for option in options.iter().filter(|option| *option != "--help") {
+            assert!(
+                install.contains(&format!("`{option}")),
+                "{command} {option}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_wrong_command_line_is_told_apart_from_failed_work() {
+    let unknown = run(&["bogus"]);
+    let missing = run(&[]);
+    let wrong_file = run(&["check", "test_data/settings/wrong/unknown_key.yaml"]);
+    let no_file = run(&["serve", "--settings", "test_data/settings/absent.yaml"]);
+    let no_answer = run(&["status", "--admin", "127.0.0.1:1"]);
+
+    assert_eq!(unknown.status.code(), Some(WRONG_INPUT));
+    assert_eq!(missing.status.code(), Some(WRONG_INPUT));
+    assert_eq!(wrong_file.status.code(), Some(WRONG_INPUT));
+    assert_eq!(no_file.status.code(), Some(WRONG_INPUT));
+    assert_eq!(no_answer.status.code(), Some(WORK_FAILED));
+}
+
+#[test]
+fn check_names_file_line_key_and_fix() {
+    let output = run(&["check", "test_data/settings/wrong/unknown_key.yaml"]);
+
+    let text = output_text(&output).replace("\n  │ ", "");
+    for part in [
+        "unknown_key.yaml:14:3",
+        "limits.body_byte",
+        "help: remove it",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
+
+#[test]
+fn check_tells_settings_from_release_notes() {
+    let output = run(&["check", "test_data/settings/coilquote.yaml"]);
+
+    assert!(output.status.success(), "{}", output_text(&output));
+    assert!(output_text(&output).contains("settings are valid"));
+}
+
+#[test]
+fn version_is_that_of_the_package() {
+    let output = run(&["--version"]);
+
+    let expected = format!("plantainreach {}\n", env!("CARGO_PKG_VERSION"));
+    assert_eq!(output_text(&output), expected);
+}
+
+#[test]
+fn schemas_are_json() {
+    for kind in ["settings", "notes"] {
+        let output = run(&["check", "--schema", kind]);
+
+        let schema: serde_json::Value =
+            serde_json::from_slice(&output.stdout).expect("the schema is JSON");
+        assert!(schema["properties"].is_object(), "{kind}");
+    }
+}
