border: give every hop of a request a span, joined across instances and engines

Requests had a trace number that was passed on, and no spans of their own hops. Now request, placement, prefill, transfer, decode and call are spans; each is a child of the one before by its context, which goes to engines and servers in traceparent and to cell owners in the envelope, where the receiver shows a span as well. The gateways' own spans, which repeated the hop's, are gone.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -219,7 +219,7 @@
     {
         headers.insert(http::header::HOST, host);
     }
-    let trace = trace_scope::current_trace().map(|trace| trace.child().to_string());
+    let trace = trace_scope::current_trace().map(|trace| trace.to_string());
     if let Some(Ok(value)) = trace.map(|text| http::HeaderValue::from_str(&text)) {
         headers.insert(border::TRACE_HEADER, value);
     }
--- a/components/client/src/engine_gateway.rs
+++ b/components/client/src/engine_gateway.rs
@@ -60,7 +60,6 @@
 
 #[async_trait::async_trait]
 impl border::EngineClient for EngineGateway {
-    #[tracing::instrument(name = "engine.prefill", skip(self, job), fields(request = %job.request))]
     async fn prefill(
         &self,
         engine: net::SocketAddr,
@@ -71,7 +70,6 @@
             .await
     }
 
-    #[tracing::instrument(name = "engine.import", skip(self, job), fields(request = %job.request))]
     async fn import(
         &self,
         engine: net::SocketAddr,
@@ -82,7 +80,6 @@
             .await
     }
 
-    #[tracing::instrument(name = "engine.decode", skip(self, job), fields(request = %job.request))]
     async fn decode(
         &self,
         engine: net::SocketAddr,
--- a/components/client/src/service_gateway.rs
+++ b/components/client/src/service_gateway.rs
@@ -41,7 +41,6 @@
 
 #[async_trait::async_trait]
 impl border::ServiceClient for ServiceGateway {
-    #[tracing::instrument(name = "service.call", skip(self, job), fields(request = %job.request))]
     async fn call(
         &self,
         server: net::SocketAddr,
--- a/components/daemon/src/action_runner.rs
+++ b/components/daemon/src/action_runner.rs
@@ -2,7 +2,9 @@
 
 use std::{future, net, sync, time};
 
-use crate::{address_book, border_set, core_port, peer_port, token_pump};
+use crate::{
+    address_book, border_set, core_port, hop_span, peer_port, placement_spans, token_pump,
+};
 
 /// Times that a cancellation is sent when it isn't acknowledged.
 const CANCEL_TRIES: u32 = 3;
@@ -19,13 +21,17 @@
     pub(crate) port: core_port::CorePort,
     pub(crate) peers: Box<dyn peer_port::PeerPort>,
     pub(crate) addresses: address_book::AddressBook,
+    pub(crate) placements: placement_spans::PlacementSpans,
 }
 
 impl ActionRunner {
     /// Carries out an action that the core decided on at `now`.
     pub(crate) fn run(&mut self, now: clock::Moment, action: control::Action) {
         match action {
-            control::Action::Send(to, message) => self.peers.send(to, message),
+            control::Action::Send(to, message) => {
+                let traceparent = self.placements.context_of(&message);
+                self.peers.send(to, message, traceparent);
+            }
             control::Action::ViewChanged(view) => self.peers.set_peers(&view),
             control::Action::InForce(state) => self.addresses.follow(state),
             control::Action::NoteRefused(revision, reason) => {
@@ -44,7 +50,10 @@
                 request,
                 attempt,
                 engine,
-            } => self.prefill(request, attempt, &engine),
+            } => {
+                self.placements.end(request);
+                self.prefill(request, attempt, &engine);
+            }
             control::Action::Import { engine, job } => self.import(&engine, job),
             control::Action::Decode { engine, job } => self.decode(&engine, job),
             control::Action::Cancel(engine, request, attempt) => {
@@ -77,6 +86,19 @@
         }
     }
 
+    /// Notices an event before the core takes it.
+    pub(crate) fn notice(&mut self, event: &control::Event) {
+        match event {
+            control::Event::RequestArrived(spec) => {
+                if let Some(session) = self.book.answer(spec.request) {
+                    self.placements.begin(spec.request, session.trace());
+                }
+            }
+            control::Event::CallerGone(request) => self.placements.end(*request),
+            _ => {}
+        }
+    }
+
     fn spawn(&self, work: impl future::Future<Output = ()> + Send + 'static) {
         self.traffic.spawn(work);
     }
@@ -127,7 +149,8 @@
         let engines = sync::Arc::clone(&self.borders.engines);
         let port = self.port.clone();
         let job = session.prefill_job(attempt, self.own);
-        self.spawn(client::in_trace(session.trace(), async move {
+        let span = tracing::info_span!("prefill", %request, %attempt, %engine);
+        self.spawn(hop_span::in_hop(span, session.trace(), async move {
             let result = engines.prefill(address, job).await;
             port.tell(control::Event::Prefilled(request, attempt, result));
         }));
@@ -147,20 +170,22 @@
         };
         let engines = sync::Arc::clone(&self.borders.engines);
         let port = self.port.clone();
-        self.spawn(client::in_trace(session.trace(), async move {
+        let span = tracing::info_span!("transfer", %request, %attempt, %engine);
+        self.spawn(hop_span::in_hop(span, session.trace(), async move {
             let result = engines.import(address, job).await;
             port.tell(control::Event::Imported(request, attempt, result));
         }));
     }
 
     fn decode(&self, engine: &ids::ServerName, job: border::DecodeJob) {
-        let Some(session) = self.book.answer(job.request) else {
+        let (request, attempt) = (job.request, job.attempt);
+        let Some(session) = self.book.answer(request) else {
             return;
         };
         let Some(address) = self.addresses.engine(engine) else {
             let offset = session.progress().offset();
             let result = Err(withdrawn(engine));
-            let event = control::Event::DecodeEnded(job.request, job.attempt, offset, result);
+            let event = control::Event::DecodeEnded(request, attempt, offset, result);
             return self.port.tell(event);
         };
         let pump = token_pump::TokenPump {
@@ -171,9 +196,10 @@
             engine: address,
             job,
         };
+        let span = tracing::info_span!("decode", %request, %attempt, %engine);
         let task = self
             .traffic
-            .spawn(client::in_trace(session.trace(), pump.run()));
+            .spawn(hop_span::in_hop(span, session.trace(), pump.run()));
         session.replace_pump(task.abort_handle());
     }
 
@@ -198,7 +224,8 @@
         });
     }
 
-    fn finish_request(&self, request: ids::RequestId, outcome: flow::FlowOutcome) {
+    fn finish_request(&mut self, request: ids::RequestId, outcome: flow::FlowOutcome) {
+        self.placements.end(request);
         let Some(session) = self.book.remove_answer(request) else {
             return;
         };
@@ -225,7 +252,8 @@
         let services = sync::Arc::clone(&self.borders.services);
         let port = self.port.clone();
         let job = session.job(attempt, time_left, start_by);
-        self.spawn(client::in_trace(session.trace(), async move {
+        let span = tracing::info_span!("call", %request, %attempt, %server);
+        self.spawn(hop_span::in_hop(span, session.trace(), async move {
             let result = match services.call(address, job).await {
                 Ok(reply) => {
                     let status = reply.status.as_u16();
--- a/components/daemon/src/control_loop.rs
+++ b/components/daemon/src/control_loop.rs
@@ -104,6 +104,7 @@
     fn take(&mut self, event: control::Event) {
         let now = self.shares.clock.now();
         self.meter.take_event(now, &event);
+        self.runner.notice(&event);
         let mut actions = std::mem::take(&mut self.progress.actions);
         self.core.handle(now, event, &mut actions);
         for action in actions.drain(..) {
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     action_runner, address_book, admin_source, border_set, control_loop, core_meter, core_port,
-    daemon_error, daemon_handle, daemon_options, peer_port, system_clock,
+    daemon_error, daemon_handle, daemon_options, peer_port, placement_spans, system_clock,
 };
 
 /// Messages of peers that may wait for the control thread.
@@ -72,6 +72,7 @@
                 hub: sync::Arc::clone(&hub),
             }),
             addresses: address_book::AddressBook::default(),
+            placements: placement_spans::PlacementSpans::default(),
         };
         let control = control_loop::ControlLoop {
             core,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -19,8 +19,10 @@
 mod daemon_handle;
 mod daemon_options;
 mod engine_count;
+mod hop_span;
 mod instance_snapshot;
 mod peer_port;
+mod placement_spans;
 mod system_clock;
 mod token_pump;
 
--- a/components/daemon/src/peer_port.rs
+++ b/components/daemon/src/peer_port.rs
@@ -4,8 +4,8 @@
 
 /// Sends messages to other instances; none of the methods blocks.
 pub(crate) trait PeerPort: Send {
-    /// Sends a message, or drops it when it can't be sent now.
-    fn send(&self, to: ids::InstanceId, message: wire::PeerMessage);
+    /// Sends a message with the context of a span, or drops it when it can't be sent now.
+    fn send(&self, to: ids::InstanceId, message: wire::PeerMessage, traceparent: Option<String>);
 
     /// Uses the addresses of a membership.
     fn set_peers(&self, view: &member::MemberView);
@@ -17,8 +17,8 @@
 }
 
 impl PeerPort for HubPort {
-    fn send(&self, to: ids::InstanceId, message: wire::PeerMessage) {
-        self.hub.send(to, message);
+    fn send(&self, to: ids::InstanceId, message: wire::PeerMessage, traceparent: Option<String>) {
+        self.hub.send_traced(to, message, traceparent);
     }
 
     fn set_peers(&self, view: &member::MemberView) {
--- a/components/entry/src/answer_session.rs
+++ b/components/entry/src/answer_session.rs
@@ -24,6 +24,7 @@
     pub(crate) prompt: String,
     pub(crate) priority: u8,
     pub(crate) trace: border::TraceParent,
+    pub(crate) span: tracing::Span,
 }
 
 /// The traffic side of a model request: its prompt and the way back to its caller.
@@ -109,7 +110,13 @@
 
     /// Tells the caller's handler how the request ended; only the first call counts.
     pub fn finish(&self, outcome: flow::FlowOutcome) {
+        let proved = match &outcome {
+            flow::FlowOutcome::Answered(_) => border::Outcome::Ran,
+            flow::FlowOutcome::Refused { .. } => border::Outcome::NotRun,
+            flow::FlowOutcome::Broken { outcome, .. } => *outcome,
+        };
         if let Some(end) = lock(&self.end).take() {
+            self.source.span.record("outcome", proved.to_string());
             // The handler may be gone with its caller.
             let _ = end.send(outcome);
         }
--- a/components/entry/src/call_handler.rs
+++ b/components/entry/src/call_handler.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use tracing::field;
+
 use axum::response::IntoResponse as _;
 use xxhash_rust::xxh3;
 
@@ -67,13 +69,14 @@
     held: body_reader::HeldBody,
 ) -> PendingCall {
     let request = context.numbers.next();
-    let trace = trace_source::trace_of(&parts.headers, request);
     let target = parts
         .uri
         .path_and_query()
         .map_or("/", http::uri::PathAndQuery::as_str);
     let route = checked.route;
-    tracing::info!(name: "entry.call", %request, %trace, service = %route.service);
+    let service = &route.service;
+    let span = tracing::info_span!("call_request", %request, %service, outcome = field::Empty);
+    let trace = trace_source::join(&span, &parts.headers, request);
     let key = claim_key(&parts.headers, &checked.workspace.name, &route.service);
     let spec = call::CallSpec::builder()
         .request(request)
@@ -93,6 +96,7 @@
         .headers(headers_for_server(&parts.headers, request))
         .body(held.bytes.clone())
         .trace(trace)
+        .span(span)
         .build();
     let (session, end) = call_session::CallSession::new(source);
     let guard =
--- a/components/entry/src/call_session.rs
+++ b/components/entry/src/call_session.rs
@@ -16,6 +16,7 @@
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: bytes::Bytes,
     pub(crate) trace: border::TraceParent,
+    pub(crate) span: tracing::Span,
 }
 
 /// The traffic side of a call: what to send and the way back to its caller.
@@ -74,7 +75,12 @@
             call::CallOutcome::Answered(attempt) => lock(&self.replies).remove(attempt),
             call::CallOutcome::Failed { .. } => None,
         };
+        let proved = match &outcome {
+            call::CallOutcome::Answered(_) => border::Outcome::Ran,
+            call::CallOutcome::Failed { outcome, .. } => *outcome,
+        };
         if let Some(end) = lock(&self.end).take() {
+            self.source.span.record("outcome", proved.to_string());
             // The handler may be gone with its caller.
             let _ = end.send((outcome, reply));
         }
--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -2,6 +2,8 @@
 
 use std::sync;
 
+use tracing::field;
+
 use crate::{
     answer_session, answer_stream, body_reader, caller_guard, chat_request, completion_request,
     entry_context, entry_error, error_answer, generation_query, load_gate, outcome_answer,
@@ -133,8 +135,9 @@
     prompt: String,
 ) -> PendingAnswer {
     let request = context.numbers.next();
-    let trace = trace_source::trace_of(headers, request);
-    tracing::info!(name: "entry.request", %request, %trace, class = %checked.class.name);
+    let class = &checked.class.name;
+    let span = tracing::info_span!("request", %request, %class, outcome = field::Empty);
+    let trace = trace_source::join(&span, headers, request);
     let spec = flow::FlowSpec::builder()
         .request(request)
         .workspace(workspace.name.clone())
@@ -152,6 +155,7 @@
         .prompt(prompt)
         .priority(checked.priority)
         .trace(trace)
+        .span(span)
         .build();
     let (session, receiver) = answer_session::AnswerSession::new(source);
     let guard = caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -19,4 +19,4 @@
 
 pub use log_error::LogError;
 pub use log_guard::{LogGuard, start};
-pub use trace_join::join_trace;
+pub use trace_join::{join_trace, own_trace};
--- a/components/logs/src/log_layer.rs
+++ b/components/logs/src/log_layer.rs
@@ -1,5 +1,7 @@
 //! Hands events of `tracing` to a logger of `log`.
 
+use std::time;
+
 use tracing::{Event, Subscriber, span};
 use tracing_subscriber::{layer, registry};
 
@@ -8,6 +10,9 @@
 /// Name of the field that lists the spans an event stands in.
 const SPAN_FIELD: &str = "span";
 
+/// When a span began.
+struct SpanStart(time::Instant);
+
 /// Hands events of `tracing` to a logger of `log`, with the fields of the spans they stand in.
 pub(crate) struct LogLayer {
     logger: Box<dyn log::Log>,
@@ -19,10 +24,15 @@
         Self { logger }
     }
 
-    fn write(&self, metadata: &tracing::Metadata<'_>, fields: &event_fields::EventFields) {
+    fn write(
+        &self,
+        level: log::Level,
+        metadata: &tracing::Metadata<'_>,
+        fields: &event_fields::EventFields,
+    ) {
         self.logger.log(
             &log::Record::builder()
-                .level(log_level(*metadata.level()))
+                .level(level)
                 .target(metadata.target())
                 .module_path(metadata.module_path())
                 .file(metadata.file())
@@ -49,7 +59,9 @@
         };
         let mut fields = event_fields::EventFields::default();
         attributes.record(&mut fields);
-        span.extensions_mut().insert(fields);
+        let mut extensions = span.extensions_mut();
+        extensions.insert(fields);
+        extensions.insert(SpanStart(time::Instant::now()));
     }
 
     fn on_record(
@@ -66,6 +78,27 @@
         }
     }
 
+    fn on_close(&self, id: span::Id, context: layer::Context<'_, Registry>) {
+        let Some(span) = context.span(&id) else {
+            return;
+        };
+        let metadata = log::Metadata::builder()
+            .level(log::Level::Debug)
+            .target(span.metadata().target())
+            .build();
+        if !self.logger.enabled(&metadata) {
+            return;
+        }
+        let extensions = span.extensions();
+        let fields = extensions.get::<event_fields::EventFields>();
+        let start = extensions.get::<SpanStart>();
+        if let (Some(fields), Some(SpanStart(start))) = (fields, start) {
+            let mut fields = fields.clone();
+            fields.message = format!("{} took {:?}", span.name(), start.elapsed());
+            self.write(log::Level::Debug, span.metadata(), &fields);
+        }
+    }
+
     fn on_event(&self, event: &Event<'_>, context: layer::Context<'_, Registry>) {
         let mut fields = event_fields::EventFields::default();
         event.record(&mut fields);
@@ -80,7 +113,8 @@
             path.reverse();
             fields.pairs.push((SPAN_FIELD, path.join(" > ")));
         }
-        self.write(event.metadata(), &fields);
+        let level = log_level(*event.metadata().level());
+        self.write(level, event.metadata(), &fields);
     }
 }
 
--- a/components/logs/src/log_layer_tests.rs
+++ b/components/logs/src/log_layer_tests.rs
@@ -42,8 +42,15 @@
     }
 }
 
-/// Runs `work` under a layer and returns the records.
+/// Runs `work` under a layer and returns the records of its events.
 fn records_of(work: impl FnOnce()) -> Vec<String> {
+    let mut lines = lines_of(work);
+    lines.retain(|line| !line.contains(" took "));
+    lines
+}
+
+/// Runs `work` under a layer and returns all records, those of ending spans included.
+fn lines_of(work: impl FnOnce()) -> Vec<String> {
     let keeper = RecordKeeper::default();
     let layer = log_layer::LogLayer::new(Box::new(keeper.clone()));
     let subscriber = tracing_subscriber::registry().with(layer);
@@ -89,3 +96,17 @@
 
     assert_eq!(records, ["INFO done outcome=ran span=call"]);
 }
+
+#[test]
+fn a_span_that_ends_tells_its_time_and_fields() {
+    let lines = lines_of(|| {
+        let span = tracing::info_span!("prefill", engine = "p1", outcome = tracing::field::Empty);
+        span.record("outcome", "ran");
+    });
+
+    let [line] = lines.as_slice() else {
+        panic!("one span ended: {lines:?}");
+    };
+    assert!(line.starts_with("DEBUG prefill took "), "{line}");
+    assert!(line.ends_with(" engine=p1 outcome=ran"), "{line}");
+}
--- a/components/logs/src/span_export.rs
+++ b/components/logs/src/span_export.rs
@@ -1,5 +1,7 @@
 //! The export of spans to a collector.
 
+use std::time;
+
 use opentelemetry::trace::TracerProvider as _;
 use opentelemetry_otlp::WithExportConfig as _;
 use opentelemetry_sdk::trace;
@@ -10,6 +12,9 @@
 /// Name under which spans are exported.
 const SERVICE_NAME: &str = "plantainreach";
 
+/// Time that the last spans get to be sent at the end of the process.
+const SHUTDOWN_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// Exports spans until it is dropped; what is left is sent then.
 #[derive(Debug)]
 pub(crate) struct SpanExport {
@@ -57,7 +62,7 @@
 
 impl Drop for SpanExport {
     fn drop(&mut self) {
-        if let Err(error) = self.provider.shutdown() {
+        if let Err(error) = self.provider.shutdown_with_timeout(SHUTDOWN_TIMEOUT) {
             tracing::debug!(%error, "spans were left unsent");
         }
     }
--- a/components/logs/src/trace_join.rs
+++ b/components/logs/src/trace_join.rs
@@ -12,15 +12,20 @@
     let remote = opentelemetry::Context::new().with_remote_span_context(span_context(parent));
     // It fails without an export, or when the span has begun; either way it has no such parent.
     let _ = span.set_parent(remote);
-    let own = span.context().span().span_context().clone();
-    if !own.is_valid() {
-        return parent.child();
-    }
-    border::TraceParent {
+    own_trace(span).unwrap_or_else(|| parent.child())
+}
+
+/// Returns the context of `span` itself; `None` without an export.
+#[must_use]
+pub fn own_trace(span: &tracing::Span) -> Option<border::TraceParent> {
+    let context = span.context();
+    let span = context.span();
+    let own = span.span_context();
+    own.is_valid().then(|| border::TraceParent {
         trace: u128::from_be_bytes(own.trace_id().to_bytes()),
         span: u64::from_be_bytes(own.span_id().to_bytes()),
         sampled: own.is_sampled(),
-    }
+    })
 }
 
 fn span_context(parent: border::TraceParent) -> trace::SpanContext {
--- a/components/peer/src/link_reader.rs
+++ b/components/peer/src/link_reader.rs
@@ -106,6 +106,7 @@
             self.ack_at.get_or_insert(ack_at);
         }
         if let Some(message) = envelope.message {
+            let _span = received_span(envelope.sender, envelope.traceparent.as_deref());
             self.hub.deliver(envelope.sender, message);
         }
         true
@@ -116,3 +117,12 @@
         envelope.sender == self.link.peer() && envelope.receiver == self.hub.config.own
     }
 }
+
+/// Makes the span of a message that belongs to a trace, to show the hop on this instance.
+fn received_span(from: ids::InstanceId, traceparent: Option<&str>) -> Option<tracing::Span> {
+    let parent = border::TraceParent::parse(traceparent?)?;
+    let span = tracing::info_span!("peer_message", %from);
+    // The state machines pass no context on.
+    let _ = logs::join_trace(&span, parent);
+    Some(span)
+}
