control, order: split the two large files by what they do

Change: events, messages between machines, and the machines' outputs stand in files of their own; so do an engine's news, its next step and roles. Nothing else changes.

--- /dev/null
+++ b/components/control/src/control_core/dispatch.rs
@@ -0,0 +1,149 @@
+//! Leads every event to the machine that it is for.
+
+use super::inner;
+use crate::{action, event};
+
+impl super::ControlCore {
+    pub(super) fn dispatch(
+        &mut self,
+        now: clock::Moment,
+        event: event::Event,
+        actions: &mut Vec<action::Action>,
+    ) {
+        use event::Event;
+        match event {
+            Event::Wake => self.wake(now, actions),
+            Event::Peer(from, message) => self.take_peer(now, from, message, actions),
+            Event::Listed(entries) => self.member(now, member::Input::Listed(entries), actions),
+            Event::ServiceAnswered(values) => {
+                self.spread(now, spread::Input::ServiceAnswered(values), actions)
+            }
+            Event::WeightLimit(loads) => {
+                self.order(now, order::Input::LoadsPerMinute(loads), actions)
+            }
+            Event::RequestArrived(spec) => self.flow(now, flow::Input::Arrived(spec), actions),
+            Event::CallArrived(spec) => self.call(now, call::Input::Arrived(spec), actions),
+            Event::CallerGone(request) => {
+                self.flow(now, flow::Input::CallerGone(request), actions);
+                self.call(now, call::Input::CallerGone(request), actions);
+            }
+            Event::Prefilled(request, attempt, result) => {
+                self.flow(
+                    now,
+                    flow::Input::Prefilled(request, attempt, result),
+                    actions,
+                );
+            }
+            Event::Imported(request, attempt, result) => {
+                self.flow(
+                    now,
+                    flow::Input::Imported(request, attempt, result),
+                    actions,
+                );
+            }
+            Event::Delivered(request, attempt, offset) => {
+                self.flow(
+                    now,
+                    flow::Input::Delivered(request, attempt, offset),
+                    actions,
+                );
+            }
+            Event::DecodeEnded(request, attempt, offset, result) => {
+                self.flow(
+                    now,
+                    flow::Input::DecodeEnded(request, attempt, offset, result),
+                    actions,
+                );
+            }
+            Event::Attempted(request, attempt, result) => {
+                self.call(
+                    now,
+                    call::Input::Attempted(request, attempt, result),
+                    actions,
+                );
+            }
+            Event::Load(engine, report) => {
+                self.place(now, place::Input::Load(engine, report), actions)
+            }
+            Event::Running(engine, list) => self.take_running(now, engine, list, actions),
+            Event::CacheEvents(engine, events) => {
+                self.place(now, place::Input::CacheEvents(engine, events), actions);
+            }
+            Event::Status(engine, status) => self.take_status(now, engine, status, actions),
+            Event::OrderAnswered(engine, number, answer) => {
+                self.order(now, order::Input::Answered(engine, number, answer), actions);
+            }
+            Event::DrainBegan => self.begin_drain(now, actions),
+        }
+    }
+
+    pub(super) fn take_peer(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        message: wire::PeerMessage,
+        actions: &mut Vec<action::Action>,
+    ) {
+        match message {
+            wire::PeerMessage::Member(message) => {
+                self.member(now, member::Input::Message(from, message), actions);
+            }
+            wire::PeerMessage::Spread(message) => {
+                self.spread(now, spread::Input::Message(from, message), actions);
+            }
+            wire::PeerMessage::Place(message) => {
+                self.inner.push_back(inner::Inner::Place(from, message))
+            }
+            wire::PeerMessage::Call(message) => {
+                self.inner.push_back(inner::Inner::Call(from, message))
+            }
+        }
+    }
+
+    pub(super) fn wake(&mut self, now: clock::Moment, actions: &mut Vec<action::Action>) {
+        self.member(now, member::Input::Wake, actions);
+        self.spread(now, spread::Input::Wake, actions);
+        self.place(now, place::Input::Wake, actions);
+        self.flow(now, flow::Input::Wake, actions);
+        self.call(now, call::Input::Wake, actions);
+        self.order(now, order::Input::Wake, actions);
+    }
+
+    pub(super) fn begin_drain(&mut self, now: clock::Moment, actions: &mut Vec<action::Action>) {
+        self.draining = true;
+        self.member(now, member::Input::DrainBegan, actions);
+        self.flow(now, flow::Input::DrainBegan, actions);
+        self.call(now, call::Input::DrainBegan, actions);
+    }
+
+    pub(super) fn take_running(
+        &mut self,
+        now: clock::Moment,
+        engine: ids::ServerName,
+        list: Option<Vec<border::RunningEntry>>,
+        actions: &mut Vec<action::Action>,
+    ) {
+        if let Some(list) = &list {
+            let count = u32::try_from(list.len()).unwrap_or(u32::MAX);
+            self.order(now, order::Input::Busy(engine.clone(), count), actions);
+        }
+        self.place(now, place::Input::Running(engine, list), actions);
+    }
+
+    pub(super) fn take_status(
+        &mut self,
+        now: clock::Moment,
+        engine: ids::ServerName,
+        status: Option<border::EngineStatus>,
+        actions: &mut Vec<action::Action>,
+    ) {
+        if let Some(status) = &status {
+            self.place(
+                now,
+                place::Input::Role(engine.clone(), status.role),
+                actions,
+            );
+        }
+        self.order(now, order::Input::Status(engine, status), actions);
+    }
+}
