capacity: count allocated memory and use enough units for the clock

Cause: resident memory didn't grow where a smaller size had freed its own, and the processor time of a thread comes in steps of 4 ms.

--- a/examples/capacity_study.rs
+++ b/components/capacity/examples/capacity_study.rs
@@ -1,6 +1,6 @@
 //! Prints what the parts of an instance cost at several sizes.
 //!
-//! Run it with `cargo run --release --example capacity_study [-- --json]`.
+//! Run it with `cargo run --release -p capacity --example capacity_study [-- --json]`.
 
 use std::process;
 
--- a/components/capacity/src/call_load.rs
+++ b/components/capacity/src/call_load.rs
@@ -8,7 +8,7 @@
 const SIZES: [usize; 3] = [15, 60, 120];
 
 /// Calls that are carried through at each size.
-const CALLS: u32 = 5_000;
+const CALLS: u32 = 50_000;
 
 /// Engines of the sample site for each server of its service.
 const ENGINES_PER_SERVER: usize = 100;
--- a/components/capacity/src/flow_load.rs
+++ b/components/capacity/src/flow_load.rs
@@ -8,7 +8,7 @@
 const SIZES: [usize; 3] = [120, 240, 480];
 
 /// Requests that are carried through at each size.
-const REQUESTS: u32 = 2_000;
+const REQUESTS: u32 = 10_000;
 
 /// Progress reports of one request.
 const REPORTS: u32 = 70;
@@ -22,12 +22,12 @@
 }
 
 fn measure_size(size: usize) -> Result<cost_row::CostRow, load_error::LoadError> {
-    let before = usage_probe::resident_kilobytes()?;
     let mut site = FlowSite::new()?;
+    let before = usage_probe::held_kilobytes();
     for number in 0..size {
         site.begin(number as u128);
     }
-    let held = usage_probe::resident_kilobytes()?.saturating_sub(before);
+    let held = usage_probe::held_kilobytes().saturating_sub(before);
     site.sent_bytes = 0;
     let unit_us = usage_probe::unit_micros(REQUESTS, || {
         for number in 0..REQUESTS {
--- a/components/capacity/src/note_load.rs
+++ b/components/capacity/src/note_load.rs
@@ -24,9 +24,9 @@
 }
 
 fn fold(size: usize) -> Result<cost_row::CostRow, load_error::LoadError> {
-    let before = usage_probe::resident_kilobytes()?;
+    let before = usage_probe::held_kilobytes();
     let mut state = sync::Arc::new(sample_site::state(size)?);
-    let held = usage_probe::resident_kilobytes()?.saturating_sub(before);
+    let held = usage_probe::held_kilobytes().saturating_sub(before);
     let mut refused = None;
     let unit_us = usage_probe::unit_micros(NOTES, || {
         for number in 0..NOTES {
@@ -59,11 +59,11 @@
         let next = last.apply(&change_of(number, size, last.revision))?;
         states.push(sync::Arc::new(next));
     }
-    let before = usage_probe::resident_kilobytes()?;
+    let before = usage_probe::held_kilobytes();
     let mut machines = Machines::new();
     machines.take_state(&states[0]);
     machines.take_view(&sync::Arc::new(sample_site::view(INSTANCES, 1)));
-    let held = usage_probe::resident_kilobytes()?.saturating_sub(before);
+    let held = usage_probe::held_kilobytes().saturating_sub(before);
     let unit_us = usage_probe::unit_micros(NOTES, || {
         for state in &states[1..] {
             machines.take_state(state);
--- a/components/capacity/src/owner_load.rs
+++ b/components/capacity/src/owner_load.rs
@@ -8,7 +8,7 @@
 const SIZES: [usize; 3] = [16, 32, 64];
 
 /// Placements that are granted at each size.
-const PLACEMENTS: u32 = 2_000;
+const PLACEMENTS: u32 = 20_000;
 
 /// Leases held beside, for each engine of the cell.
 const LEASES_PER_ENGINE: usize = 7;
@@ -22,13 +22,13 @@
 }
 
 fn measure_size(size: usize) -> Result<cost_row::CostRow, load_error::LoadError> {
-    let before = usage_probe::resident_kilobytes()?;
+    let before = usage_probe::held_kilobytes();
     let mut site = OwnerSite::new(size)?;
     let held_leases = size * LEASES_PER_ENGINE;
     for number in 0..held_leases {
         site.begin(number as u128);
     }
-    let held = usage_probe::resident_kilobytes()?.saturating_sub(before);
+    let held = usage_probe::held_kilobytes().saturating_sub(before);
     (site.sent_bytes, site.granted) = (0, 0);
     let unit_us = usage_probe::unit_micros(PLACEMENTS, || {
         for number in 0..PLACEMENTS {
--- a/components/capacity/src/usage_probe.rs
+++ b/components/capacity/src/usage_probe.rs
@@ -7,20 +7,21 @@
 /// File that begins with the nanoseconds this thread has run.
 const THREAD_TIME: &str = "/proc/thread-self/schedstat";
 
-/// File whose second number is the resident pages of this process.
-const PROCESS_PAGES: &str = "/proc/self/statm";
+/// Counts the memory that this process has allocated.
+#[global_allocator]
+static ALLOCATOR: peak_alloc::PeakAlloc = peak_alloc::PeakAlloc;
 
-/// Size of a page, in kilobytes.
-const PAGE_KILOBYTES: u64 = 4;
+/// Bytes of a kilobyte.
+const KILOBYTE: u64 = 1_024;
 
 /// Returns the processor time that this thread has used.
 pub(crate) fn thread_time() -> Result<time::Duration, load_error::LoadError> {
-    number(THREAD_TIME, 0).map(time::Duration::from_nanos)
+    first_number(THREAD_TIME).map(time::Duration::from_nanos)
 }
 
-/// Returns the memory that this process holds, in kilobytes.
-pub(crate) fn resident_kilobytes() -> Result<u64, load_error::LoadError> {
-    number(PROCESS_PAGES, 1).map(|pages| pages * PAGE_KILOBYTES)
+/// Returns the memory that this process has allocated, in kilobytes.
+pub(crate) fn held_kilobytes() -> u64 {
+    u64::try_from(ALLOCATOR.current_usage()).unwrap_or(u64::MAX) / KILOBYTE
 }
 
 /// Runs `work` and returns the processor time of one of `units`, in microseconds.
@@ -31,9 +32,9 @@
     Ok(spent.as_secs_f64() * 1e6 / f64::from(units))
 }
 
-fn number(path: &'static str, index: usize) -> Result<u64, load_error::LoadError> {
+fn first_number(path: &'static str) -> Result<u64, load_error::LoadError> {
     fs::read_to_string(path)
         .ok()
-        .and_then(|text| text.split_whitespace().nth(index)?.parse().ok())
+        .and_then(|text| text.split_whitespace().next()?.parse().ok())
         .ok_or(load_error::LoadError::Usage { path })
 }
