note, place: let the cost of a note grow with its changes, not with the site

Cause: every note copied a map of 12,000 engines, three machines walked it, and each of them asked 380 instances for each of 188 cells who owns it; every note also led to readings of all owned engines. Change: entries live in a persistent map that tells the differences between two states, owners are found among the instances of a region sorted once for each view and only when cells change, and only engines that a note touches are read. The readings have a test that fails without the change.

--- a/components/daemon/src/address_book.rs
+++ b/components/daemon/src/address_book.rs
@@ -15,9 +15,10 @@
 impl AddressBook {
     /// Uses a state that has come into force.
     pub(crate) fn follow(&mut self, state: sync::Arc<note::StateInForce>) {
-        for (name, engine) in &self.state.engines {
-            if !state.engines.contains_key(name) {
-                self.withdrawn.push_back((name.clone(), engine.address));
+        for (old, new) in self.state.engines.changes(&state.engines) {
+            if let (Some(engine), None) = (old, new) {
+                let withdrawn = (engine.name.clone(), engine.address);
+                self.withdrawn.push_back(withdrawn);
             }
         }
         let surplus = self.withdrawn.len().saturating_sub(WITHDRAWN_LIMIT);
--- a/components/flow/src/cell_board.rs
+++ b/components/flow/src/cell_board.rs
@@ -12,6 +12,7 @@
     owners: BTreeMap<ids::CellId, OwnerProcess>,
     spare: BTreeMap<ids::CellId, place::SpareAdvert>,
     view: sync::Arc<member::MemberView>,
+    members: place::RegionMembers,
 }
 
 impl CellBoard {
@@ -25,6 +26,7 @@
 
     /// Takes a view of the membership; returns the cells with a new owner.
     pub(crate) fn take_view(&mut self, view: sync::Arc<member::MemberView>) -> Vec<ids::CellId> {
+        self.members = place::RegionMembers::of(&view);
         self.view = view;
         self.refresh_owners()
     }
@@ -79,7 +81,7 @@
             .cells()
             .values()
             .filter_map(|cell| {
-                let owner = place::cell::owner(cell, &self.view)?;
+                let owner = self.members.owner(cell)?;
                 let process = self.view.members.get(&owner)?.incarnation;
                 Some((cell.id, (owner, process)))
             })
--- a/components/note/src/entry_map.rs
+++ b/components/note/src/entry_map.rs
@@ -6,22 +6,41 @@
 
 /// Entries of one kind by name, cheap to copy and to digest.
 ///
-/// A copy shares the entries until one of the copies changes. The sum of the entries' hashes is
-/// kept up to date with each change, so that a digest doesn't read the entries. Reading works as
-/// for a [`BTreeMap`].
+/// A copy shares the entries, and a change copies the way to one entry only. The sum of the
+/// entries' hashes is kept up to date with each change, so that a digest doesn't read the
+/// entries. Reading works as for a [`imbl::OrdMap`].
 #[derive(Clone, Debug)]
-pub struct EntryMap<Name, Entry> {
-    entries: sync::Arc<BTreeMap<Name, sync::Arc<Entry>>>,
+pub struct EntryMap<Name: Ord, Entry> {
+    entries: imbl::OrdMap<Name, sync::Arc<Entry>>,
     /// Wrapping sum of the hashes of all entries, which doesn't depend on their order.
     sum: u128,
 }
 
-impl<Name, Entry> EntryMap<Name, Entry> {
+impl<Name: Ord, Entry> EntryMap<Name, Entry> {
     /// Returns the sum of the hashes of all entries.
     #[must_use]
     pub const fn sum(&self) -> u128 {
         self.sum
     }
+
+    /// Returns the entries that differ in `after`, each as it was and as it is.
+    ///
+    /// The work grows with the number of differences, not with the number of entries, when one
+    /// map came from the other.
+    pub fn changes<'a>(
+        &'a self,
+        after: &'a Self,
+    ) -> impl Iterator<Item = (Option<&'a Entry>, Option<&'a Entry>)>
+    where
+        Entry: PartialEq,
+    {
+        use imbl::ordmap::DiffItem;
+        self.entries.diff(&after.entries).map(|item| match item {
+            DiffItem::Add(_, new) => (None, Some(&**new)),
+            DiffItem::Update { old, new } => (Some(&**old.1), Some(&**new.1)),
+            DiffItem::Remove(_, old) => (Some(&**old), None),
+        })
+    }
 }
 
 impl<Name: Clone + Ord, Entry: note_entry::NoteEntry> EntryMap<Name, Entry> {
@@ -33,17 +52,14 @@
     ) -> Option<sync::Arc<Entry>> {
         let entry = entry.into();
         self.sum = self.sum.wrapping_add(entry_hash(&*entry));
-        let replaced = sync::Arc::make_mut(&mut self.entries).insert(name, entry);
+        let replaced = self.entries.insert(name, entry);
         self.subtract(replaced.as_deref());
         replaced
     }
 
     /// Removes and returns an entry.
     pub fn remove(&mut self, name: &Name) -> Option<sync::Arc<Entry>> {
-        if !self.entries.contains_key(name) {
-            return None;
-        }
-        let removed = sync::Arc::make_mut(&mut self.entries).remove(name);
+        let removed = self.entries.remove(name);
         self.subtract(removed.as_deref());
         removed
     }
@@ -55,34 +71,35 @@
     }
 }
 
-impl<Name, Entry> Default for EntryMap<Name, Entry> {
+impl<Name: Ord, Entry> Default for EntryMap<Name, Entry> {
     fn default() -> Self {
         Self {
-            entries: sync::Arc::default(),
+            entries: imbl::OrdMap::new(),
             sum: 0,
         }
     }
 }
 
-impl<Name: PartialEq, Entry: PartialEq> PartialEq for EntryMap<Name, Entry> {
+impl<Name: Ord, Entry: PartialEq> PartialEq for EntryMap<Name, Entry> {
     fn eq(&self, other: &Self) -> bool {
-        sync::Arc::ptr_eq(&self.entries, &other.entries) || self.entries == other.entries
+        self.entries.ptr_eq(&other.entries) || self.entries.iter().eq(other.entries.iter())
     }
 }
 
-impl<Name: Eq, Entry: Eq> Eq for EntryMap<Name, Entry> {}
+impl<Name: Ord, Entry: Eq> Eq for EntryMap<Name, Entry> {}
 
-impl<Name, Entry> ops::Deref for EntryMap<Name, Entry> {
-    type Target = BTreeMap<Name, sync::Arc<Entry>>;
+impl<Name: Ord, Entry> ops::Deref for EntryMap<Name, Entry> {
+    type Target = imbl::OrdMap<Name, sync::Arc<Entry>>;
 
     fn deref(&self) -> &Self::Target {
         &self.entries
     }
 }
 
-impl<'a, Name, Entry> IntoIterator for &'a EntryMap<Name, Entry> {
+impl<'a, Name: Ord, Entry> IntoIterator for &'a EntryMap<Name, Entry> {
     type Item = (&'a Name, &'a sync::Arc<Entry>);
-    type IntoIter = std::collections::btree_map::Iter<'a, Name, sync::Arc<Entry>>;
+    type IntoIter =
+        imbl::ordmap::Iter<'a, Name, sync::Arc<Entry>, imbl::shared_ptr::DefaultSharedPtr>;
 
     fn into_iter(self) -> Self::IntoIter {
         self.entries.iter()
@@ -101,7 +118,9 @@
     }
 }
 
-impl<Name: serde::Serialize, Entry: serde::Serialize> serde::Serialize for EntryMap<Name, Entry> {
+impl<Name: Ord + serde::Serialize, Entry: serde::Serialize> serde::Serialize
+    for EntryMap<Name, Entry>
+{
     fn serialize<Target: serde::Serializer>(
         &self,
         serializer: Target,
--- a/components/order/src/order_reconciler/mod.rs
+++ b/components/order/src/order_reconciler/mod.rs
@@ -26,6 +26,7 @@
     rng: rand_chacha::ChaCha8Rng,
     state: sync::Arc<note::StateInForce>,
     view: sync::Arc<member::MemberView>,
+    members: place::RegionMembers,
     cells: place::CellMap,
     tracks: BTreeMap<ids::ServerName, engine_track::EngineTrack>,
     planners: BTreeMap<ids::CellId, role_planner::RolePlanner>,
@@ -41,6 +42,7 @@
             rng: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             state: sync::Arc::default(),
             view: sync::Arc::default(),
+            members: place::RegionMembers::default(),
             cells: place::CellMap::default(),
             tracks: BTreeMap::new(),
             planners: BTreeMap::new(),
@@ -83,11 +85,14 @@
     ) {
         match input {
             input::Input::State(state) => {
-                self.cells.update(&state);
-                self.state = state;
-                self.refresh_tracks(now, outputs);
+                let before = std::mem::replace(&mut self.state, state);
+                if self.cells.update(&self.state) {
+                    self.refresh_tracks(now, outputs);
+                }
+                self.read_changed(now, &before);
             }
             input::Input::View(view) => {
+                self.members = place::RegionMembers::of(&view);
                 self.view = view;
                 self.refresh_tracks(now, outputs);
             }
@@ -114,7 +119,7 @@
         let mut tracks = BTreeMap::new();
         let mut owned = 0;
         for cell in self.cells.cells().values() {
-            if place::cell::owner(cell, &self.view) != Some(self.own) {
+            if self.members.owner(cell) != Some(self.own) {
                 continue;
             }
             owned += 1;
@@ -131,16 +136,33 @@
                 outputs.push(output::Output::Drain(engine.clone(), false));
             }
         }
-        for track in tracks.values_mut() {
-            // A change may ask something of any engine, so none waits for its next reading.
-            track.read_at = track.read_at.min(now + OPEN_INTERVAL);
-        }
         self.tracks = tracks;
         self.planners
             .retain(|cell, _| self.cells.get(*cell).is_some());
         self.budget.set_share(now, owned, self.cells.cells().len());
     }
 
+    /// Reads soon the engines of which a note may ask something else than before.
+    fn read_changed(&mut self, now: clock::Moment, before: &note::StateInForce) {
+        let soon = now + OPEN_INTERVAL;
+        let after = &self.state;
+        for (_, new) in before.engines.changes(&after.engines) {
+            let track = new.and_then(|engine| self.tracks.get_mut(&engine.name));
+            if let Some(track) = track {
+                track.read_at = track.read_at.min(soon);
+            }
+        }
+        for (_, new) in before.models.changes(&after.models) {
+            let Some(model) = new else { continue };
+            for (engine, track) in &mut self.tracks {
+                let entry = after.engines.get(engine);
+                if entry.is_some_and(|entry| entry.models.contains(&model.name)) {
+                    track.read_at = track.read_at.min(soon);
+                }
+            }
+        }
+    }
+
     fn read_due(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         self.choose_roles(now);
         for (engine, track) in &mut self.tracks {
--- a/components/order/tests/order/failures.rs
+++ b/components/order/tests/order/failures.rs
@@ -199,3 +199,22 @@
     assert_eq!(due, [order::Output::Drain("loose-b".into(), true)]);
     assert_eq!(back, []);
 }
+
+#[test]
+fn a_note_leads_to_readings_of_the_engines_it_touches_alone() {
+    let mut owner = common::owner(OWN);
+    for engine in ["fenced-a", "loose-b", "loose-c"] {
+        owner.status(engine, &common::status(DECODE, Some("1")));
+    }
+    let mut state = common::state(1, "1");
+    let name = ids::ServerName::from("loose-b");
+    let mut engine = (*state.engines[&name]).clone();
+    engine.leaving = true;
+    state.engines.insert(name, engine);
+
+    owner.give(order::Input::State(sync::Arc::new(state)));
+    owner.pass(time::Duration::from_secs(1));
+    let outputs = owner.give(order::Input::Wake);
+
+    assert_eq!(outputs, [order::Output::ReadStatus("loose-b".into())]);
+}
--- a/components/place/src/cell.rs
+++ b/components/place/src/cell.rs
@@ -2,9 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use xxhash_rust::xxh3;
-
-use crate::{cell_group, cell_split};
+use crate::{cell_group, cell_split, region_members};
 
 /// Largest number of engines in one cell.
 pub const CELL_ENGINE_LIMIT: usize = 64;
@@ -44,16 +42,8 @@
 
 /// Returns the instance that owns `cell` in `view`.
 ///
-/// It is the highest by rendezvous hash among the usable instances of the cell's data centre, or
-/// of its region when that data centre has none.
+/// [`crate::RegionMembers`] answers for many cells of one view.
 #[must_use]
 pub fn owner(cell: &Cell, view: &member::MemberView) -> Option<ids::InstanceId> {
-    view.usable()
-        .filter(|member| member.instance.region == cell.region)
-        .max_by_key(|member| {
-            let near = member.instance.data_centre == cell.data_centre;
-            let number = member.instance.id.0.to_le_bytes();
-            (near, xxh3::xxh3_64_with_seed(&number, cell.id.0))
-        })
-        .map(|member| member.instance.id)
+    region_members::RegionMembers::of(view).owner(cell)
 }
--- a/components/place/src/cell_map.rs
+++ b/components/place/src/cell_map.rs
@@ -1,7 +1,6 @@
 //! The cells of the state in force, kept across its changes.
 
 use std::{
-    cmp,
     collections::{BTreeMap, BTreeSet},
     sync,
 };
@@ -9,8 +8,6 @@
 use crate::{cell, cell_group, cell_split};
 
 /// Engines of a state in force.
-type EngineMap = note::EntryMap<ids::ServerName, note::EngineEntry>;
-
 /// The cells of the state in force; a change of the state costs work for the changed groups only.
 #[derive(Clone, Debug, Default)]
 pub struct CellMap {
@@ -25,7 +22,7 @@
     /// Takes a state into force; returns whether any cell has changed.
     pub fn update(&mut self, state: &sync::Arc<note::StateInForce>) -> bool {
         let before = std::mem::replace(&mut self.state, sync::Arc::clone(state));
-        let changed = self.move_engines(&before.engines, &state.engines);
+        let changed = self.move_engines(&before, state);
         for group in &changed {
             self.rebuild(group);
         }
@@ -53,32 +50,23 @@
             .filter_map(|id| self.cells.get(id))
     }
 
-    /// Walks both sorted maps side by side; returns the groups whose engines differ.
+    /// Moves the engines that differ; returns the groups whose engines differ.
     fn move_engines(
         &mut self,
-        before: &EngineMap,
-        after: &EngineMap,
+        before: &note::StateInForce,
+        after: &note::StateInForce,
     ) -> BTreeSet<cell_group::CellGroup> {
         let mut changed = BTreeSet::new();
-        let mut old_engines = before.values().peekable();
-        let mut new_engines = after.values().peekable();
-        loop {
-            let order = match (old_engines.peek(), new_engines.peek()) {
-                (None, None) => return changed,
-                (Some(_), None) => cmp::Ordering::Less,
-                (None, Some(_)) => cmp::Ordering::Greater,
-                (Some(old), Some(new)) => old.name.cmp(&new.name),
-            };
-            let old = old_engines.next_if(|_| order.is_le());
-            let new = new_engines.next_if(|_| order.is_ge());
+        for (old, new) in before.engines.changes(&after.engines) {
             if let (Some(old), Some(new)) = (old, new)
-                && (sync::Arc::ptr_eq(old, new) || is_same_place(old, new))
+                && is_same_place(old, new)
             {
                 continue;
             }
             changed.extend(old.map(|engine| self.take_out(engine)));
             changed.extend(new.map(|engine| self.put_in(engine)));
         }
+        changed
     }
 
     fn take_out(&mut self, engine: &note::EngineEntry) -> cell_group::CellGroup {
--- a/components/place/src/cell_owner.rs
+++ b/components/place/src/cell_owner.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     cell, cell_map, cell_planner, input, lease_update, message, output, owner_context, place_ask,
-    policy_kind, refusal, refusal_reason, spare_news, work_key,
+    policy_kind, refusal, refusal_reason, region_members, spare_news, work_key,
 };
 
 /// Time between two sweeps over the leases.
@@ -19,6 +19,7 @@
 pub struct CellOwner {
     context: owner_context::OwnerContext,
     map: cell_map::CellMap,
+    members: region_members::RegionMembers,
     owned: BTreeMap<ids::CellId, cell::Cell>,
     planners: BTreeMap<ids::CellId, cell_planner::CellPlanner>,
     spares: BTreeMap<ids::CellId, spare_news::SpareNews>,
@@ -46,6 +47,7 @@
         Self {
             context,
             map: cell_map::CellMap::default(),
+            members: region_members::RegionMembers::default(),
             owned: BTreeMap::new(),
             planners: BTreeMap::new(),
             spares: BTreeMap::new(),
@@ -90,7 +92,9 @@
         match input {
             input::Input::State(state) => {
                 self.context.state = sync::Arc::clone(&state);
-                self.map.update(&state);
+                if self.map.update(&state) {
+                    self.refresh_owned();
+                }
                 self.refresh_cells(now, outputs);
             }
             input::Input::View(view) => self.take_view(now, view, outputs),
@@ -145,6 +149,8 @@
             // Others may have owned the cells while this instance was paused.
             self.disown_all(outputs);
         }
+        self.members = region_members::RegionMembers::of(&self.context.view);
+        self.refresh_owned();
         self.refresh_cells(now, outputs);
         for planner in self.planners.values_mut() {
             planner.sweep(now, &mut self.context, outputs);
@@ -163,15 +169,20 @@
         self.owned.clear();
     }
 
-    fn refresh_cells(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
+    /// Finds the cells that this instance owns.
+    fn refresh_owned(&mut self) {
         let own = self.context.own;
         self.owned = self
             .map
             .cells()
             .iter()
-            .filter(|(_, cell)| cell::owner(cell, &self.context.view) == Some(own))
+            .filter(|(_, cell)| self.members.owner(cell) == Some(own))
             .map(|(id, cell)| (*id, cell.clone()))
             .collect();
+    }
+
+    /// Gives the owned cells to their planners as they are now.
+    fn refresh_cells(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         let lost: Vec<ids::CellId> = self
             .planners
             .keys()
--- /dev/null
+++ b/components/place/src/region_members.rs
@@ -0,0 +1,56 @@
+//! The instances that may own cells, by region.
+
+use std::collections::BTreeMap;
+
+use xxhash_rust::xxh3;
+
+use crate::cell;
+
+/// An instance that may own cells.
+#[derive(Clone, Debug)]
+struct UsableMember {
+    id: ids::InstanceId,
+    data_centre: ids::DataCentreName,
+}
+
+/// The instances that may own cells, by region; made once for each view.
+#[derive(Clone, Debug, Default)]
+pub struct RegionMembers {
+    regions: BTreeMap<ids::RegionName, Vec<UsableMember>>,
+}
+
+impl RegionMembers {
+    /// Sorts the usable instances of a view by region.
+    #[must_use]
+    pub fn of(view: &member::MemberView) -> Self {
+        let mut regions: BTreeMap<ids::RegionName, Vec<UsableMember>> = BTreeMap::new();
+        for member in view.usable() {
+            let instance = &member.instance;
+            regions
+                .entry(instance.region.clone())
+                .or_default()
+                .push(UsableMember {
+                    id: instance.id,
+                    data_centre: instance.data_centre.clone(),
+                });
+        }
+        Self { regions }
+    }
+
+    /// Returns the instance that owns `cell`.
+    ///
+    /// It is the highest by rendezvous hash among the usable instances of the cell's data
+    /// centre, or of its region when that data centre has none.
+    #[must_use]
+    pub fn owner(&self, cell: &cell::Cell) -> Option<ids::InstanceId> {
+        self.regions
+            .get(&cell.region)?
+            .iter()
+            .max_by_key(|member| {
+                let near = member.data_centre == cell.data_centre;
+                let number = member.id.0.to_le_bytes();
+                (near, xxh3::xxh3_64_with_seed(&number, cell.id.0))
+            })
+            .map(|member| member.id)
+    }
+}
