call: histories with ten instances; hold calls for a stale view once

Every instance of six is a witness of every key, so the histories never met a change of ranks. Every other history now has ten instances, keys differ between histories, and the list changes by one instance at a time, seen late by each. A view that stays out of date no longer holds calls again with each publication: only the change from fresh to stale starts the two seconds.

--- a/components/call/src/call_keeper.rs
+++ b/components/call/src/call_keeper.rs
@@ -136,11 +136,12 @@
         view: sync::Arc<member::MemberView>,
         outputs: &mut Vec<output::Output>,
     ) {
+        let was_fresh = self.view.fresh;
         self.view = view;
         self.witness.take_view(now, &self.view);
         if self.view.fresh {
             self.held_until = None;
-        } else if self.held_until.is_none() {
+        } else if was_fresh {
             self.held_until = Some(now + STALE_HOLD);
         }
         self.refresh_lanes(now, outputs);
--- a/components/call/tests/at_most_once.rs
+++ b/components/call/tests/at_most_once.rs
@@ -13,9 +13,12 @@
 
 mod common;
 
-/// Instances in a history.
+/// Instances in every other history, all of them witnesses of each key.
 const FLEET_SIZE: u64 = 6;
 
+/// Instances in the other histories, where keys have different witnesses.
+const LARGE_SIZE: u64 = 10;
+
 /// Histories that run unless `CALL_HISTORIES` names another number.
 const HISTORIES: u32 = 10_000;
 
@@ -38,7 +41,7 @@
 }
 
 fn any_step() -> impl strategy::Strategy<Value = HistoryStep> {
-    let id = 1..=FLEET_SIZE;
+    let id = 1..=LARGE_SIZE;
     prop_oneof![
         8 => (id.clone(), 1_u128..4, any::<bool>()).prop_map(|(id, key, aged)| HistoryStep::Call {
             id,
@@ -50,7 +53,7 @@
         3 => id.clone().prop_map(HistoryStep::Start),
         1 => proptest::collection::btree_set(id.clone(), 1..6).prop_map(HistoryStep::Restart),
         2 => (id.clone(), 1_u64..8_000).prop_map(|(id, millis)| HistoryStep::Pause(id, millis)),
-        1 => proptest::collection::btree_set(id.clone(), 0..4).prop_map(HistoryStep::Partition),
+        1 => proptest::collection::btree_set(id.clone(), 0..7).prop_map(HistoryStep::Partition),
         1 => id.clone().prop_map(HistoryStep::Drain),
         1 => id.prop_map(HistoryStep::Unlist),
         4 => (0_u64..30).prop_map(HistoryStep::Wait),
@@ -212,7 +215,12 @@
         calls,
         broken,
     } = play_all(count, |seed| {
-        fleet::CallFleet::new(FLEET_SIZE, seed, call::OverlapPolicy)
+        let size = if seed % 2 == 0 {
+            FLEET_SIZE
+        } else {
+            LARGE_SIZE
+        };
+        fleet::CallFleet::new(size, seed, call::OverlapPolicy)
     });
 
     assert_eq!(broken, None);
--- a/components/call/tests/common/fleet.rs
+++ b/components/call/tests/common/fleet.rs
@@ -10,6 +10,12 @@
 /// Time within which a repeat is kept from running, in milliseconds.
 pub const RETENTION_MS: u64 = 20_000;
 
+/// Longest time until an instance sees a change of the platform's list, in milliseconds.
+const LIST_LAG_MS: u64 = 4_000;
+
+/// Length from which an instance notices a pause before it acts on anything, in milliseconds.
+const NOTICED_PAUSE_MS: u64 = 2_000;
+
 /// What happens at a time.
 #[derive(Clone, Debug)]
 enum FleetEvent {
@@ -36,7 +42,9 @@
     /// When the process and its clock started.
     started: u64,
     alive: bool,
+    /// When the current pause ends.
     resumes: Option<u64>,
+    paused: u64,
     wake: u64,
     late: Vec<FleetEvent>,
 }
@@ -66,6 +74,8 @@
     /// When every running instance has seen the last change of the list.
     list_settles: u64,
     generator: rand_chacha::ChaCha8Rng,
+    /// Part of all keys, so that fleets differ in the ranks of their instances.
+    salt: u128,
     policy: sync::Arc<dyn call::ClaimPolicy>,
 }
 
@@ -84,6 +94,7 @@
             cut: BTreeSet::new(),
             list_settles: 0,
             generator: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
+            salt: u128::from(seed) << 64,
             policy: sync::Arc::new(policy),
         };
         for id in 1..=size {
@@ -98,7 +109,13 @@
         if self.nodes.get(&id).is_some_and(|node| node.alive) {
             return;
         }
-        self.listed.insert(id);
+        if !self.listed.contains(&id) {
+            if self.now < self.list_settles {
+                return;
+            }
+            self.listed.insert(id);
+            self.show_list();
+        }
         let policy = Shared(sync::Arc::clone(&self.policy));
         let config = call::KeeperConfig::builder()
             .own(ids::InstanceId(id))
@@ -112,6 +129,7 @@
             started: self.now,
             alive: true,
             resumes: None,
+            paused: 0,
             wake: u64::MAX,
             late: Vec::new(),
         };
@@ -134,6 +152,7 @@
         let node = self.nodes.get_mut(&id);
         if let Some(node) = node.filter(|node| node.alive && node.resumes.is_none()) {
             node.resumes = Some(resumes);
+            node.paused = self.now;
             self.push(resumes, FleetEvent::Resume(id));
         }
     }
@@ -152,15 +171,18 @@
     /// The list changes by one instance at a time, once all have seen the change before.
     pub fn unlist(&mut self, id: u64) {
         let dead = self.nodes.get(&id).is_some_and(|node| !node.alive);
-        if !dead || self.now < self.list_settles || !self.listed.remove(&id) {
-            return;
+        if dead && self.now >= self.list_settles && self.listed.remove(&id) {
+            self.show_list();
         }
+    }
+
+    fn show_list(&mut self) {
         for other in self.ids() {
-            let at = self.now + self.generator.random_range(0..4_000);
+            let at = self.now + self.generator.random_range(0..LIST_LAG_MS);
             let process = self.nodes[&other].process;
             self.push(at, FleetEvent::Refresh(other, process));
         }
-        self.list_settles = self.now + 4_000;
+        self.list_settles = self.now + LIST_LAG_MS + NOTICED_PAUSE_MS;
     }
 
     /// A caller sends a call under a key through an instance.
@@ -170,6 +192,7 @@
         }
         let born = *self.born.entry(key).or_insert(self.now);
         let mut spec = super::keyed(request, key);
+        spec.key = spec.key.map(|key| call::ClaimKey(key.0 | self.salt));
         spec.key_age = aged.then(|| time::Duration::from_millis(self.now - born));
         let call = FleetCall {
             key,
@@ -244,8 +267,9 @@
         node.resumes = None;
         let mut late = std::mem::take(&mut node.late);
         let process = node.process;
-        // Whatever waited is handled in any order, the loss of freshness perhaps last.
-        if self.generator.random_bool(0.5) {
+        // What waited is handled in any order. A short pause goes unnoticed until the end of it.
+        let noticed = self.now - node.paused > NOTICED_PAUSE_MS;
+        if noticed || self.generator.random_bool(0.5) {
             self.show_view(id, false);
         }
         while !late.is_empty() {
