call: bound the wait to half a call's time, and eject for slowness only without load

Cause: under an outage of half the servers the queue held calls until they had no time left, so servers worked on calls that were already lost; and the latency that a server's own load makes was taken for a fault, which ejected healthy servers every five seconds. Ruled out: retries (attempts stayed within the budget) and the failing servers (the swings went on after their return).

Before, at 500 offered and 800 of capacity, halved for 30 s: 0 to 480 answers a second, not settled 13 s after the outage. A call now waits for half its time, so the test of the deadline in the queue became two: refused at half the time, unknown at the deadline when sent.

--- a/components/call/src/call_entry.rs
+++ b/components/call/src/call_entry.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Returns until when the call may wait for a server, which leaves half of its time to run.
+    pub fn wait_until(&self) -> clock::Moment {
+        self.arrived + self.spec.time_left / 2
+    }
+
     /// Returns whether the call may run more than once.
     pub const fn is_idempotent(&self) -> bool {
         self.spec.idempotent
--- a/components/call/src/call_keeper/arrivals.rs
+++ b/components/call/src/call_keeper/arrivals.rs
@@ -71,6 +71,7 @@
         let deadline = now + spec.time_left;
         let refusal = self.refusal_on_arrival(now, &spec);
         let priority = spec.priority;
+        let wait_until = now + spec.time_left / 2;
         let workspace = spec.workspace.clone();
         *self.workspaces.entry(workspace.clone()).or_default() += 1;
         self.unanswered += 1;
@@ -88,7 +89,7 @@
             evicted = loser;
         }
         self.calls.insert(request, entry);
-        self.set_timer(request, deadline);
+        self.set_timer(request, wait_until);
         if let Some(loser) = evicted {
             self.fail(now, loser, CallFailure::QueueFull, outputs);
         }
@@ -117,7 +118,7 @@
             .workspaces
             .get(&spec.workspace)
             .map_or(u32::MAX, |workspace| workspace.in_flight_limit);
-        if held >= limit || lane.expected_wait(now) > spec.time_left {
+        if held >= limit || lane.expected_wait(now) > spec.time_left / 2 {
             return Some(CallFailure::QueueFull);
         }
         if spec.idempotent || spec.key.is_none() {
--- a/components/call/src/call_keeper/attempts.rs
+++ b/components/call/src/call_keeper/attempts.rs
@@ -79,7 +79,8 @@
         };
         entry.server = Some(server);
         entry.phase = call_entry::CallPhase::Claiming;
-        if now >= entry.deadline {
+        let first = entry.attempt.0 == 0;
+        if now >= entry.deadline || (first && now > entry.wait_until()) {
             self.fail(now, request, CallFailure::DeadlinePassed, outputs);
             return;
         }
--- a/components/call/src/concurrency_limit.rs
+++ b/components/call/src/concurrency_limit.rs
@@ -11,22 +11,26 @@
 /// Weight of a new latency in the recent average.
 const RECENT_WEIGHT: f64 = 0.1;
 
-/// Weight of a new latency in the long average.
-const LONG_WEIGHT: f64 = 0.01;
+/// Weight of a new latency above the level, which so rises slowly.
+const RISE_WEIGHT: f64 = 0.000_5;
 
-/// Ratio of recent to long latency that is taken as overload.
+/// Weight of a new latency below the level.
+const FALL_WEIGHT: f64 = 0.05;
+
+/// Ratio of the recent latency to its level that is taken as overload.
 const SLOW_RATIO: f64 = 2.0;
 
 /// Adapts the number of open calls: additive increase, multiplicative decrease.
 ///
 /// The limit grows while it is used and latencies stay level, and is cut when the recent latency
-/// exceeds the long average or the server refuses.
+/// exceeds its level or the server refuses.
 #[derive(Clone, Copy, Debug)]
 pub struct ConcurrencyLimit {
     limit: f64,
     ceiling: f64,
     recent_seconds: Option<f64>,
-    long_seconds: f64,
+    /// Latency at which the server isn't overloaded: falls at once, rises over thousands of calls.
+    level_seconds: f64,
     next_cut: clock::Moment,
 }
 
@@ -37,7 +41,7 @@
             limit: f64::from(start.clamp(1, ceiling.max(1))),
             ceiling: f64::from(ceiling.max(1)),
             recent_seconds: None,
-            long_seconds: 0.0,
+            level_seconds: 0.0,
             next_cut: clock::Moment::default(),
         }
     }
@@ -64,14 +68,16 @@
         let recent = self
             .recent_seconds
             .map_or(seconds, |recent| blend(recent, seconds, RECENT_WEIGHT));
-        let long = if self.recent_seconds.is_none() {
+        let level = if self.recent_seconds.is_none() {
             seconds
+        } else if seconds > self.level_seconds {
+            blend(self.level_seconds, seconds, RISE_WEIGHT)
         } else {
-            blend(self.long_seconds, seconds, LONG_WEIGHT)
+            blend(self.level_seconds, seconds, FALL_WEIGHT)
         };
         self.recent_seconds = Some(recent);
-        self.long_seconds = long;
-        if recent > long * SLOW_RATIO {
+        self.level_seconds = level;
+        if recent > level * SLOW_RATIO {
             self.cut(now);
         } else if f64::from(open) * 2.0 >= self.limit {
             self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
--- a/components/call/src/server_health.rs
+++ b/components/call/src/server_health.rs
@@ -8,8 +8,14 @@
 /// Time of the first ejection; it doubles with each one in a row.
 const EJECTION_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Longest ejection.
-const EJECTION_CAP: time::Duration = time::Duration::from_secs(4);
+/// Longest ejection of a server that fails.
+pub const FAILURE_CAP: time::Duration = time::Duration::from_secs(4);
+
+/// Longest ejection of a server that is slow without load.
+pub const SLOWNESS_CAP: time::Duration = time::Duration::from_secs(30);
+
+/// Time after an ejection in which another one counts as in a row with it.
+const ROW_TIME: time::Duration = time::Duration::from_secs(30);
 
 /// Time over which a server that returns receives its full share again.
 const RETURN_TIME: time::Duration = time::Duration::from_secs(4);
@@ -22,6 +28,8 @@
 pub struct ServerHealth {
     failures: u32,
     ejections: u32,
+    /// End of the last ejection.
+    ejected_until: clock::Moment,
     /// End of the last ejection, kept until the server has fully returned.
     returns_at: Option<clock::Moment>,
 }
@@ -54,7 +62,6 @@
         self.failures = 0;
         if self.share(now) >= 1.0 {
             self.returns_at = None;
-            self.ejections = 0;
         }
     }
 
@@ -65,11 +72,15 @@
         self.failures >= FAILURE_LIMIT || returning
     }
 
-    /// Ejects the server.
-    pub fn eject(&mut self, now: clock::Moment) {
+    /// Ejects the server for `cap` at most.
+    pub fn eject(&mut self, now: clock::Moment, cap: time::Duration) {
+        if now.since(self.ejected_until) > ROW_TIME {
+            self.ejections = 0;
+        }
         let time = EJECTION_TIME * 2_u32.pow(self.ejections.min(8));
         self.ejections += 1;
         self.failures = 0;
-        self.returns_at = Some(now + time.min(EJECTION_CAP));
+        self.ejected_until = now + time.min(cap);
+        self.returns_at = Some(self.ejected_until);
     }
 }
--- a/components/call/src/service_lane.rs
+++ b/components/call/src/service_lane.rs
@@ -21,6 +21,9 @@
 /// Latency below which no server is ejected as slow, in seconds.
 const SLOW_FLOOR_SECONDS: f64 = 0.05;
 
+/// Calls open at a server beyond which its latency may come from its load and not from a fault.
+const SLOW_OPEN: u32 = 1;
+
 /// Weight of a new latency in the lane's average.
 const LATENCY_WEIGHT: f64 = 0.05;
 
@@ -131,7 +134,7 @@
             gate.succeeded(now, latency);
         }
         if self.is_slow(server) {
-            self.eject(now, server);
+            self.eject(now, server, server_health::SLOWNESS_CAP);
         }
     }
 
@@ -142,7 +145,7 @@
         };
         gate.limit.cut(now);
         if gate.health.failed(now) {
-            self.eject(now, server);
+            self.eject(now, server, server_health::FAILURE_CAP);
         }
     }
 
@@ -170,7 +173,7 @@
     }
 
     /// Ejects a server while at most half of the servers are ejected.
-    fn eject(&mut self, now: clock::Moment, server: &ids::ServerName) {
+    fn eject(&mut self, now: clock::Moment, server: &ids::ServerName, cap: time::Duration) {
         let ejected = self
             .gates
             .values()
@@ -180,7 +183,7 @@
             return;
         }
         if let Some(gate) = self.gates.get_mut(server) {
-            gate.health.eject(now);
+            gate.health.eject(now, cap);
         }
     }
 
@@ -188,7 +191,7 @@
         let Some(recent) = self
             .gates
             .get(server)
-            .filter(|gate| !gate.health.is_impaired())
+            .filter(|gate| !gate.health.is_impaired() && gate.open <= SLOW_OPEN)
             .and_then(|gate| gate.limit.recent_seconds())
         else {
             return false;
--- a/components/call/tests/overload.rs
+++ b/components/call/tests/overload.rs
@@ -7,7 +7,7 @@
 mod common;
 
 /// Calls offered in a second.
-const OFFERED: u64 = 200;
+const OFFERED: u64 = 500;
 
 /// Time a healthy server takes for a call, in milliseconds.
 const SERVICE_MS: u64 = 20;
@@ -18,6 +18,9 @@
 /// Calls a server works on at once; more of them wait in it.
 const SERVER_WIDTH: u64 = 4;
 
+/// Calls that two of the four servers can answer in a second.
+const HALF_CAPACITY: u64 = 2 * 1_000 * SERVER_WIDTH / SERVICE_MS;
+
 /// Beginning and end of the outage, in milliseconds.
 const OUTAGE: std::ops::Range<u64> = 20_000..50_000;
 
@@ -110,11 +113,16 @@
 fn demand_settles_within_ten_seconds_of_an_outage_of_half_the_servers() {
     let counts = counts_of_seconds();
 
-    let outage = &counts[20..50];
+    let outage = &counts[22..50];
     let settled = &counts[60..80];
-    println!("{counts:?}");
+    for (second, count) in counts.iter().enumerate() {
+        println!("{second}: {count:?}");
+    }
     let most = outage.iter().map(|count| count.attempts).max();
     assert!(most <= Some(OFFERED * 13 / 10), "retries add to an outage");
+    for count in outage {
+        assert!(count.answered >= HALF_CAPACITY * 9 / 10, "{outage:?}");
+    }
     for count in settled {
         assert!(count.attempts <= OFFERED * 11 / 10, "{settled:?}");
         assert!(count.answered >= OFFERED * 9 / 10, "{settled:?}");
--- a/components/call/tests/routing.rs
+++ b/components/call/tests/routing.rs
@@ -135,18 +135,34 @@
 }
 
 #[test]
-fn a_call_that_has_not_left_by_its_deadline_is_told_not_run_at_once() {
+fn a_call_that_has_waited_for_half_its_time_is_told_not_run_at_once() {
     let mut keeper = keeper([single(1)]);
     give(&mut keeper, 1, Input::Arrived(lookup(1)));
     give(&mut keeper, 1, Input::Arrived(order(2)));
 
+    let wake = keeper.next_wake();
+    let outputs = give(&mut keeper, 1_001, Input::Wake);
+
+    assert_eq!(wake, clock::Moment::from_millis(1_001));
+    let [(2, Outcome::NotRun, CallFailure::DeadlinePassed, Some(_))] = failures(&outputs)[..]
+    else {
+        panic!("{outputs:?}");
+    };
+}
+
+#[test]
+fn a_sent_call_is_told_unknown_at_its_deadline() {
+    let mut keeper = keeper([server("s1")]);
+    give(&mut keeper, 1, Input::Arrived(lookup(1)));
+
     let wake = keeper.next_wake();
     let outputs = give(&mut keeper, 2_001, Input::Wake);
 
     assert_eq!(wake, clock::Moment::from_millis(2_001));
-    let ends = failures(&outputs);
-    assert!(ends.contains(&(2, Outcome::NotRun, CallFailure::DeadlinePassed, ends[1].3)));
-    assert!(ends.contains(&(1, Outcome::Unknown, CallFailure::DeadlinePassed, ends[0].3)));
+    let [(1, Outcome::Unknown, CallFailure::DeadlinePassed, Some(_))] = failures(&outputs)[..]
+    else {
+        panic!("{outputs:?}");
+    };
     assert_eq!(keeper.in_flight(), 0);
 }
 
@@ -156,14 +172,14 @@
     for request in 0..40 {
         give(&mut keeper, 0, Input::Arrived(lookup(request)));
     }
-    give(&mut keeper, 1_900, ended(0, 0, AttemptResult::Replied(200)));
+    give(&mut keeper, 900, ended(0, 0, AttemptResult::Replied(200)));
 
     let late = common::lookup(100);
     let late = call::CallSpec {
         time_left: time::Duration::from_millis(50),
         ..late
     };
-    let outputs = give(&mut keeper, 1_901, Input::Arrived(late));
+    let outputs = give(&mut keeper, 901, Input::Arrived(late));
 
     let [(100, Outcome::NotRun, CallFailure::QueueFull, Some(after))] = failures(&outputs)[..]
     else {
@@ -254,3 +270,22 @@
     assert_eq!(ejected, 0);
     assert!(returned > 5);
 }
+
+#[test]
+fn a_server_that_is_slow_without_load_is_ejected() {
+    let mut keeper = keeper([server("s1"), server("s2"), server("s3")]);
+    let mut sent = Vec::new();
+    for request in 0..2_000 {
+        let start = u64::try_from(request).expect("a small number") * 500;
+        let outputs = give(&mut keeper, start, Input::Arrived(lookup(request)));
+        let (_, _, server) = attempts(&outputs)[0].clone();
+        let latency = if server == "s1" { 400 } else { 20 };
+        sent.push(server);
+        let end = ended(request, 0, AttemptResult::Replied(200));
+        give(&mut keeper, start + latency, end);
+    }
+
+    let slow = sent.iter().filter(|server| *server == "s1").count();
+
+    assert!(slow < 400, "{slow} of 2,000 calls went to the slow server");
+}
