call: keep home regions and rosters between calls

Each keyed call read all servers of the state for its home region and all members for the witnesses. Both change only with notes and views, so lanes and the keeper keep them.

--- a/components/call/benches/keeper.rs
+++ b/components/call/benches/keeper.rs
@@ -18,8 +18,19 @@
     divan::main();
 }
 
-fn state(servers: u32) -> sync::Arc<note::StateInForce> {
-    common::state((0..servers).map(|number| common::server(&format!("s{number}"))))
+/// Servers of the service that is called.
+const SERVERS: u32 = 20;
+
+/// Servers of other services.
+const OTHER_SERVERS: u32 = 1_000;
+
+fn state() -> sync::Arc<note::StateInForce> {
+    let servers = (0..SERVERS).map(|number| common::server(&format!("s{number}")));
+    let others = (0..OTHER_SERVERS).map(|number| note::ServerEntry {
+        service: format!("service-{}", number / SERVERS).as_str().into(),
+        ..common::server(&format!("other-{number}"))
+    });
+    common::state(servers.chain(others))
 }
 
 fn keepers(size: u64) -> Vec<call::CallKeeper> {
@@ -28,7 +39,7 @@
             let mut keeper = call::CallKeeper::new(ids::InstanceId(id), id);
             let view = sync::Arc::new(common::view(id, 1..=size));
             common::give(&mut keeper, 0, call::Input::View(view));
-            common::give(&mut keeper, 0, call::Input::State(state(20)));
+            common::give(&mut keeper, 0, call::Input::State(state()));
             keeper
         })
         .collect()
--- a/components/call/src/call_keeper.rs
+++ b/components/call/src/call_keeper.rs
@@ -7,7 +7,9 @@
 
 use rand::SeedableRng as _;
 
-use crate::{call_entry, input, keeper_config, key_witness, message, output, service_lane};
+use crate::{
+    call_entry, input, keeper_config, key_witness, message, output, service_lane, witness_rank,
+};
 
 mod arrivals;
 mod attempts;
@@ -37,6 +39,8 @@
     /// Until when calls wait because the view is too old to act on.
     held_until: Option<clock::Moment>,
     witness: key_witness::KeyWitness,
+    /// Instances of each region.
+    rosters: BTreeMap<ids::RegionName, Vec<ids::InstanceId>>,
 }
 
 impl CallKeeper {
@@ -67,6 +71,7 @@
             unanswered: 0,
             held_until: None,
             witness: key_witness::KeyWitness::new(&config),
+            rosters: BTreeMap::new(),
             config,
         }
     }
@@ -138,7 +143,8 @@
     ) {
         let was_fresh = self.view.fresh;
         self.view = view;
-        self.witness.take_view(now, &self.view);
+        self.rosters = witness_rank::rosters(&self.view);
+        self.witness.take_view(now, &self.view, &self.rosters);
         if self.view.fresh {
             self.held_until = None;
         } else if was_fresh {
--- a/components/call/src/call_keeper/claims.rs
+++ b/components/call/src/call_keeper/claims.rs
@@ -5,7 +5,7 @@
 use super::CallKeeper;
 use crate::{
     call_entry, call_failure::CallFailure, claim_key, claim_round, claim_state::ClaimState,
-    message, output, witness_rank,
+    message, output, service_lane, witness_rank,
 };
 
 /// Time after which witnesses that haven't answered are asked again.
@@ -155,16 +155,12 @@
         request: ids::RequestId,
         key: claim_key::ClaimKey,
     ) -> Vec<ids::InstanceId> {
-        let service = self.calls.get(&request).map(|entry| &entry.spec.service);
-        let home = self
-            .state
-            .servers
-            .values()
-            .filter(|server| Some(&server.service) == service)
-            .map(|server| &server.region)
-            .min();
-        home.map_or_else(Vec::new, |home| {
-            witness_rank::witnesses(key, &witness_rank::roster(&self.view, home))
-        })
+        let roster = self
+            .calls
+            .get(&request)
+            .and_then(|entry| self.lanes.get(&entry.spec.service))
+            .and_then(service_lane::ServiceLane::home)
+            .and_then(|home| self.rosters.get(home));
+        roster.map_or_else(Vec::new, |roster| witness_rank::witnesses(key, roster))
     }
 }
--- a/components/call/src/key_witness.rs
+++ b/components/call/src/key_witness.rs
@@ -1,6 +1,9 @@
 //! The witness's side of claims: what this instance remembers of keys, and how far back.
 
-use std::{collections::VecDeque, fmt, sync, time};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    fmt, sync, time,
+};
 
 use crate::{
     claim_key, claim_policy, claim_state::ClaimState, claim_store, held_claim, keeper_config,
@@ -81,15 +84,22 @@
     }
 
     /// Takes a changed membership.
-    pub fn take_view(&mut self, now: clock::Moment, view: &member::MemberView) {
+    pub fn take_view(
+        &mut self,
+        now: clock::Moment,
+        view: &member::MemberView,
+        rosters: &BTreeMap<ids::RegionName, Vec<ids::InstanceId>>,
+    ) {
         self.usable = view.fresh && !view.partitioned;
         let Some(own) = view.members.get(&self.own) else {
             self.usable = false;
             return;
         };
-        let roster = witness_rank::roster(view, &own.instance.region);
+        let Some(roster) = rosters.get(&own.instance.region) else {
+            return;
+        };
         let held = self.rosters.back().map(|span| &span.roster);
-        if held == Some(&roster) {
+        if held == Some(roster) {
             return;
         }
         let moves_up = held.is_some_and(|held| {
@@ -98,8 +108,11 @@
         if moves_up {
             self.moved_up = Some(now);
         }
-        self.recall.set_peers(&roster, self.own, own.incarnation);
-        self.rosters.push_back(RosterSpan { since: now, roster });
+        self.recall.set_peers(roster, self.own, own.incarnation);
+        self.rosters.push_back(RosterSpan {
+            since: now,
+            roster: roster.clone(),
+        });
         self.forget_rosters(now);
     }
 
--- a/components/call/src/service_lane.rs
+++ b/components/call/src/service_lane.rs
@@ -38,6 +38,8 @@
     pub retry_at: clock::Moment,
     gates: indexmap::IndexMap<ids::ServerName, server_gate::ServerGate>,
     latency_seconds: f64,
+    /// First region by name with servers, whose instances are the witnesses of the lane's keys.
+    home: Option<ids::RegionName>,
 }
 
 impl ServiceLane {
@@ -49,6 +51,7 @@
             retry_at: clock::Moment::MAX,
             gates: indexmap::IndexMap::new(),
             latency_seconds: 0.0,
+            home: None,
         }
     }
 
@@ -60,6 +63,7 @@
         sharers: u32,
     ) {
         let mut old = std::mem::take(&mut self.gates);
+        self.home = None;
         for entry in entries {
             let mut gate = old
                 .swap_remove(&entry.name)
@@ -69,9 +73,17 @@
             gate.local = own.is_some_and(|own| own.data_centre == entry.data_centre);
             gate.near = own.is_none_or(|own| own.region == entry.region);
             self.gates.insert(entry.name.clone(), gate);
+            if self.home.as_ref().is_none_or(|home| entry.region < *home) {
+                self.home = Some(entry.region.clone());
+            }
         }
     }
 
+    /// Returns the region whose instances are the witnesses of the lane's keys.
+    pub const fn home(&self) -> Option<&ids::RegionName> {
+        self.home.as_ref()
+    }
+
     /// Returns whether any server takes new work, ejected ones included.
     pub fn has_server(&self) -> bool {
         self.gates.values().any(|gate| !gate.leaving)
--- a/components/call/src/witness_rank.rs
+++ b/components/call/src/witness_rank.rs
@@ -1,20 +1,26 @@
 //! Which instances are the witnesses of a key.
 
+use std::collections::BTreeMap;
+
 use crate::claim_key;
 
 /// Number of witnesses of a key, where the region has as many instances.
 pub const WITNESS_COUNT: usize = 7;
 
-/// Returns the instances of `region`, which can be witnesses, silent and leaving ones included.
+/// Returns the instances of each region, which can be witnesses, silent and leaving ones included.
 ///
 /// A silent instance may live on the other side of a partition, and one that leaves may come back
 /// as a new process, so both stay until the membership drops them.
-pub fn roster(view: &member::MemberView, region: &ids::RegionName) -> Vec<ids::InstanceId> {
-    view.members
-        .iter()
-        .filter(|(_, member)| member.instance.region == *region)
-        .map(|(instance, _)| *instance)
-        .collect()
+pub fn rosters(view: &member::MemberView) -> BTreeMap<ids::RegionName, Vec<ids::InstanceId>> {
+    let mut rosters: BTreeMap<_, Vec<_>> = BTreeMap::new();
+    for (instance, member) in &view.members {
+        let region = &member.instance.region;
+        match rosters.get_mut(region) {
+            Some(roster) => roster.push(*instance),
+            None => drop(rosters.insert(region.clone(), vec![*instance])),
+        }
+    }
+    rosters
 }
 
 /// Returns the witnesses of `key`, best rank first.
