call: recall from peers that are seen late, and drop expired claims together

A new process asked only the peers that it knew after three seconds, so a late list left it without a voice for the whole retention; it now asks each peer that it comes to know until it has been up for the retention itself. Each expired claim cost a wake of the instance, up to 140 a second at 20 keyed calls a second; they are now dropped once a second.

--- a/components/call/src/claim_store.rs
+++ b/components/call/src/claim_store.rs
@@ -7,6 +7,9 @@
 
 use crate::{claim_key, claim_state::ClaimState, held_claim};
 
+/// Time for which expired claims may stay, so that each doesn't cost a wake.
+const EXPIRY_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// A claim with the time until which it is kept.
 #[derive(Clone, Copy, Debug)]
 struct ClaimRecord {
@@ -36,11 +39,13 @@
         }
     }
 
-    /// Returns when the next claim expires.
+    /// Returns when expired claims are to be dropped, some together.
     pub fn next_expiry(&self) -> clock::Moment {
         self.expiries
             .first()
-            .map_or(clock::Moment::MAX, |(expires, _)| *expires)
+            .map_or(clock::Moment::MAX, |(expires, _)| {
+                *expires + EXPIRY_INTERVAL
+            })
     }
 
     /// Drops the claims whose time has passed.
--- a/components/call/src/key_witness.rs
+++ b/components/call/src/key_witness.rs
@@ -78,6 +78,9 @@
     /// Drops expired claims and asks again for what is to be recalled.
     pub fn wake(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         self.store.expire(now);
+        if self.remembered(now) >= self.retention {
+            self.recall.finish();
+        }
         for (peer, question) in self.recall.due(now) {
             outputs.push(output::Output::Send(peer, question));
         }
--- a/components/call/src/recall_task.rs
+++ b/components/call/src/recall_task.rs
@@ -42,6 +42,8 @@
     /// When the questions go out next; unset before the start.
     next_ask: Option<clock::Moment>,
     begun: bool,
+    /// Whether nothing remains to be recalled.
+    finished: bool,
     /// This process, whose questions the pages must answer.
     process: ids::Incarnation,
 }
@@ -54,14 +56,19 @@
 
     /// Returns when the questions go out next.
     pub fn next_wake(&self) -> clock::Moment {
-        if self.begun && self.cursors.values().all(|cursor| cursor.done) {
+        let asked = self.begun && self.cursors.values().all(|cursor| cursor.done);
+        if self.finished || asked {
             return clock::Moment::MAX;
         }
         self.next_ask.unwrap_or(clock::Moment::MAX)
     }
 
-    /// Sets the peers to ask; before the first questions all peers of the roster count, and
-    /// later ones are newer than this instance.
+    /// Ends the recall, when this process has itself been up for long enough.
+    pub const fn finish(&mut self) {
+        self.finished = true;
+    }
+
+    /// Sets the peers to ask.
     pub fn set_peers(
         &mut self,
         roster: &[ids::InstanceId],
@@ -70,7 +77,7 @@
     ) {
         self.process = process;
         self.cursors.retain(|peer, _| roster.contains(peer));
-        if self.begun {
+        if self.finished {
             return;
         }
         for peer in roster.iter().filter(|peer| **peer != own) {
--- a/components/call/tests/keys.rs
+++ b/components/call/tests/keys.rs
@@ -277,6 +277,68 @@
     });
 }
 
+#[test]
+fn a_lost_call_on_a_silent_connection_ends_as_unknown_and_so_does_its_repeat() {
+    let mut keeper = common::keeper([common::server("s1")]);
+    let later = 400_000;
+    claim_at_itself(&mut keeper, later, common::keyed(1, KEY));
+    let end = call::Input::Attempted(ids::RequestId(1), ids::AttemptNumber(0), common::lost());
+
+    let first = give_and_carry(&mut keeper, later, end);
+    let repeat = claim_at_itself(&mut keeper, later, common::keyed(2, KEY));
+
+    assert_eq!(common::failures(&first)[0].1, Outcome::Unknown);
+    assert_eq!(common::failures(&repeat)[0].1, Outcome::Unknown);
+    assert_eq!(common::attempts(&repeat), []);
+}
+
+#[test]
+fn a_keyed_call_refused_for_load_is_not_told_that_it_did_not_run() {
+    let config = call::KeeperConfig::builder()
+        .own(ids::InstanceId(1))
+        .seed(1)
+        .queue_limit(1)
+        .build();
+    let mut keeper = call::CallKeeper::with_config(config);
+    let narrow = note::ServerEntry {
+        concurrency: 1,
+        ..common::server("s1")
+    };
+    let state = common::state([narrow]);
+    common::give(&mut keeper, 0, call::Input::State(state));
+    let view = common::view(1, [1]);
+    common::give(&mut keeper, 0, call::Input::View(view.into()));
+    common::give(&mut keeper, 1, call::Input::Arrived(common::lookup(1)));
+    common::give(&mut keeper, 1, call::Input::Arrived(common::lookup(2)));
+
+    let outputs = common::give(&mut keeper, 1, call::Input::Arrived(common::keyed(3, KEY)));
+
+    let [(3, Outcome::Unknown, CallFailure::QueueFull, Some(_))] = common::failures(&outputs)[..]
+    else {
+        panic!("{outputs:?}");
+    };
+}
+
+#[test]
+fn a_keyed_call_under_a_stale_or_partitioned_view_is_refused_at_once() {
+    for (fresh, partitioned) in [(false, false), (true, true)] {
+        let mut keeper = common::keeper([common::server("s1")]);
+        let mut view = common::view(1, [1, 2, 3]);
+        view.fresh = fresh;
+        view.partitioned = partitioned;
+        common::give(&mut keeper, 1, call::Input::View(view.into()));
+
+        let outputs = common::give(&mut keeper, 2, call::Input::Arrived(common::keyed(1, KEY)));
+
+        let [(1, Outcome::Unknown, CallFailure::ViewStale, Some(_))] =
+            common::failures(&outputs)[..]
+        else {
+            panic!("{outputs:?}");
+        };
+        assert_eq!(outputs.len(), 1);
+    }
+}
+
 #[test]
 fn a_key_used_for_another_call_is_refused() {
     let mut keeper = common::keeper([common::server("s1")]);
