--- a/components/call/tests/keys.rs
+++ b/components/call/tests/keys.rs
@@ -212,6 +212,57 @@
     });
 }
 
+#[test]
+fn a_new_witness_does_not_vouch_by_what_too_few_older_ones_remember() {
+    let ran = count_seeds(|seed| {
+        let mut fleet = settled_fleet(seed);
+        fleet.partition(BTreeSet::from([5, 6]));
+        fleet.call(1, 1, KEY, false);
+        fleet.run(400);
+        for id in [1, 2] {
+            fleet.crash(id);
+            fleet.start(id);
+        }
+        fleet.partition(BTreeSet::from([3, 4]));
+        fleet.run(8_000);
+
+        fleet.call(5, 2, KEY, false);
+        fleet.run(3_000);
+
+        assert!(runs(&fleet) <= 1, "seed {seed}");
+        runs(&fleet) == 1
+    });
+
+    assert!(ran > 100);
+}
+
+/// Claims a key, and before two slow witnesses hold it, restarts three that hold it already.
+///
+/// Where recalls went out at once, the slow witnesses could answer them before they hold the key.
+#[test]
+fn a_new_witness_recalls_only_what_no_open_claim_can_add_to() {
+    for seed in 0..2_000 {
+        let mut fleet = fleet::CallFleet::new(8, seed, call::OverlapPolicy);
+        fleet.run(fleet::RETENTION_MS + 1_000);
+        [5, 6].iter().for_each(|id| fleet.pause(*id, 100));
+        fleet.partition(BTreeSet::from([7, 8]));
+        fleet.call(1, 1, KEY, false);
+        fleet.run(3);
+        for id in [2, 3, 4] {
+            fleet.crash(id);
+            fleet.start(id);
+        }
+        fleet.run(600);
+        fleet.partition(BTreeSet::new());
+        fleet.run(8_000);
+
+        fleet.call(7, 2, KEY, false);
+        fleet.run(3_000);
+
+        assert!(runs(&fleet) <= 1, "seed {seed}");
+    }
+}
+
 #[test]
 fn new_calls_run_during_a_rolling_restart() {
     let answered = count_seeds(|seed| {
