--- a/components/call/src/service_lane.rs
+++ b/components/call/src/service_lane.rs
@@ -21,6 +21,9 @@
 /// Latency below which no server is ejected as slow, in seconds.
 const SLOW_FLOOR_SECONDS: f64 = 0.05;
 
+/// Calls open at a server beyond which its latency may come from its load and not from a fault.
+const SLOW_OPEN: u32 = 1;
+
 /// Weight of a new latency in the lane's average.
 const LATENCY_WEIGHT: f64 = 0.05;
 
@@ -35,6 +38,8 @@
     pub retry_at: clock::Moment,
     gates: indexmap::IndexMap<ids::ServerName, server_gate::ServerGate>,
     latency_seconds: f64,
+    /// First region by name with servers, whose instances are the witnesses of the lane's keys.
+    home: Option<ids::RegionName>,
 }
 
 impl ServiceLane {
@@ -46,6 +51,7 @@
             retry_at: clock::Moment::MAX,
             gates: indexmap::IndexMap::new(),
             latency_seconds: 0.0,
+            home: None,
         }
     }
 
@@ -57,6 +63,7 @@
         sharers: u32,
     ) {
         let mut old = std::mem::take(&mut self.gates);
+        self.home = None;
         for entry in entries {
             let mut gate = old
                 .swap_remove(&entry.name)
@@ -66,9 +73,17 @@
             gate.local = own.is_some_and(|own| own.data_centre == entry.data_centre);
             gate.near = own.is_none_or(|own| own.region == entry.region);
             self.gates.insert(entry.name.clone(), gate);
+            if self.home.as_ref().is_none_or(|home| entry.region < *home) {
+                self.home = Some(entry.region.clone());
+            }
         }
     }
 
+    /// Returns the region whose instances are the witnesses of the lane's keys.
+    pub const fn home(&self) -> Option<&ids::RegionName> {
+        self.home.as_ref()
+    }
+
     /// Returns whether any server takes new work, ejected ones included.
     pub fn has_server(&self) -> bool {
         self.gates.values().any(|gate| !gate.leaving)
@@ -131,7 +146,7 @@
             gate.succeeded(now, latency);
         }
         if self.is_slow(server) {
-            self.eject(now, server);
+            self.eject(now, server, server_health::SLOWNESS_CAP);
         }
     }
 
@@ -142,7 +157,7 @@
         };
         gate.limit.cut(now);
         if gate.health.failed(now) {
-            self.eject(now, server);
+            self.eject(now, server, server_health::FAILURE_CAP);
         }
     }
 
@@ -170,7 +185,7 @@
     }
 
     /// Ejects a server while at most half of the servers are ejected.
-    fn eject(&mut self, now: clock::Moment, server: &ids::ServerName) {
+    fn eject(&mut self, now: clock::Moment, server: &ids::ServerName, cap: time::Duration) {
         let ejected = self
             .gates
             .values()
@@ -180,7 +195,7 @@
             return;
         }
         if let Some(gate) = self.gates.get_mut(server) {
-            gate.health.eject(now);
+            gate.health.eject(now, cap);
         }
     }
 
@@ -188,7 +203,7 @@
         let Some(recent) = self
             .gates
             .get(server)
-            .filter(|gate| !gate.health.is_impaired())
+            .filter(|gate| !gate.health.is_impaired() && gate.open <= SLOW_OPEN)
             .and_then(|gate| gate.limit.recent_seconds())
         else {
             return false;
--- a/components/call/tests/keys.rs
+++ b/components/call/tests/keys.rs
@@ -212,6 +212,57 @@
     });
 }
 
+#[test]
+fn a_new_witness_does_not_vouch_by_what_too_few_older_ones_remember() {
+    let ran = count_seeds(|seed| {
+        let mut fleet = settled_fleet(seed);
+        fleet.partition(BTreeSet::from([5, 6]));
+        fleet.call(1, 1, KEY, false);
+        fleet.run(400);
+        for id in [1, 2] {
+            fleet.crash(id);
+            fleet.start(id);
+        }
+        fleet.partition(BTreeSet::from([3, 4]));
+        fleet.run(8_000);
+
+        fleet.call(5, 2, KEY, false);
+        fleet.run(3_000);
+
+        assert!(runs(&fleet) <= 1, "seed {seed}");
+        runs(&fleet) == 1
+    });
+
+    assert!(ran > 100);
+}
+
+/// Claims a key, and before two slow witnesses hold it, restarts three that hold it already.
+///
+/// Where recalls went out at once, the slow witnesses could answer them before they hold the key.
+#[test]
+fn a_new_witness_recalls_only_what_no_open_claim_can_add_to() {
+    for seed in 0..2_000 {
+        let mut fleet = fleet::CallFleet::new(8, seed, call::OverlapPolicy);
+        fleet.run(fleet::RETENTION_MS + 1_000);
+        [5, 6].iter().for_each(|id| fleet.pause(*id, 100));
+        fleet.partition(BTreeSet::from([7, 8]));
+        fleet.call(1, 1, KEY, false);
+        fleet.run(3);
+        for id in [2, 3, 4] {
+            fleet.crash(id);
+            fleet.start(id);
+        }
+        fleet.run(600);
+        fleet.partition(BTreeSet::new());
+        fleet.run(8_000);
+
+        fleet.call(7, 2, KEY, false);
+        fleet.run(3_000);
+
+        assert!(runs(&fleet) <= 1, "seed {seed}");
+    }
+}
+
 #[test]
 fn new_calls_run_during_a_rolling_restart() {
     let answered = count_seeds(|seed| {
@@ -277,6 +328,68 @@
     });
 }
 
+#[test]
+fn a_lost_call_on_a_silent_connection_ends_as_unknown_and_so_does_its_repeat() {
+    let mut keeper = common::keeper([common::server("s1")]);
+    let later = 400_000;
+    claim_at_itself(&mut keeper, later, common::keyed(1, KEY));
+    let end = call::Input::Attempted(ids::RequestId(1), ids::AttemptNumber(0), common::lost());
+
+    let first = give_and_carry(&mut keeper, later, end);
+    let repeat = claim_at_itself(&mut keeper, later, common::keyed(2, KEY));
+
+    assert_eq!(common::failures(&first)[0].1, Outcome::Unknown);
+    assert_eq!(common::failures(&repeat)[0].1, Outcome::Unknown);
+    assert_eq!(common::attempts(&repeat), []);
+}
+
+#[test]
+fn a_keyed_call_refused_for_load_is_not_told_that_it_did_not_run() {
+    let config = call::KeeperConfig::builder()
+        .own(ids::InstanceId(1))
+        .seed(1)
+        .queue_limit(1)
+        .build();
+    let mut keeper = call::CallKeeper::with_config(config);
+    let narrow = note::ServerEntry {
+        concurrency: 1,
+        ..common::server("s1")
+    };
+    let state = common::state([narrow]);
+    common::give(&mut keeper, 0, call::Input::State(state));
+    let view = common::view(1, [1]);
+    common::give(&mut keeper, 0, call::Input::View(view.into()));
+    common::give(&mut keeper, 1, call::Input::Arrived(common::lookup(1)));
+    common::give(&mut keeper, 1, call::Input::Arrived(common::lookup(2)));
+
+    let outputs = common::give(&mut keeper, 1, call::Input::Arrived(common::keyed(3, KEY)));
+
+    let [(3, Outcome::Unknown, CallFailure::QueueFull, Some(_))] = common::failures(&outputs)[..]
+    else {
+        panic!("{outputs:?}");
+    };
+}
+
+#[test]
+fn a_keyed_call_under_a_stale_or_partitioned_view_is_refused_at_once() {
+    for (fresh, partitioned) in [(false, false), (true, true)] {
+        let mut keeper = common::keeper([common::server("s1")]);
+        let mut view = common::view(1, [1, 2, 3]);
+        view.fresh = fresh;
+        view.partitioned = partitioned;
+        common::give(&mut keeper, 1, call::Input::View(view.into()));
+
+        let outputs = common::give(&mut keeper, 2, call::Input::Arrived(common::keyed(1, KEY)));
+
+        let [(1, Outcome::Unknown, CallFailure::ViewStale, Some(_))] =
+            common::failures(&outputs)[..]
+        else {
+            panic!("{outputs:?}");
+        };
+        assert_eq!(outputs.len(), 1);
+    }
+}
+
 #[test]
 fn a_key_used_for_another_call_is_refused() {
     let mut keeper = common::keeper([common::server("s1")]);
