daemon: one traffic thread unless asked for more, and a test of the trace

A test follows the trace of a caller to a backend server. The fleet of stand-in engines keeps its shared state in a file of its own.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -143,11 +143,8 @@
 fn traffic_runtime(
     options: &daemon_options::DaemonOptions,
 ) -> Result<tokio::runtime::Runtime, daemon_error::DaemonError> {
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    if let Some(threads) = options.traffic_threads {
-        builder.worker_threads(threads.max(1));
-    }
-    builder
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(options.traffic_threads.max(1))
         .thread_name("traffic")
         .enable_all()
         .build()
--- a/components/daemon/src/daemon_options.rs
+++ b/components/daemon/src/daemon_options.rs
@@ -3,8 +3,10 @@
 /// How a process runs an instance, beyond the instance's settings.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct DaemonOptions {
-    /// Threads that carry traffic; the number of cores unless given.
-    pub traffic_threads: Option<usize>,
+    /// Threads that carry traffic; each further one makes a token dearer, since its tasks wake
+    /// each other across threads.
+    #[builder(default = 1)]
+    pub traffic_threads: usize,
     /// Seed of all randomness of the core; the time of the start unless given.
     pub seed: Option<u64>,
     /// Time within which a repeat of a call under the same key doesn't run it again.
--- a/components/daemon/tests/daemon/whole_path.rs
+++ b/components/daemon/tests/daemon/whole_path.rs
@@ -78,3 +78,19 @@
     common::wait_until(|| site.fleet.running().is_empty()).await;
     assert_eq!(site.fleet.held_pieces(), 0);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_carries_the_trace_of_its_caller_on_with_a_span_of_its_own() {
+    let (site, instance) = common::site_with_instance(fakes::SiteFigures::default()).await;
+    let caller = fakes::SiteCaller::new("coilquote");
+    let trace = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+    let request = http::Request::get("/orders/item/3").header("traceparent", trace);
+
+    caller.send(instance.callers(), request, "").await.unwrap();
+
+    let sent = border::TraceParent::parse(&site.orders[0].traces()[0]).unwrap();
+    let given = border::TraceParent::parse(trace).unwrap();
+    assert_eq!(sent.trace, given.trace);
+    assert_ne!(sent.span, given.span);
+    assert!(sent.sampled);
+}
--- a/components/demo/examples/router_cpu.rs
+++ b/components/demo/examples/router_cpu.rs
@@ -36,10 +36,7 @@
         .call_latency(time::Duration::ZERO)
         .build();
     let site = fakes::SiteStand::start(figures).await?;
-    let options = daemon::DaemonOptions::builder()
-        .traffic_threads(2)
-        .seed(1)
-        .build();
+    let options = daemon::DaemonOptions::builder().seed(1).build();
     let instance = daemon::Daemon::start(site.settings(1), &options)?;
     site.list.set(vec![site.instance(1, instance.peers())]);
     while !instance.is_ready() || instance.snapshot().owned_cells.is_empty() {
--- a/components/demo/src/demo_site.rs
+++ b/components/demo/src/demo_site.rs
@@ -13,9 +13,6 @@
 /// Time for which the demo's instances remember keys; before it they can't vouch for any.
 const KEY_RETENTION: time::Duration = time::Duration::from_secs(2);
 
-/// Threads that carry the traffic of one instance.
-const TRAFFIC_THREADS: usize = 2;
-
 /// The instances and stand-ins of the demo.
 pub(crate) struct DemoSite {
     pub(crate) stands: fakes::SiteStand,
@@ -40,7 +37,6 @@
         let mut targets = Vec::new();
         for id in 1..=options.instances {
             let daemon_options = daemon::DaemonOptions::builder()
-                .traffic_threads(TRAFFIC_THREADS)
                 .seed(options.seed + id)
                 .key_retention(KEY_RETENTION)
                 .build();
--- a/components/fakes/src/engine_fleet.rs
+++ b/components/fakes/src/engine_fleet.rs
@@ -1,24 +1,18 @@
 //! The stand-in engines of one site.
 
-use std::{collections::BTreeMap, net, sync};
+use std::{net, sync};
 
 use clock::ClockSource as _;
 use tokio::sync::{oneshot, watch};
 
-use crate::{answer_plan, engine_model, engine_slot, prefill_ledger, stand_clock, token_record};
-
-/// What the engines of a fleet share.
-#[derive(Default)]
-struct FleetState {
-    engines: BTreeMap<net::SocketAddr, engine_slot::EngineSlot>,
-    plans: BTreeMap<ids::RequestId, answer_plan::AnswerPlan>,
-    ledger: prefill_ledger::PrefillLedger,
-}
+use crate::{
+    answer_plan, engine_model, engine_slot, fleet_state, prefill_ledger, stand_clock, token_record,
+};
 
 /// The stand-in engines of one site, with the transfers between them.
 pub struct EngineFleet {
     clock: stand_clock::StandClock,
-    state: sync::Mutex<FleetState>,
+    state: sync::Mutex<fleet_state::FleetState>,
     changed: tokio::sync::Notify,
 }
 
@@ -209,7 +203,7 @@
         &self,
         engine: net::SocketAddr,
         work: impl FnOnce(
-            &mut FleetState,
+            &mut fleet_state::FleetState,
             &mut engine_slot::EngineSlot,
             clock::Moment,
             &mut Vec<engine_model::EngineEvent>,
@@ -248,114 +242,13 @@
             .unwrap_or(clock::Moment::MAX)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, FleetState> {
+    fn lock(&self) -> sync::MutexGuard<'_, fleet_state::FleetState> {
         self.state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
 
-impl FleetState {
-    /// Passes events on, with those that they cause, until none is left.
-    fn settle(
-        &mut self,
-        now: clock::Moment,
-        mut happened: Vec<(net::SocketAddr, Vec<engine_model::EngineEvent>)>,
-    ) {
-        while let Some((engine, events)) = happened.pop() {
-            for event in events {
-                let caused = self.pass_on(now, engine, event);
-                happened.extend(caused);
-            }
-        }
-    }
-
-    fn pass_on(
-        &mut self,
-        now: clock::Moment,
-        engine: net::SocketAddr,
-        event: engine_model::EngineEvent,
-    ) -> Option<(net::SocketAddr, Vec<engine_model::EngineEvent>)> {
-        match event {
-            engine_model::EngineEvent::Pull(key, handle) => self.pull(now, engine, key, handle),
-            engine_model::EngineEvent::Exported(handle) => self.sent(now, engine, handle),
-            engine_model::EngineEvent::Prefilled(key, result) => {
-                self.ledger.note(key.request, &result);
-                let slot = self.engines.get_mut(&engine)?;
-                for waiter in slot.prefills.remove(&key).into_iter().flatten() {
-                    // Whoever asked may be gone; the result is then dropped later.
-                    let _ = waiter.send(result.clone());
-                }
-                slot.results.insert(key, result);
-                None
-            }
-            engine_model::EngineEvent::Imported(key) => {
-                let slot = self.engines.get_mut(&engine)?;
-                for waiter in slot.imports.remove(&key).into_iter().flatten() {
-                    // Whoever asked may be gone; the work is then cancelled later.
-                    let _ = waiter.send(());
-                }
-                slot.imported.insert(key);
-                None
-            }
-            engine_model::EngineEvent::Token {
-                key,
-                offset,
-                finish,
-            } => {
-                let slot = self.engines.get_mut(&engine)?;
-                slot.records.get(&key)?.note(offset, finish);
-                None
-            }
-            engine_model::EngineEvent::Dropped(key) => {
-                self.engines.get_mut(&engine)?.results.remove(&key);
-                None
-            }
-        }
-    }
-
-    fn pull(
-        &mut self,
-        now: clock::Moment,
-        engine: net::SocketAddr,
-        key: engine_model::WorkKey,
-        handle: u64,
-    ) -> Option<(net::SocketAddr, Vec<engine_model::EngineEvent>)> {
-        let (source, _) = *self.engines.get(&engine)?.sources.get(&key)?;
-        let mut events = Vec::new();
-        let exported = self
-            .engines
-            .get_mut(&source)
-            .map(|slot| slot.model.export(now, handle, &mut events));
-        if let Some(Ok(())) = exported {
-            return Some((source, events));
-        }
-        let slot = self.engines.get_mut(&engine)?;
-        slot.model.cancel(now, key, &mut events);
-        slot.forget(key);
-        Some((engine, events))
-    }
-
-    fn sent(
-        &mut self,
-        now: clock::Moment,
-        source: net::SocketAddr,
-        handle: u64,
-    ) -> Option<(net::SocketAddr, Vec<engine_model::EngineEvent>)> {
-        let (engine, key) = self.engines.iter().find_map(|(engine, slot)| {
-            slot.sources
-                .iter()
-                .find(|(_, from)| **from == (source, handle))
-                .map(|(key, _)| (*engine, *key))
-        })?;
-        let mut events = Vec::new();
-        let slot = self.engines.get_mut(&engine)?;
-        slot.model.source_sent(now, key, &mut events);
-        slot.sources.remove(&key);
-        Some((engine, events))
-    }
-}
-
 async fn drive(fleet: sync::Weak<EngineFleet>) {
     loop {
         let Some(fleet) = fleet.upgrade() else {
--- a/components/fakes/src/lib.rs
+++ b/components/fakes/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine_routes;
 mod engine_slot;
 mod engine_stand;
+mod fleet_state;
 mod list_stand;
 mod prefill_ledger;
 mod service_stand;
--- a/components/fakes/src/service_stand.rs
+++ b/components/fakes/src/service_stand.rs
@@ -20,6 +20,8 @@
     behaviour: sync::Mutex<ServiceBehaviour>,
     /// Runs of each call, by method, target and body.
     runs: sync::Mutex<BTreeMap<String, u32>>,
+    /// Trace headers of the calls.
+    traces: sync::Mutex<Vec<String>>,
 }
 
 /// A stand-in backend server on loopback that counts what it runs.
@@ -39,6 +41,7 @@
             latency,
             behaviour: sync::Mutex::default(),
             runs: sync::Mutex::default(),
+            traces: sync::Mutex::default(),
         });
         let router = axum::Router::new()
             .fallback(run)
@@ -65,6 +68,12 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Returns the trace headers of the calls, in the order of arrival.
+    #[must_use]
+    pub fn traces(&self) -> Vec<String> {
+        lock(&self.state.traces).clone()
+    }
+
     /// Ends the server at once.
     pub fn kill(&self) {
         self.server.kill();
@@ -80,9 +89,16 @@
     axum::extract::State(state): axum::extract::State<sync::Arc<ServiceState>>,
     method: http::Method,
     uri: http::Uri,
+    headers: http::HeaderMap,
     body: bytes::Bytes,
 ) -> axum::Json<u32> {
     let name = format!("{method} {uri} {}", String::from_utf8_lossy(&body));
+    if let Some(Ok(trace)) = headers
+        .get(border::TRACE_HEADER)
+        .map(|value| value.to_str())
+    {
+        lock(&state.traces).push(trace.to_owned());
+    }
     let count = {
         let mut runs = lock(&state.runs);
         let count = runs.entry(name).or_default();
