entry: tell the age of keys that say when they were made

A keyed call ended as key_uncertain until the instances had run for the whole retention. Keys of UUID version 7 tell their age, so that witnesses vouch for them after 5 s. The demo sends such keys, waits until instances can vouch, repeats a keyed call whose outcome is unknown, and can restart every instance in turn.

--- a/components/demo/src/balancer.rs
+++ b/components/demo/src/balancer.rs
@@ -21,12 +21,21 @@
 }
 
 impl Balancer {
-    pub(crate) const fn new(targets: Vec<Target>) -> Self {
+    pub(crate) const fn new() -> Self {
         Self {
-            targets: sync::RwLock::new(targets),
+            targets: sync::RwLock::new(Vec::new()),
         }
     }
 
+    /// Sends to one more instance.
+    pub(crate) fn add(&self, target: Target) {
+        let mut targets = self
+            .targets
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        targets.push(target);
+    }
+
     /// Stops sending to an instance.
     pub(crate) fn remove(&self, place: usize) {
         let mut targets = self
--- a/components/demo/src/call_client.rs
+++ b/components/demo/src/call_client.rs
@@ -1,6 +1,6 @@
 //! Sends planned calls.
 
-use std::sync;
+use std::{sync, time};
 
 use crate::{balancer, request_result};
 
@@ -11,17 +11,30 @@
     pub(crate) number: usize,
     /// Whether the call may run more than once.
     pub(crate) idempotent: bool,
-    /// Whether the caller sends an idempotency key.
-    pub(crate) keyed: bool,
+    /// Idempotency key that the caller sends.
+    pub(crate) key: Option<String>,
 }
 
+/// Makes a key of UUID version 7, which tells when it was made.
+pub(crate) fn new_key(number: usize) -> String {
+    let since_epoch = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    let millis = since_epoch.as_millis() & 0xffff_ffff_ffff;
+    let (upper, lower) = (millis >> 16, millis & 0xffff);
+    format!("{upper:08x}-{lower:04x}-7000-8000-{number:012x}")
+}
+
+/// Wait of a caller with a key when the answer names none.
+const KEY_PAUSE_MILLIS: &str = "1000";
+
 /// Path of an order confirmation.
 pub(crate) fn confirm_target(number: usize) -> String {
     format!("/orders/confirm/{number}")
 }
 
 impl CallClient {
-    /// Sends the call, again only where it provably didn't run or may run twice.
+    /// Sends the call, again only where it provably didn't run, may run twice or has a key.
     pub(crate) async fn run(self) -> request_result::RequestResult {
         let mut last = self.result(request_result::ResultKind::NotRun, None);
         for target in self.balancer.tries(self.number) {
@@ -29,16 +42,25 @@
                 continue;
             };
             let sent = self.caller.send(target.address, self.request(), "").await;
-            let pause = match &sent {
+            let mut pause = match &sent {
                 Ok(answer) => answer.header("retry-after-ms").to_owned(),
                 Err(_) => String::new(),
             };
             last = self.result(kind_of(&sent), Some(target.place));
             last.code = sent.ok().and_then(|answer| fakes::error_code(&answer.body));
-            let may_repeat = self.idempotent || last.kind == request_result::ResultKind::NotRun;
-            if last.kind == request_result::ResultKind::Answered || !may_repeat {
+            let may_repeat = match last.kind {
+                request_result::ResultKind::Answered | request_result::ResultKind::RanBefore => {
+                    false
+                }
+                request_result::ResultKind::NotRun => true,
+                _ => self.idempotent || self.key.is_some(),
+            };
+            if !may_repeat {
                 return last;
             }
+            if pause.is_empty() && last.kind == request_result::ResultKind::Unknown {
+                pause = KEY_PAUSE_MILLIS.to_owned();
+            }
             balancer::pause(&pause).await;
         }
         last
@@ -49,10 +71,10 @@
             return http::Request::get(format!("/orders/item/{}", self.number));
         }
         let request = http::Request::post(confirm_target(self.number));
-        if self.keyed {
-            return request.header("idempotency-key", format!("order-{}", self.number));
+        match &self.key {
+            Some(key) => request.header("idempotency-key", key),
+            None => request,
         }
-        request
     }
 
     const fn result(
@@ -74,6 +96,9 @@
             Some(border::Outcome::Ran) if answer.status.is_success() => {
                 request_result::ResultKind::Answered
             }
+            Some(border::Outcome::Ran) if answer.status == http::StatusCode::CONFLICT => {
+                request_result::ResultKind::RanBefore
+            }
             Some(border::Outcome::NotRun) => request_result::ResultKind::NotRun,
             _ => request_result::ResultKind::Unknown,
         },
--- a/components/demo/src/demo_options.rs
+++ b/components/demo/src/demo_options.rs
@@ -2,6 +2,18 @@
 
 use std::time;
 
+/// What happens to the site while requests arrive.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ScriptKind {
+    /// A release note is published.
+    Calm,
+    /// An instance and an engine are killed, a note is published and an instance is drained.
+    #[default]
+    Faults,
+    /// A note is published and every instance is drained and replaced, one after the other.
+    RollingRestart,
+}
+
 /// What the demo does.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct DemoOptions {
@@ -17,7 +29,7 @@
     /// Time over which they arrive.
     #[builder(default = time::Duration::from_secs(12))]
     pub span: time::Duration,
-    /// Whether an instance and an engine are killed.
-    #[builder(default = true)]
-    pub faults: bool,
+    /// What happens to the site meanwhile.
+    #[builder(default)]
+    pub script: ScriptKind,
 }
--- a/components/demo/src/demo_report.rs
+++ b/components/demo/src/demo_report.rs
@@ -19,6 +19,8 @@
     pub cancelled: usize,
     /// Requests and calls that the router refused in the end.
     pub not_run: usize,
+    /// Keyed calls that an earlier try had run.
+    pub ran_before: usize,
     /// Requests and calls whose outcome the router couldn't tell.
     pub unknown: usize,
     /// Requests and calls whose connection broke.
--- a/components/demo/src/demo_run.rs
+++ b/components/demo/src/demo_run.rs
@@ -94,7 +94,7 @@
         balancer,
         number,
         idempotent,
-        keyed,
+        key: keyed.then(|| call_client::new_key(number)),
     };
     client.run().await
 }
--- a/components/demo/src/demo_site.rs
+++ b/components/demo/src/demo_site.rs
@@ -10,8 +10,11 @@
 /// Time between two looks at something that is waited for.
 pub(crate) const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
-/// Time for which the demo's instances remember keys; before it they can't vouch for any.
-const KEY_RETENTION: time::Duration = time::Duration::from_secs(2);
+/// Time after which the balancer notices that an instance isn't ready any more.
+const NOTICE_DELAY: time::Duration = time::Duration::from_millis(500);
+
+/// Time after which an instance can vouch for a key that has just been made.
+const KEY_SETTLE: time::Duration = time::Duration::from_millis(5_500);
 
 /// The instances and stand-ins of the demo.
 pub(crate) struct DemoSite {
@@ -19,6 +22,8 @@
     pub(crate) balancer: sync::Arc<balancer::Balancer>,
     /// Instances by place; `None` once one has ended.
     pub(crate) instances: Vec<Option<daemon::DaemonHandle>>,
+    /// Entries in the platform's list, by place.
+    entries: Vec<border::InstanceEntry>,
 }
 
 impl DemoSite {
@@ -31,34 +36,83 @@
             .decode_engines(3)
             .order_servers(2)
             .build();
-        let stands = fakes::SiteStand::start(figures).await?;
-        let mut instances = Vec::new();
-        let mut entries = Vec::new();
+        let mut site = Self {
+            stands: fakes::SiteStand::start(figures).await?,
+            balancer: sync::Arc::new(balancer::Balancer::new()),
+            instances: Vec::new(),
+            entries: Vec::new(),
+        };
         let mut targets = Vec::new();
-        for id in 1..=options.instances {
-            let daemon_options = daemon::DaemonOptions::builder()
-                .seed(options.seed + id)
-                .key_retention(KEY_RETENTION)
-                .build();
-            let instance = daemon::Daemon::start(stands.settings(id), &daemon_options)?;
-            entries.push(stands.instance(id, instance.peers()));
-            targets.push(balancer::Target {
-                place: instances.len(),
-                address: instance.callers(),
-            });
-            instances.push(Some(instance));
+        for _ in 0..options.instances {
+            targets.push(site.add_instance(options)?);
         }
-        stands.list.set(entries);
-        let site = Self {
-            stands,
-            balancer: sync::Arc::new(balancer::Balancer::new(targets)),
-            instances,
-        };
         site.wait_ready().await?;
-        tokio::time::sleep(KEY_RETENTION).await;
+        tokio::time::sleep(KEY_SETTLE).await;
+        targets
+            .into_iter()
+            .for_each(|target| site.balancer.add(target));
         Ok(site)
     }
 
+    /// Starts one more instance and waits until it is ready.
+    pub(crate) async fn start_instance(
+        &mut self,
+        options: &demo_options::DemoOptions,
+    ) -> Result<(), demo_error::DemoError> {
+        let target = self.add_instance(options)?;
+        self.wait_ready().await?;
+        tokio::time::sleep(KEY_SETTLE).await;
+        self.balancer.add(target);
+        Ok(())
+    }
+
+    /// Drains the instance at a place; returns whether it finished all that was in flight.
+    pub(crate) async fn drain(&mut self, place: usize) -> bool {
+        let Some(instance) = self.instances.get_mut(place).and_then(Option::take) else {
+            return true;
+        };
+        if let Some(entry) = self.entries.get_mut(place) {
+            entry.leaving = true;
+        }
+        self.stands.list.set(self.entries.clone());
+        let draining = instance.drain();
+        let balancer = sync::Arc::clone(&self.balancer);
+        let noticing = async {
+            // The balancer looks whether instances are ready now and then.
+            tokio::time::sleep(NOTICE_DELAY).await;
+            balancer.remove(place);
+        };
+        let (drained, ()) = tokio::join!(draining, noticing);
+        drained
+    }
+
+    /// Takes the instance at a place from the platform's list.
+    pub(crate) fn unlist(&mut self, place: usize) {
+        let Some(own) = self.entries.get(place).map(|entry| entry.id) else {
+            return;
+        };
+        let entries = self.entries.iter().filter(|entry| entry.id != own);
+        self.stands.list.set(entries.cloned().collect());
+    }
+
+    fn add_instance(
+        &mut self,
+        options: &demo_options::DemoOptions,
+    ) -> Result<balancer::Target, demo_error::DemoError> {
+        let place = self.instances.len();
+        let id = u64::try_from(place).unwrap_or(u64::MAX).saturating_add(1);
+        let daemon_options = daemon::DaemonOptions::builder()
+            .seed(options.seed + id)
+            .build();
+        let instance = daemon::Daemon::start(self.stands.settings(id), &daemon_options)?;
+        self.entries
+            .push(self.stands.instance(id, instance.peers()));
+        self.stands.list.set(self.entries.clone());
+        let address = instance.callers();
+        self.instances.push(Some(instance));
+        Ok(balancer::Target { place, address })
+    }
+
     /// Returns the instances that run.
     pub(crate) fn running(&self) -> impl Iterator<Item = &daemon::DaemonHandle> {
         self.instances.iter().flatten()
@@ -71,9 +125,9 @@
     }
 
     async fn wait_ready(&self) -> Result<(), demo_error::DemoError> {
-        let everybody = self.instances.len();
+        let everybody = self.running().count();
         let sees_all = |instance: &daemon::DaemonHandle| {
-            instance.is_ready() && instance.snapshot().view.usable().count() == everybody
+            instance.is_ready() && instance.snapshot().view.usable().count() >= everybody
         };
         let is_ready = wait_for(READY_TIMEOUT, || self.running().all(sees_all)).await;
         if is_ready {
--- a/components/demo/src/fault_script.rs
+++ b/components/demo/src/fault_script.rs
@@ -34,23 +34,45 @@
         drained: true,
         ..ScriptResult::default()
     };
-    if options.faults {
-        wait_share(begin, options.span, 3).await;
-        kill_instance(site);
-        result.killed_at = Some(begin.elapsed());
-        wait_share(begin, options.span, 5).await;
-        kill_engine(site);
-    }
-    wait_share(begin, options.span, 7).await;
-    result.note_time = publish(site).await;
-    if options.faults {
-        wait_share(begin, options.span, 8).await;
-        result.drained = drain_instance(site).await;
+    match options.script {
+        demo_options::ScriptKind::Calm => {
+            wait_share(begin, options.span, 5).await;
+            result.note_time = publish(site).await;
+        }
+        demo_options::ScriptKind::Faults => {
+            wait_share(begin, options.span, 3).await;
+            kill_instance(site);
+            result.killed_at = Some(begin.elapsed());
+            wait_share(begin, options.span, 5).await;
+            site.unlist(KILLED_INSTANCE);
+            kill_engine(site);
+            wait_share(begin, options.span, 7).await;
+            result.note_time = publish(site).await;
+            wait_share(begin, options.span, 8).await;
+            result.drained = site.drain(DRAINED_INSTANCE).await;
+        }
+        demo_options::ScriptKind::RollingRestart => {
+            wait_share(begin, options.span, 1).await;
+            result.note_time = publish(site).await;
+            result.drained = restart_all(site, options).await;
+        }
     }
     wait_share(begin, options.span, 10).await;
     result
 }
 
+/// Replaces every instance by a new one; returns whether all drains finished what was in flight.
+async fn restart_all(site: &mut demo_site::DemoSite, options: &demo_options::DemoOptions) -> bool {
+    let mut drained = true;
+    for place in 0..site.instances.len() {
+        // An instance that can't be started shows as one too few.
+        let started = site.start_instance(options).await;
+        drained &= started.is_ok();
+        drained &= site.drain(place).await;
+    }
+    drained
+}
+
 /// Waits until so many tenths of the span have passed.
 async fn wait_share(begin: time::Instant, span: time::Duration, tenths: u32) {
     let until = begin + span * tenths / 10;
@@ -101,16 +123,3 @@
     let in_force = demo_site::wait_for(limit, || site.has_in_force(revision)).await;
     in_force.then(|| begin.elapsed())
 }
-
-async fn drain_instance(site: &mut demo_site::DemoSite) -> bool {
-    let Some(instance) = site
-        .instances
-        .get_mut(DRAINED_INSTANCE)
-        .and_then(Option::take)
-    else {
-        return true;
-    };
-    let drained = instance.drain().await;
-    site.balancer.remove(DRAINED_INSTANCE);
-    drained
-}
--- a/components/demo/src/lib.rs
+++ b/components/demo/src/lib.rs
@@ -20,7 +20,7 @@
 mod tally;
 
 pub use demo_error::DemoError;
-pub use demo_options::DemoOptions;
+pub use demo_options::{DemoOptions, ScriptKind};
 pub use demo_report::DemoReport;
 pub use demo_run::run;
 pub use report_table::report_table;
--- a/components/demo/src/request_result.rs
+++ b/components/demo/src/request_result.rs
@@ -14,6 +14,8 @@
     Cancelled,
     /// The router said that the request wasn't run.
     NotRun,
+    /// The router said that an earlier try under the same key ran.
+    RanBefore,
     /// The router said that the outcome is unknown, or that the answer broke off.
     Unknown,
     /// The connection broke without a word.
--- a/components/demo/src/tally.rs
+++ b/components/demo/src/tally.rs
@@ -37,6 +37,7 @@
             in_time: self.in_time(),
             cancelled: self.count(request_result::ResultKind::Cancelled),
             not_run: self.count(request_result::ResultKind::NotRun),
+            ran_before: self.count(request_result::ResultKind::RanBefore),
             unknown: self.count(request_result::ResultKind::Unknown),
             connection_lost: self.count(request_result::ResultKind::ConnectionLost),
             errors: self.errors(),
--- a/components/entry/src/call_handler.rs
+++ b/components/entry/src/call_handler.rs
@@ -1,6 +1,6 @@
 //! Calls to plain services.
 
-use std::sync;
+use std::{sync, time};
 
 use tracing::field;
 
@@ -85,6 +85,7 @@
         .service(route.service.clone())
         .idempotent(route.idempotent)
         .maybe_key(key)
+        .maybe_key_age(key_age(&parts.headers, context.clock.wall_millis()))
         .fingerprint(fingerprint(&parts.method, target, &held.bytes))
         .priority(route.priority)
         .time_left(route.timeout)
@@ -167,6 +168,12 @@
     Some(call::ClaimKey(hash_parts(&parts)))
 }
 
+/// Returns the age of a key that tells when it was made.
+fn key_age(headers: &http::HeaderMap, wall_millis: u64) -> Option<time::Duration> {
+    let key = headers.get(crate::KEY_HEADER)?.to_str().ok()?;
+    call::key_age(key, wall_millis)
+}
+
 fn fingerprint(method: &http::Method, target: &str, body: &[u8]) -> u128 {
     hash_parts(&[method.as_str().as_bytes(), target.as_bytes(), body])
 }
