Measure placement over engine models under virtual time

The study drives whole control cores, with membership, notes and messages, and one timing model for each engine; callers arrive as a Poisson stream.

The first run hung: a waiting ask's next try was computed from durations that are cut to microseconds and could lie a microsecond in the past, so the owner woke for ever at one moment. A try now comes at least 1 ms after the last one.

--- a/components/place/src/cell_planner.rs
+++ b/components/place/src/cell_planner.rs
@@ -17,6 +17,9 @@
 /// Cost of a prompt token against an output token, for the shares of workspaces.
 const PROMPT_TOKEN_COST: f64 = 0.02;
 
+/// Shortest time between two tries of an ask when nothing has changed.
+const TRY_INTERVAL: time::Duration = time::Duration::from_millis(1);
+
 /// Asks tried in one go, so that one that can't go now holds back few behind it.
 const TRY_LIMIT: usize = 4;
 
@@ -145,6 +148,7 @@
                     self.refuse_waiting(work, reason, outputs);
                 }
                 policy_choice::PolicyChoice::Wait(until) => {
+                    let until = until.max(now + TRY_INTERVAL);
                     self.next_try = self.next_try.min(until);
                     skipped += 1;
                 }
--- /dev/null
+++ b/examples/placement_study.rs
@@ -0,0 +1,5 @@
+//! Measures the placement policies; see `docs/measurements/placement.md`.
+
+fn main() {
+    study::run();
+}
