member: let probes overlap and give far members time to answer

At 380 instances over seven regions an instance changed its view twice a second (32,733 changes in 42 s in all): an indirect probe across regions takes up to 0.7 s, but the probe ended after 0.5 s, so every lost message raised a suspicion. Probes now overlap, with times by region; instances that start ask those not heard yet. Hearing a process for the first time no longer counts as news.

--- a/components/member/src/member_table.rs
+++ b/components/member/src/member_table.rs
@@ -15,9 +15,6 @@
 /// Time between two probes of one random member each.
 pub const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Time after which other members are asked to probe a silent one.
-pub(crate) const DIRECT_WAIT: time::Duration = time::Duration::from_millis(200);
-
 /// Members asked to probe a silent one.
 pub(crate) const INDIRECT_PROBES: usize = 3;
 
@@ -36,6 +33,9 @@
 /// Instances whose entries the platform's list may carry in a second of reading.
 const LISTED_PER_SECOND: u64 = 20;
 
+/// Time between two views that differ only in processes heard for the first time.
+const LEARNED_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
 /// Time without any input after which the view counts as out of date.
 pub const PAUSE_LIMIT: time::Duration = time::Duration::from_secs(2);
 
@@ -51,8 +51,9 @@
     view: sync::Arc<member_view::MemberView>,
     /// Whether the view has changed in what others act on.
     pub(crate) changed: bool,
-    /// Whether processes were heard for the first time, which can wait for the next probe.
+    /// Whether processes were heard for the first time, which others needn't know at once.
     pub(crate) learned: bool,
+    next_learned: clock::Moment,
     listed: bool,
     pub(crate) sequence: u64,
     last_input: clock::Moment,
@@ -83,6 +84,7 @@
             view: sync::Arc::new(view),
             changed: false,
             learned: false,
+            next_learned: clock::Moment::default(),
             listed: false,
             sequence: 0,
             last_input: clock::Moment::default(),
@@ -101,9 +103,9 @@
     /// Returns when the table wants to be woken.
     #[must_use]
     pub fn next_wake(&self) -> clock::Moment {
-        let indirect = self.round.open.and_then(|open| open.indirect_at);
+        let probe = self.round.next_wake();
         let refresh = self.refresh.as_ref().map(view_refresh::ViewRefresh::ask_at);
-        [indirect, refresh]
+        [probe, refresh]
             .into_iter()
             .flatten()
             .fold(self.next_list.min(self.next_probe), Ord::min)
@@ -141,6 +143,7 @@
 
     pub(crate) fn begin_refresh(&mut self, now: clock::Moment) {
         self.refresh = Some(view_refresh::ViewRefresh::default());
+        self.round.forget();
         self.next_list = now;
         self.changed = true;
     }
@@ -203,10 +206,14 @@
             outputs.push(output::Output::ReadList);
         }
         self.probe_indirectly(now, outputs);
+        self.end_probes(now);
         if now >= self.next_probe {
             self.next_probe = now + PROBE_INTERVAL;
-            self.changed |= std::mem::take(&mut self.learned);
-            self.end_probe(now);
+            if self.learned && now >= self.next_learned {
+                self.next_learned = now + LEARNED_INTERVAL;
+                self.learned = false;
+                self.changed = true;
+            }
             self.bury_suspects(now, outputs);
             self.begin_probe(now, outputs);
         }
@@ -214,10 +221,10 @@
     }
 
     fn run_refresh(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
-        let expected = self.expected_peers();
         let Some(mut refresh) = self.refresh.take() else {
             return;
         };
+        let expected = self.expected_peers();
         let alive = expected.iter().filter(|peer| self.is_alive(**peer)).count();
         let wanted = alive.max(usize::from(!expected.is_empty()));
         if refresh.is_done(wanted) {
--- a/components/member/src/probe_round.rs
+++ b/components/member/src/probe_round.rs
@@ -1,4 +1,6 @@
-//! The order in which members are probed, and the probe in flight.
+//! The order in which members are probed, and the probes in flight.
+
+use std::time;
 
 use rand::seq::SliceRandom as _;
 
@@ -8,20 +10,43 @@
     pub(crate) target: ids::InstanceId,
     /// When others are asked to probe the target; `None` once they were.
     pub(crate) indirect_at: Option<clock::Moment>,
+    /// When the target becomes a suspect.
+    pub(crate) deadline: clock::Moment,
 }
 
-/// The order in which members are probed, and the probe in flight.
+/// Times that a probe may take, by where its target stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ProbeTimes {
+    /// Time after which others are asked.
+    pub(crate) direct: time::Duration,
+    /// Time after which the target becomes a suspect.
+    pub(crate) total: time::Duration,
+}
+
+/// Times for a target in the own region.
+pub(crate) const NEAR_TIMES: ProbeTimes = ProbeTimes {
+    direct: time::Duration::from_millis(150),
+    total: time::Duration::from_millis(500),
+};
+
+/// Times for a target in another region.
+pub(crate) const FAR_TIMES: ProbeTimes = ProbeTimes {
+    direct: time::Duration::from_millis(400),
+    total: time::Duration::from_millis(1_500),
+};
+
+/// The order in which members are probed, and the probes in flight.
 ///
 /// Each pass over the members is in a new random order, so every member is probed within two
 /// passes whatever the draws.
 #[derive(Debug, Default)]
 pub(crate) struct ProbeRound {
-    pub(crate) open: Option<OpenProbe>,
+    open: Vec<OpenProbe>,
     order: Vec<ids::InstanceId>,
 }
 
 impl ProbeRound {
-    /// Returns the next member to probe among `members`.
+    /// Returns the next member to probe among `members`, which are in order.
     pub(crate) fn next(
         &mut self,
         members: &[ids::InstanceId],
@@ -37,10 +62,50 @@
         self.order.pop()
     }
 
-    /// Closes the open probe when `from` acknowledges it.
+    /// Opens a probe.
+    pub(crate) fn open(&mut self, now: clock::Moment, target: ids::InstanceId, times: ProbeTimes) {
+        self.acknowledge(target);
+        self.open.push(OpenProbe {
+            target,
+            indirect_at: Some(now + times.direct),
+            deadline: now + times.total,
+        });
+    }
+
+    /// Closes the probe that `from` acknowledges.
     pub(crate) fn acknowledge(&mut self, from: ids::InstanceId) {
-        if self.open.is_some_and(|open| open.target == from) {
-            self.open = None;
-        }
+        self.open.retain(|probe| probe.target != from);
+    }
+
+    /// Forgets the open probes, which a pause has made void.
+    pub(crate) fn forget(&mut self) {
+        self.open.clear();
+    }
+
+    /// Returns the targets that others are to be asked to probe now.
+    pub(crate) fn take_indirect(&mut self, now: clock::Moment) -> Vec<ids::InstanceId> {
+        let due = self
+            .open
+            .iter_mut()
+            .filter(|probe| probe.indirect_at.is_some_and(|at| now >= at));
+        due.map(|probe| {
+            probe.indirect_at = None;
+            probe.target
+        })
+        .collect()
+    }
+
+    /// Closes and returns the targets that nobody has heard in time.
+    pub(crate) fn take_silent(&mut self, now: clock::Moment) -> Vec<ids::InstanceId> {
+        let silent = self.open.extract_if(.., |probe| now >= probe.deadline);
+        silent.map(|probe| probe.target).collect()
+    }
+
+    /// Returns when a probe has to be looked at.
+    pub(crate) fn next_wake(&self) -> Option<clock::Moment> {
+        self.open
+            .iter()
+            .map(|probe| probe.indirect_at.unwrap_or(probe.deadline))
+            .min()
     }
 }
--- a/components/member/src/table_news.rs
+++ b/components/member/src/table_news.rs
@@ -101,10 +101,13 @@
             record.suspect_until = Some(now + member_table::suspect_time(members));
         }
         let after = (record.incarnation, record.state());
-        self.news.push(news.instance, members);
         let first = before.0 == ids::Incarnation(0) && before.1 == after.1;
-        self.learned |= first;
-        if joined || (before != after && !first) {
+        if first && !joined {
+            self.learned = true;
+            return;
+        }
+        self.news.push(news.instance, members);
+        if joined || before != after {
             self.changed = true;
             self.spread_if_urgent(news.instance, outputs);
         }
--- a/components/member/src/table_probes.rs
+++ b/components/member/src/table_probes.rs
@@ -14,42 +14,43 @@
         let Some(target) = self.round.next(&members, &mut self.random) else {
             return;
         };
+        let near = self
+            .records
+            .get(&target)
+            .is_some_and(|record| record.instance.region == self.own.instance.region);
+        let times = if near {
+            probe_round::NEAR_TIMES
+        } else {
+            probe_round::FAR_TIMES
+        };
+        self.round.open(now, target, times);
         self.probe(target, outputs);
-        self.round.open = Some(probe_round::OpenProbe {
-            target,
-            indirect_at: Some(now + member_table::DIRECT_WAIT),
-        });
     }
 
-    /// Asks others to probe a member that hasn't acknowledged a direct probe.
+    /// Asks others to probe members that haven't acknowledged a direct probe.
     pub(crate) fn probe_indirectly(
         &mut self,
         now: clock::Moment,
         outputs: &mut Vec<output::Output>,
     ) {
-        let Some(open) = self.round.open else {
-            return;
-        };
-        if open.indirect_at.is_none_or(|at| now < at) {
-            return;
+        for target in self.round.take_indirect(now) {
+            for helper in self.sample_alive(member_table::INDIRECT_PROBES, target) {
+                let ask = message::Message::ProbeFor(target);
+                outputs.push(output::Output::Send(helper, ask));
+            }
         }
-        self.round.open = Some(probe_round::OpenProbe {
-            indirect_at: None,
-            ..open
-        });
-        for helper in self.sample_alive(member_table::INDIRECT_PROBES, open.target) {
-            let ask = message::Message::ProbeFor(open.target);
-            outputs.push(output::Output::Send(helper, ask));
+    }
+
+    /// Suspects the members whose probe nobody has acknowledged.
+    pub(crate) fn end_probes(&mut self, now: clock::Moment) {
+        for target in self.round.take_silent(now) {
+            self.suspect(now, target);
         }
     }
 
-    /// Suspects the member whose probe nobody has acknowledged.
-    pub(crate) fn end_probe(&mut self, now: clock::Moment) {
-        let Some(open) = self.round.open.take() else {
-            return;
-        };
+    fn suspect(&mut self, now: clock::Moment, target: ids::InstanceId) {
         let members = self.records.len();
-        let Some(record) = self.records.get_mut(&open.target) else {
+        let Some(record) = self.records.get_mut(&target) else {
             return;
         };
         if record.health != member_state::MemberState::Alive {
@@ -57,7 +58,7 @@
         }
         record.health = member_state::MemberState::Suspect;
         record.suspect_until = Some(now + member_table::suspect_time(members));
-        self.news.push(open.target, members);
+        self.news.push(target, members);
         self.changed = true;
     }
 
--- a/components/spread/src/note_spreader.rs
+++ b/components/spread/src/note_spreader.rs
@@ -5,7 +5,7 @@
     sync, time,
 };
 
-use rand::{RngExt as _, SeedableRng as _};
+use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 
 use crate::{
     input, message, note_log, output, peer_chooser, reader_rule, readiness, service_reader,
@@ -221,13 +221,15 @@
 
     /// Compares summaries with a peer, or with a few as long as this instance isn't ready.
     fn compare(&mut self, outputs: &mut Vec<output::Output>) {
-        let targets = if self.gate.is_open() {
-            let target = self.chooser.compare_target(&mut self.random);
-            target.into_iter().collect()
-        } else {
-            self.chooser
-                .push_targets(START_COMPARISONS, &mut self.random)
-        };
+        let mut targets: Vec<_> = self
+            .chooser
+            .compare_target(&mut self.random)
+            .into_iter()
+            .collect();
+        if !self.gate.is_open() {
+            let unheard = self.gate.unheard();
+            targets.extend(unheard.sample(&mut self.random, START_COMPARISONS));
+        }
         for target in targets {
             let ask = message::Message::Ask(self.standing());
             outputs.push(output::Output::Send(target, ask));
--- a/components/spread/src/start_gate.rs
+++ b/components/spread/src/start_gate.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Returns the instances that haven't been heard, in order of their ids.
+    pub(crate) fn unheard(&self) -> Vec<ids::InstanceId> {
+        let expected = self.expected.iter().copied();
+        expected
+            .filter(|peer| !self.heard.contains_key(peer))
+            .collect()
+    }
+
     /// Returns whether the gate has opened; it never closes again.
     pub(crate) const fn is_open(&self) -> bool {
         self.open
