--- /dev/null
+++ b/components/note/src/check_text.rs
@@ -0,0 +1,54 @@
+//! Checks the text of a note as an operator does before publishing it.
+
+use crate::{note_check, note_error, note_report, refusal_reason, release_note, state_in_force};
+
+/// Reads and validates the text of a note named `name`, to follow the state `base`.
+///
+/// Without a state, an incremental note is checked only as far as it goes by itself; a base note
+/// is always checked whole, unless it is one part of several.
+///
+/// # Errors
+///
+/// Returns every fault with its line, column and fix.
+pub fn check(
+    name: &str,
+    text: &str,
+    base: Option<&state_in_force::StateInForce>,
+) -> Result<release_note::ReleaseNote, note_report::NoteReport> {
+    let note = read(name, text)?;
+    let alone = note.part.is_some() || (base.is_none() && !note.base);
+    let faults = if alone {
+        note_check::shape_faults(&note)
+    } else {
+        note_check::faults(
+            base.unwrap_or(&state_in_force::StateInForce::default()),
+            &note,
+        )
+    };
+    if faults.is_empty() {
+        return Ok(note);
+    }
+    Err(note_report::NoteReport::new(name, text, faults))
+}
+
+fn read(name: &str, text: &str) -> Result<release_note::ReleaseNote, note_report::NoteReport> {
+    if text.len() > crate::NOTE_LIMIT_BYTES {
+        let reason = note_error::NoteError::TooLarge { bytes: text.len() }.into_refusal();
+        return Err(note_report::NoteReport::unreadable(
+            name, text, reason, None,
+        ));
+    }
+    serde_saphyr::from_str(text).map_err(|error| {
+        let place = error.location();
+        let reason = refusal_reason::RefusalReason::Unreadable {
+            detail: error.without_snippet().to_string(),
+        };
+        note_report::NoteReport::unreadable(name, text, reason, place)
+    })
+}
+
+/// Returns the JSON Schema of release notes.
+#[must_use]
+pub fn schema() -> schemars::Schema {
+    schemars::schema_for!(release_note::ReleaseNote)
+}
--- a/components/note/src/lib.rs
+++ b/components/note/src/lib.rs
@@ -1,6 +1,7 @@
 //! Release notes: their format, their validation and the state they fold into.
 
 mod call_class;
+mod check_text;
 mod class_target;
 mod engine_entry;
 mod engine_role;
@@ -18,6 +19,7 @@
 mod note_fault;
 mod note_names;
 mod note_part;
+mod note_report;
 mod note_section;
 mod part_buffer;
 mod range_check;
@@ -31,8 +33,10 @@
 mod state_cut;
 mod state_in_force;
 mod workspace_entry;
+mod yaml_places;
 
 pub use call_class::CallClass;
+pub use check_text::{check, schema};
 pub use class_target::ClassTarget;
 pub use engine_entry::EngineEntry;
 pub use engine_role::EngineRole;
@@ -50,6 +54,7 @@
 pub use note_fault::NoteFault;
 pub use note_names::NoteNames;
 pub use note_part::NotePart;
+pub use note_report::{NoteReport, PlacedFault};
 pub use note_section::NoteSection;
 pub use part_buffer::PartBuffer;
 pub use refusal_reason::RefusalReason;
--- a/components/note/src/note_check.rs
+++ b/components/note/src/note_check.rs
@@ -14,6 +14,9 @@
     note: &release_note::ReleaseNote,
 ) -> Vec<note_fault::NoteFault> {
     let mut faults = shape_faults(note);
+    if note.part.is_some() {
+        return faults;
+    }
     if note.base {
         let empty = state_in_force::StateInForce::default();
         faults.extend(content_faults(&empty, note));
--- a/components/note/src/reference_check.rs
+++ b/components/note/src/reference_check.rs
@@ -52,6 +52,7 @@
                 "service",
             );
             self.service(&place, &server.service);
+            self.server_name(section, entry_kind::EntryKind::Servers, &server.name);
         }
         for class in &entries.classes {
             let kind = entry_kind::EntryKind::Classes;
@@ -90,7 +91,8 @@
         kind: entry_kind::EntryKind,
         name: &ids::ServerName,
     ) {
-        if !self.after.servers.contains_key(name) {
+        let twice = self.after.servers.contains_key(name) && self.after.engines.contains_key(name);
+        if !twice {
             return;
         }
         let place = fault_place::FaultPlace {
--- /dev/null
+++ b/components/note/src/yaml_places.rs
@@ -0,0 +1,157 @@
+//! Finds where in a YAML text the value of a key stands.
+
+use std::fmt;
+
+use crate::fault_place;
+
+/// A YAML value with the places of everything in it.
+#[derive(Debug)]
+enum YamlTree {
+    Scalar(String),
+    List(Vec<serde_saphyr::Spanned<YamlTree>>),
+    Map(
+        Vec<(
+            serde_saphyr::Spanned<String>,
+            serde_saphyr::Spanned<YamlTree>,
+        )>,
+    ),
+}
+
+impl YamlTree {
+    fn get(&self, key: &str) -> Option<&serde_saphyr::Spanned<Self>> {
+        let Self::Map(pairs) = self else {
+            return None;
+        };
+        pairs
+            .iter()
+            .find(|(name, _)| name.value == key)
+            .map(|(_, value)| value)
+    }
+
+    fn items(&self) -> &[serde_saphyr::Spanned<Self>] {
+        match self {
+            Self::List(items) => items,
+            _ => &[],
+        }
+    }
+
+    /// Returns whether this is the entry `name`, or the name itself.
+    fn is_named(&self, name: &str) -> bool {
+        match self {
+            Self::Scalar(text) => text == name,
+            Self::Map(_) => self
+                .get("name")
+                .is_some_and(|value| value.value.is_named(name)),
+            Self::List(_) => false,
+        }
+    }
+
+    /// Returns the value of a field of this entry, at any depth.
+    fn field(&self, field: &str) -> Option<&serde_saphyr::Spanned<Self>> {
+        let Self::Map(pairs) = self else {
+            return None;
+        };
+        self.get(field)
+            .or_else(|| pairs.iter().find_map(|(_, value)| value.value.field(field)))
+    }
+}
+
+impl<'de> serde::Deserialize<'de> for YamlTree {
+    fn deserialize<Source: serde::Deserializer<'de>>(
+        deserializer: Source,
+    ) -> Result<Self, Source::Error> {
+        deserializer.deserialize_any(TreeVisitor)
+    }
+}
+
+struct TreeVisitor;
+
+impl<'de> serde::de::Visitor<'de> for TreeVisitor {
+    type Value = YamlTree;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("any YAML value")
+    }
+
+    fn visit_str<Fault: serde::de::Error>(self, text: &str) -> Result<YamlTree, Fault> {
+        Ok(YamlTree::Scalar(text.to_owned()))
+    }
+
+    fn visit_bool<Fault: serde::de::Error>(self, value: bool) -> Result<YamlTree, Fault> {
+        Ok(YamlTree::Scalar(value.to_string()))
+    }
+
+    fn visit_u64<Fault: serde::de::Error>(self, value: u64) -> Result<YamlTree, Fault> {
+        Ok(YamlTree::Scalar(value.to_string()))
+    }
+
+    fn visit_i64<Fault: serde::de::Error>(self, value: i64) -> Result<YamlTree, Fault> {
+        Ok(YamlTree::Scalar(value.to_string()))
+    }
+
+    fn visit_f64<Fault: serde::de::Error>(self, value: f64) -> Result<YamlTree, Fault> {
+        Ok(YamlTree::Scalar(value.to_string()))
+    }
+
+    fn visit_unit<Fault: serde::de::Error>(self) -> Result<YamlTree, Fault> {
+        Ok(YamlTree::Scalar(String::new()))
+    }
+
+    fn visit_seq<Items: serde::de::SeqAccess<'de>>(
+        self,
+        mut items: Items,
+    ) -> Result<YamlTree, Items::Error> {
+        let mut list = Vec::new();
+        while let Some(item) = items.next_element()? {
+            list.push(item);
+        }
+        Ok(YamlTree::List(list))
+    }
+
+    fn visit_map<Pairs: serde::de::MapAccess<'de>>(
+        self,
+        mut pairs: Pairs,
+    ) -> Result<YamlTree, Pairs::Error> {
+        let mut map = Vec::new();
+        while let Some(pair) = pairs.next_entry()? {
+            map.push(pair);
+        }
+        Ok(YamlTree::Map(map))
+    }
+}
+
+/// Finds where in a text faults are.
+pub(crate) struct YamlPlaces {
+    root: Option<YamlTree>,
+}
+
+impl YamlPlaces {
+    /// Reads a text; nothing is found in one that isn't YAML.
+    pub(crate) fn new(text: &str) -> Self {
+        Self {
+            root: serde_saphyr::from_str(text).ok(),
+        }
+    }
+
+    /// Returns where a fault is: the field, or else the entry, or else the section.
+    pub(crate) fn find(&self, place: &fault_place::FaultPlace) -> Option<serde_saphyr::Location> {
+        let section: &str = place.section.into();
+        let kind: &str = place.kind.into();
+        let list = self.root.as_ref()?.get(section)?.value.get(kind)?;
+        let entries = list.value.items().iter();
+        let Some(entry) = entries
+            .rev()
+            .find(|entry| entry.value.is_named(&place.name))
+        else {
+            return Some(list.referenced);
+        };
+        let field = place.field.and_then(|field| entry.value.field(field));
+        Some(field.unwrap_or(entry).referenced)
+    }
+
+    /// Returns where the value of a key at the top of the note is.
+    pub(crate) fn find_key(&self, key: &str) -> Option<serde_saphyr::Location> {
+        let value = self.root.as_ref()?.get(key)?;
+        Some(value.referenced)
+    }
+}
--- /dev/null
+++ b/components/note/tests/state.rs
@@ -0,0 +1,102 @@
+//! Properties of the state in force.
+
+use std::sync;
+
+use proptest::prelude::{ProptestConfig, Strategy, any, prop, proptest};
+
+fn workspace(name: u8, weight: u32) -> note::WorkspaceEntry {
+    note::WorkspaceEntry {
+        name: format!("desk-{name}").as_str().into(),
+        weight,
+        in_flight_limit: 8,
+    }
+}
+
+/// Returns the note that sets or withdraws some workspaces of `state`.
+fn note_of(state: &note::StateInForce, changes: &[(u8, Option<u32>)]) -> note::ReleaseNote {
+    let mut note = note::ReleaseNote {
+        revision: state.revision.next(),
+        ..Default::default()
+    };
+    let changes: std::collections::BTreeMap<_, _> = changes.iter().copied().collect();
+    for (name, weight) in changes {
+        let entry = workspace(name, weight.unwrap_or(1));
+        let exists = state.workspaces.contains_key(&entry.name);
+        match weight {
+            Some(_) if exists => note.changed.workspaces.push(entry),
+            Some(_) => note.added.workspaces.push(entry),
+            None if exists => note.withdrawn.workspaces.push(entry.name),
+            None => {}
+        }
+    }
+    note
+}
+
+fn changes() -> impl Strategy<Value = Vec<Vec<(u8, Option<u32>)>>> {
+    let change = (0_u8..12, any::<bool>(), 1_u32..5)
+        .prop_map(|(name, keep, weight)| (name, keep.then_some(weight)));
+    prop::collection::vec(prop::collection::vec(change, 0..5), 1..12)
+}
+
+fn state_after(history: &[Vec<(u8, Option<u32>)>]) -> note::StateInForce {
+    history
+        .iter()
+        .fold(note::StateInForce::default(), |state, changes| {
+            state.apply(&note_of(&state, changes)).expect("valid note")
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn a_state_cut_into_parts_and_joined_in_any_order_is_the_same(
+        history in changes(),
+        limit in 1_usize..400,
+        turn in 0_usize..8,
+    ) {
+        let state = state_after(&history);
+
+        let mut texts = note::cut(&state, limit).expect("texts");
+        let turn = turn % texts.len();
+        texts.rotate_left(turn);
+        let joined = note::join(&texts).expect("state");
+
+        assert_eq!(joined, state);
+        assert_eq!(joined.digest(), state.digest());
+    }
+
+    #[test]
+    fn a_digest_depends_on_the_state_and_not_on_its_history(
+        first in changes(),
+        second in changes(),
+    ) {
+        let mut first = state_after(&first);
+        let second = state_after(&second);
+        first.revision = second.revision;
+
+        assert_eq!(first.digest() == second.digest(), first == second);
+    }
+
+    #[test]
+    fn a_refused_note_leaves_the_state_as_it_was(history in changes(), name in 0_u8..12) {
+        let state = state_after(&history);
+        let digest = state.digest();
+        let mut note = note_of(&state, &[(name, Some(3))]);
+        note.withdrawn.models.push("unheard-of".into());
+
+        state.apply(&note).expect_err("refused");
+
+        assert_eq!(state.digest(), digest);
+    }
+}
+
+#[test]
+fn errors_on_a_base_with_a_part_that_is_missing() {
+    let state = state_after(&[vec![(1, Some(1)), (2, Some(1)), (3, Some(1))]]);
+    let texts: Vec<sync::Arc<str>> = note::cut(&state, 1).expect("texts");
+
+    let error = note::join(&texts[1..]).expect_err("a part is missing");
+
+    assert!(matches!(error, note::NoteError::PartsMissing));
+}
