--- a/components/logs/tests/collector.rs
+++ b/components/logs/tests/collector.rs
@@ -48,7 +48,8 @@
     let context = logs::own_trace(&span);
     drop(span);
 
+    drop(logs);
+
     assert!(context.is_some(), "the span has a context to pass on");
     watch.recv_timeout(PATIENCE).expect("the span arrives");
-    drop(logs);
 }
