--- a/components/call/src/claim_store.rs
+++ b/components/call/src/claim_store.rs
@@ -10,11 +10,24 @@
 /// Time for which expired claims may stay, so that each doesn't cost a wake.
 const EXPIRY_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// A claim with the time until which it is kept.
+/// A claim, but for its key, with the time until which it is kept.
 #[derive(Clone, Copy, Debug)]
 struct ClaimRecord {
-    claim: held_claim::HeldClaim,
+    request: ids::RequestId,
+    fingerprint: u128,
     expires: clock::Moment,
+    state: ClaimState,
+}
+
+impl ClaimRecord {
+    const fn claim(&self, key: claim_key::ClaimKey) -> held_claim::HeldClaim {
+        held_claim::HeldClaim {
+            key,
+            request: self.request,
+            fingerprint: self.fingerprint,
+            state: self.state,
+        }
+    }
 }
 
 /// The claims that one witness holds, bounded in number.
@@ -61,10 +74,9 @@
 
     /// Claims a key and returns what the store holds of it.
     pub fn claim(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> ClaimState {
-        let Some(record) = self.records.get(&claim.key) else {
+        let Some(held) = self.records.get(&claim.key) else {
             return self.claim_free(now, claim);
         };
-        let held = record.claim;
         if held.fingerprint != claim.fingerprint {
             return ClaimState::Mismatch;
         }
@@ -82,24 +94,24 @@
         request: ids::RequestId,
         state: ClaimState,
     ) {
-        let Some(record) = self.records.get(&key) else {
+        let Some(held) = self.records.get(&key) else {
             return;
         };
-        let held = record.claim;
         if held.request != request || held.state != ClaimState::Running {
             return;
         }
         if state == ClaimState::NotRun {
             self.remove(key);
         } else {
-            self.insert(now, held_claim::HeldClaim { state, ..held });
+            let claim = held.claim(key);
+            self.insert(now, held_claim::HeldClaim { state, ..claim });
         }
     }
 
     /// Takes in a claim that another witness holds.
     pub fn merge(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> bool {
         match self.records.get(&claim.key) {
-            Some(record) if record.claim.state != ClaimState::Running => true,
+            Some(held) if held.state != ClaimState::Running => true,
             Some(_) if claim.state == ClaimState::Running => true,
             None if self.records.len() >= self.limit => false,
             _ => {
@@ -113,11 +125,11 @@
     pub fn after(
         &self,
         after: Option<claim_key::ClaimKey>,
-    ) -> impl Iterator<Item = &held_claim::HeldClaim> {
+    ) -> impl Iterator<Item = held_claim::HeldClaim> {
         let start = after.map_or(ops::Bound::Unbounded, ops::Bound::Excluded);
         self.records
             .range((start, ops::Bound::Unbounded))
-            .map(|(_, record)| &record.claim)
+            .map(|(key, record)| record.claim(*key))
     }
 
     fn claim_free(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> ClaimState {
@@ -132,8 +144,13 @@
         self.remove(claim.key);
         let expires = now + self.lifetime;
         self.expiries.insert((expires, claim.key));
-        self.records
-            .insert(claim.key, ClaimRecord { claim, expires });
+        let record = ClaimRecord {
+            request: claim.request,
+            fingerprint: claim.fingerprint,
+            expires,
+            state: claim.state,
+        };
+        self.records.insert(claim.key, record);
     }
 
     fn remove(&mut self, key: claim_key::ClaimKey) {
--- a/components/call/src/key_witness.rs
+++ b/components/call/src/key_witness.rs
@@ -10,8 +10,7 @@
     known_span, message, output, recall_task, witness_rank,
 };
 
-/// Claims in one message of a hand-over.
-const PAGE_CLAIMS: usize = 1_000;
+mod handing;
 
 /// Time for which claims outlive the retention, so that a call may end late.
 const RETENTION_GRACE: time::Duration = time::Duration::from_secs(60);
@@ -193,22 +192,6 @@
         }
     }
 
-    /// Answers a new witness with a page of the claims that it is a witness of.
-    fn recalled(
-        &self,
-        now: clock::Moment,
-        peer: ids::InstanceId,
-        process: ids::Incarnation,
-        after: Option<claim_key::ClaimKey>,
-    ) -> message::Message {
-        let mut roster = self.roster().to_vec();
-        if !roster.contains(&peer) {
-            roster.push(peer);
-        }
-        self.page(now, &roster, peer, Some(process), after).0
-    }
-
-    /// Takes in a page of claims.
     fn take_page(
         &mut self,
         now: clock::Moment,
@@ -229,69 +212,10 @@
         self.extend_memory(now);
     }
 
-    /// Hands the claims to the instances that are their witnesses once this one is gone.
-    ///
-    /// The witness goes on answering until its process ends.
-    pub fn drain(&self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
-        let mut roster = self.roster().to_vec();
-        roster.retain(|instance| *instance != self.own);
-        for peer in &roster {
-            self.hand_over(now, &roster, *peer, outputs);
-        }
-    }
-
-    fn hand_over(
-        &self,
-        now: clock::Moment,
-        roster: &[ids::InstanceId],
-        peer: ids::InstanceId,
-        outputs: &mut Vec<output::Output>,
-    ) {
-        let mut after = None;
-        loop {
-            let (page, more) = self.page(now, roster, peer, None, after);
-            let message::Message::HandOver { claims, .. } = &page else {
-                return;
-            };
-            let Some(last) = claims.last() else {
-                return;
-            };
-            after = Some(last.key);
-            outputs.push(output::Output::Send(peer, page));
-            if !more {
-                return;
-            }
-        }
-    }
-
     fn roster(&self) -> &[ids::InstanceId] {
         self.rosters.back().map_or(&[], |span| &span.roster)
     }
 
-    fn page(
-        &self,
-        now: clock::Moment,
-        roster: &[ids::InstanceId],
-        peer: ids::InstanceId,
-        process: Option<ids::Incarnation>,
-        after: Option<claim_key::ClaimKey>,
-    ) -> (message::Message, bool) {
-        let mut wanted = self
-            .store
-            .after(after)
-            .filter(|claim| witness_rank::is_witness(claim.key, roster, peer));
-        let claims = wanted.by_ref().take(PAGE_CLAIMS).copied().collect();
-        let more = wanted.next().is_some();
-        let page = message::Message::HandOver {
-            process,
-            after,
-            claims,
-            known_for: self.known_for(now),
-            more,
-        };
-        (page, more)
-    }
-
     /// Returns whether this instance may answer claims of `key`.
     fn speaks_for(&self, key: claim_key::ClaimKey) -> bool {
         let ranked = self
