--- a/components/place/src/cell_planner.rs
+++ b/components/place/src/cell_planner.rs
@@ -9,7 +9,7 @@
 };
 
 /// Time a lease holds without news.
-pub const LEASE_SPAN: time::Duration = time::Duration::from_secs(5);
+pub const LEASE_SPAN: time::Duration = time::Duration::from_secs(12);
 
 /// Time after which a caller may ask again who was refused for want of an owner.
 const RETRY_SOON: time::Duration = time::Duration::from_millis(250);
--- a/components/place/src/orphan_watch.rs
+++ b/components/place/src/orphan_watch.rs
@@ -11,10 +11,10 @@
 const ORPHAN_GRACE: time::Duration = time::Duration::from_secs(2);
 
 /// Time without news of a lease after which its entry is asked for its claims.
-const QUIET_SPAN: time::Duration = time::Duration::from_secs(3);
+const QUIET_SPAN: time::Duration = time::Duration::from_secs(6);
 
 /// Time after which a lease that its entry doesn't list any more is ended.
-const UNLISTED_SPAN: time::Duration = time::Duration::from_secs(5);
+const UNLISTED_SPAN: time::Duration = time::Duration::from_secs(9);
 
 /// Time after which a silent entry's leases end although the membership holds it for alive.
 const SILENCE_SPAN: time::Duration = time::Duration::from_secs(30);
--- a/components/place/src/owner_context.rs
+++ b/components/place/src/owner_context.rs
@@ -23,9 +23,9 @@
 }
 
 impl OwnerContext {
-    /// Returns a number for a term or a seed.
+    /// Returns a number for a term or a seed, short in messages.
     pub fn draw(&mut self) -> u64 {
-        self.random.random()
+        u64::from(self.random.random::<u32>())
     }
 
     /// Asks an instance for its claims, unless that was done just now.
