place, flow: no message at the end of prefill

Change: an entry tells of the decode phase only, as before; the owner goes by its plan and no longer learns the speed of prefill from that news; adverts go out where there is more than one cell.

An engine slower than its release note isn't noticed any more; a duration in the message of the decode phase would tell it.

--- a/components/flow/src/table/engines.rs
+++ b/components/flow/src/table/engines.rs
@@ -67,7 +67,6 @@
                     until: now + retention,
                 });
                 self.import(now, request, outputs);
-                self.send_update(request, place::LeasePhase::Transfer, outputs);
             }
             Err(error) if error.proves_not_run() => {
                 flow.sent = flow.repeated || flow.delivered > 0;
--- a/components/place/src/cell_book.rs
+++ b/components/place/src/cell_book.rs
@@ -195,14 +195,8 @@
         let went_on = phase > lease.phase;
         lease.phase = lease.phase.max(phase);
         let (prefill, decode) = (lease.prefill, lease.decode);
-        let (start_at, span) = (lease.start_at, lease.prefill_span);
         if was_reading && !lease.is_reading() {
             self.end_prefill(key, prefill);
-            if let Some(book) = self.engines.get_mut(prefill)
-                && phase == lease_phase::LeasePhase::Transfer
-            {
-                book.learn_prefill(span, now.since(start_at));
-            }
         }
         if let Some(book) = self.engines.get_mut(decode)
             && went_on
--- a/components/place/src/cell_owner.rs
+++ b/components/place/src/cell_owner.rs
@@ -316,8 +316,11 @@
                 if let Some(count) = planner.demand.sample(now, &planner.book) {
                     outputs.push(output::Output::WantPrefill(*id, count));
                 }
-                let spare = self.spares.entry(*id).or_default();
-                spare.emit_due(now, planner, &self.context, outputs);
+                // Where there is one cell only, an entry has no choice to make.
+                if self.map.cells().len() > 1 {
+                    let spare = self.spares.entry(*id).or_default();
+                    spare.emit_due(now, planner, &self.context, outputs);
+                }
             }
         }
     }
--- a/components/place/src/engine_book.rs
+++ b/components/place/src/engine_book.rs
@@ -10,12 +10,6 @@
 /// Time after its planned end at which a prefill without news is expected to end.
 const LATE_PREFILL: time::Duration = time::Duration::from_millis(5);
 
-/// Part by which one observation moves an estimate.
-const ESTIMATE_STEP: f64 = 0.1;
-
-/// Bounds of the ratio between the observed and the stated time of a prefill.
-const SCALE_BOUNDS: (f64, f64) = (0.5, 3.0);
-
 /// A prefill that an engine is to do, in the order of the queue.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedPrefill {
@@ -52,8 +46,6 @@
     pub link_until: clock::Moment,
     /// Last load report and when it was read.
     pub load: Option<(clock::Moment, border::LoadReport)>,
-    /// Ratio between the observed and the stated time of a prefill.
-    pub prefill_scale: f64,
     /// Streams expected to end in a second, and when that was computed.
     pub free_rate: (f64, clock::Moment),
 }
@@ -74,7 +66,6 @@
             foreign: BTreeMap::new(),
             link_until: clock::Moment::default(),
             load: None,
-            prefill_scale: 1.0,
             free_rate: (0.0, clock::Moment::default()),
         }
     }
@@ -119,17 +110,7 @@
     #[must_use]
     pub fn prefill_span(&self, tokens: u32) -> time::Duration {
         let rate = f64::from(self.entry.prefill_tokens_per_second.max(1));
-        time::Duration::from_secs_f64(f64::from(tokens) / rate * self.prefill_scale)
-    }
-
-    /// Learns how long a prefill took against what was expected.
-    pub fn learn_prefill(&mut self, expected: time::Duration, taken: time::Duration) {
-        if expected.is_zero() {
-            return;
-        }
-        let ratio = taken.as_secs_f64() / expected.as_secs_f64();
-        let step = 1.0 + ESTIMATE_STEP * (ratio.clamp(SCALE_BOUNDS.0, SCALE_BOUNDS.1) - 1.0);
-        self.prefill_scale = (self.prefill_scale * step).clamp(SCALE_BOUNDS.0, SCALE_BOUNDS.1);
+        time::Duration::from_secs_f64(f64::from(tokens) / rate)
     }
 
     /// Returns the time between two tokens when the batch is full.
