--- a/components/rounds/src/fleet_node.rs
+++ b/components/rounds/src/fleet_node.rs
@@ -36,6 +36,14 @@
         self.history.get(index).map(|(moment, _)| *moment)
     }
 
+    /// Returns the revision that was in force at a moment.
+    #[must_use]
+    pub fn revision_at(&self, moment: clock::Moment) -> ids::Revision {
+        let index = self.history.partition_point(|(since, _)| *since <= moment);
+        let summary = index.checked_sub(1).map(|last| self.history[last].1);
+        summary.unwrap_or_default().revision
+    }
+
     /// Returns when the machines want to be woken.
     pub(crate) fn next_wake(&self) -> clock::Moment {
         self.members.next_wake().min(self.spreader.next_wake())
--- a/components/rounds/src/fleet_run.rs
+++ b/components/rounds/src/fleet_run.rs
@@ -251,12 +251,33 @@
         let last = node.history.last().map(|(_, summary)| *summary);
         if last != Some(summary) && summary.revision > ids::Revision(0) {
             node.history.push((now, summary));
+            self.meter.reversions += u64::from(last > Some(summary));
         }
         if node.ready_at.is_none() && node.spreader.is_ready() {
             node.ready_at = Some((now, summary.revision));
+            let floor = self.floor(index);
+            self.meter.reversions += u64::from(summary.revision < floor);
         }
     }
 
+    /// Returns the least revision that serving peers on the instance's side of any partition had
+    /// when its process was started.
+    fn floor(&self, index: usize) -> ids::Revision {
+        let node = &self.nodes[index];
+        let cut_off = &self.links.cut_off;
+        let side = cut_off.contains(&node.entry.id);
+        let peers = self.nodes.iter().filter(|peer| {
+            let served = peer
+                .ready_at
+                .is_some_and(|(ready, _)| ready <= node.started);
+            peer.is_up && served && cut_off.contains(&peer.entry.id) == side
+        });
+        peers
+            .map(|peer| peer.revision_at(node.started))
+            .min()
+            .unwrap_or_default()
+    }
+
     fn member(&mut self, index: usize, input: member::Input) {
         let mut outputs = Vec::new();
         self.nodes[index]
--- a/components/rounds/src/run_meter.rs
+++ b/components/rounds/src/run_meter.rs
@@ -21,6 +21,9 @@
     pub list_reads: u64,
     /// Times that an instance reported another state at the same revision.
     pub divergences: u64,
+    /// Times that an instance began to serve with less than a serving peer on its side of any
+    /// partition had when the instance was started, or that a revision went down.
+    pub reversions: u64,
     /// Changes of views.
     pub view_changes: u64,
 }
--- a/components/rounds/src/sample_notes.rs
+++ b/components/rounds/src/sample_notes.rs
@@ -5,8 +5,11 @@
 pub fn base_note(revision: u64, engines: u64) -> String {
     let mut text = format!(
         "revision: {revision}\nbase: true\nadded:\n  models:\n    - {{ name: quote-draft, version: v1 }}\n  \
-         workspaces:\n    - {{ name: desk, weight: 1, in_flight_limit: 10 }}\n  engines:\n"
+         workspaces:\n    - {{ name: desk, weight: 1, in_flight_limit: 10 }}\n"
     );
+    if engines > 0 {
+        text.push_str("  engines:\n");
+    }
     for number in 0..engines {
         text.push_str(&engine_line(number, 20));
     }
