check: tell every fault of release notes with its place and fix

Notes were checked with their keys alone. The subcommand now prints the report of the note crate, folds notes in the order given, and says when an incremental note could be checked by itself only. Five wrong notes are run through the binary.

--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -38,7 +38,7 @@
             return Err(command_error::CommandError::NothingToCheck);
         }
         let mut wrong = 0;
-        let mut state = note::StateInForce::default();
+        let mut state = None;
         for path in &self.files {
             if !check_file(path, &mut state)? {
                 wrong += 1;
@@ -57,7 +57,7 @@
 fn print_schema(kind: SchemaKind) {
     let schema = match kind {
         SchemaKind::Settings => settings::InstanceSettings::schema(),
-        SchemaKind::Notes => schemars::schema_for!(note::ReleaseNote),
+        SchemaKind::Notes => note::schema(),
     };
     println!("{:#}", schema.as_value());
 }
@@ -65,7 +65,7 @@
 /// Checks one file and prints what is wrong; returns whether it is valid.
 fn check_file(
     path: &path::Path,
-    state: &mut note::StateInForce,
+    state: &mut Option<note::StateInForce>,
 ) -> Result<bool, command_error::CommandError> {
     let text =
         fs::read_to_string(path).map_err(|source| command_error::CommandError::Unreadable {
@@ -95,26 +95,21 @@
 fn check_note(
     file: &str,
     text: &str,
-    state: &mut note::StateInForce,
+    state: &mut Option<note::StateInForce>,
 ) -> Result<(), miette::Report> {
-    let note = note::ReleaseNote::from_yaml(text)?;
-    let faults = note::faults(state, &note);
-    if !faults.is_empty() {
-        let lines: Vec<_> = faults.iter().map(|fault| fault_line(file, fault)).collect();
-        return Err(miette::miette!("{}", lines.join("\n")));
-    }
-    let revision = note.revision;
-    match state.apply(&note) {
-        Ok(next) => *state = next,
-        Err(reason) => return Err(miette::miette!("{file}: {reason}")),
-    }
-    println!("{file}: release note {revision} is valid");
+    let note = note::check(file, text, state.as_ref())?;
+    // A part of a divided note, or one whose base wasn't given, makes no state that is known.
+    let before = match state.take() {
+        _ if note.part.is_some() => None,
+        None if note.base => Some(note::StateInForce::default()),
+        before => before,
+    };
+    *state = before.and_then(|before| before.apply(&note).ok());
+    let scope = if state.is_some() {
+        "release note is valid"
+    } else {
+        "release note is valid by itself; give the notes before it to check what it refers to"
+    };
+    println!("{file}: {scope} (revision {})", note.revision);
     Ok(())
 }
-
-fn fault_line(file: &str, fault: &note::NoteFault) -> String {
-    match &fault.place {
-        Some(place) => format!("{file}: {} `{}`: {}", place.key(), place.name, fault.reason),
-        None => format!("{file}: {}", fault.reason),
-    }
-}
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -98,6 +98,39 @@
     assert!(output_text(&output).contains("settings are valid"));
 }
 
+#[test]
+fn check_folds_the_notes_in_the_order_given() {
+    let base = "test_data/notes/coilquote-base.yaml";
+    let next = "test_data/notes/coilquote-server-leaves.yaml";
+
+    let in_order = run(&["check", base, next]);
+    let alone = run(&["check", next]);
+
+    assert!(in_order.status.success(), "{}", output_text(&in_order));
+    assert!(output_text(&in_order).contains("release note is valid (revision 2)"));
+    assert!(output_text(&alone).contains("valid by itself"));
+}
+
+#[test]
+fn check_names_file_line_and_fix_of_five_wrong_notes() {
+    for (base, case) in [
+        ("coilquote-base", "refused-dangling-model"),
+        ("coilquote-base", "refused-out-of-range"),
+        ("coilquote-base", "refused-revision-gap"),
+        ("coilquote-base", "refused-unknown-key"),
+        ("addis-base", "refused-withdraws-needed-model"),
+    ] {
+        let files = [base, case].map(|name| format!("test_data/notes/{name}.yaml"));
+
+        let output = run(&["check", &files[0], &files[1]]);
+
+        let text = output_text(&output);
+        assert_eq!(output.status.code(), Some(WRONG_INPUT), "{case}: {text}");
+        assert!(text.contains(&format!("{case}.yaml:")), "{case}: {text}");
+        assert!(text.contains("help: "), "{case}: {text}");
+    }
+}
+
 #[test]
 fn version_is_that_of_the_package() {
     let output = run(&["--version"]);
