serve: log the addresses at the start and test both signals on the process

An operator who lets the system choose ports could not tell them. The start is logged with the version and addresses. Tests on the process: an answer in flight is finished after the first signal (exit code 0), a second signal ends it (exit code 1).

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -40,7 +40,16 @@
 async fn serve(settings: settings::InstanceSettings) -> Result<(), command_error::CommandError> {
     let mut signals = ShutdownSignals::install()?;
     let options = daemon::DaemonOptions::builder().build();
+    let instance = settings.instance.id;
     let handle = daemon::Daemon::start(settings, &options)?;
+    tracing::info!(
+        %instance,
+        version = env!("CARGO_PKG_VERSION"),
+        callers = %handle.callers(),
+        peers = %handle.peers(),
+        admin = %handle.admin(),
+        "instance started"
+    );
     signals.next().await;
     let drained = tokio::select! {
         drained = handle.drain() => drained,
--- a/tests/serve_process.rs
+++ b/tests/serve_process.rs
@@ -8,10 +8,14 @@
 /// Time between two looks.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// Exit code of work that failed.
+const WORK_FAILED: i32 = 1;
+
 /// A running instance, ended with its test.
 struct InstanceProcess {
     child: process::Child,
     admin: net::SocketAddr,
+    callers: net::SocketAddr,
     directory: path::PathBuf,
 }
 
@@ -30,6 +34,7 @@
     fs::create_dir_all(&directory).expect("the directory of tests is writable");
     let mut settings = site.settings(1);
     settings.listen.admin = free_address();
+    settings.listen.callers = free_address();
     settings.listen.peers = free_address();
     settings.instance.peer_address = settings.listen.peers;
     let file = directory.join("settings.yaml");
@@ -47,6 +52,7 @@
     InstanceProcess {
         child,
         admin: settings.listen.admin,
+        callers: settings.listen.callers,
         directory,
     }
 }
@@ -70,6 +76,19 @@
     }
 }
 
+async fn wait_draining(instance: &InstanceProcess) {
+    let begin = time::Instant::now();
+    let client = admin::AdminClient::new(instance.admin);
+    while !client
+        .state()
+        .await
+        .is_ok_and(|state| state.instance.draining)
+    {
+        assert!(begin.elapsed() < PATIENCE, "the instance doesn't drain");
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
 fn signal(instance: &InstanceProcess, name: &str) {
     let status = process::Command::new("kill")
         .arg(format!("-{name}"))
@@ -90,19 +109,49 @@
     }
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn a_process_drains_on_a_signal_and_exits_with_success() {
+/// Starts a site with an instance as a process and a caller that reads a long answer.
+async fn process_with_answer(
+    case: &str,
+    prompt: &str,
+) -> (fakes::SiteStand, InstanceProcess, fakes::StreamAnswer) {
     let site = fakes::SiteStand::start(fakes::SiteFigures::default())
         .await
         .expect("the stand-ins start");
-    let mut instance = start_process(&site, "drains_on_a_signal");
+    let instance = start_process(&site, case);
     wait_ready(&instance).await;
+    let caller = fakes::SiteCaller::new("coilquote");
+    let mut answer = caller
+        .chat_stream(instance.callers, "quote", prompt)
+        .await
+        .expect("the instance answers");
+    answer.read_more().await.expect("the answer begins");
+    (site, instance, answer)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_finishes_the_answer_in_flight_after_a_signal_and_exits_with_success() {
+    let (_site, mut instance, mut answer) =
+        process_with_answer("drains_on_a_signal", "#spring out=60 draft a quote").await;
 
     signal(&instance, "TERM");
+    answer.read_all().await.expect("the answer goes on");
 
+    assert!(answer.is_whole(), "{}", answer.text);
     assert_eq!(wait_end(&mut instance).await, Some(0));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_signal_ends_a_process_with_an_answer_in_flight() {
+    let (_site, mut instance, _answer) =
+        process_with_answer("ends_on_a_second_signal", "#spring out=400 draft a quote").await;
+
+    signal(&instance, "TERM");
+    wait_draining(&instance).await;
+    signal(&instance, "INT");
+
+    assert_eq!(wait_end(&mut instance).await, Some(WORK_FAILED));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn the_status_subcommand_prints_what_is_in_force() {
     let site = fakes::SiteStand::start(fakes::SiteFigures::default())
