--- a/components/daemon/src/core_meter.rs
+++ b/components/daemon/src/core_meter.rs
@@ -32,51 +32,59 @@
 
     /// Records an event that the core takes at `now`.
     pub(crate) fn take_event(&mut self, now: clock::Moment, event: &control::Event) {
-        use control::Event;
         match event {
-            Event::RequestArrived(spec) => {
+            control::Event::RequestArrived(spec) => {
                 self.meter.requests().arrived();
                 let answer = answer_clock::AnswerClock::new(spec.class.clone(), now);
                 self.answers.insert(spec.request, answer);
             }
-            Event::CallArrived(spec) => {
+            control::Event::CallArrived(spec) => {
                 self.calls.insert(spec.request, spec.idempotent);
             }
-            Event::CallerGone(request) => self.cancel(*request),
-            Event::Prefilled(_, _, Ok(result)) => {
+            control::Event::CallerGone(request) => self.cancel(*request),
+            control::Event::Prefilled(_, _, Ok(result)) => {
                 let read = result.prompt_tokens.saturating_sub(result.cached_tokens);
                 self.meter.requests().prefilled(read);
             }
-            Event::Delivered(request, _, tokens) | Event::DecodeEnded(request, _, tokens, _) => {
+            control::Event::Delivered(request, _, tokens)
+            | control::Event::DecodeEnded(request, _, tokens, _) => {
                 self.deliver(now, *request, *tokens);
             }
-            Event::OrderAnswered(_, _, answer) => self.meter.orders().answered(*answer),
+            control::Event::OrderAnswered(_, _, answer) => self.meter.orders().answered(*answer),
             _ => {}
         }
     }
 
     /// Records an action that the core decided on at `now`.
     pub(crate) fn take_action(&mut self, now: clock::Moment, action: &control::Action) {
-        use control::Action;
         match action {
-            Action::InForce(state) => {
+            control::Action::InForce(state) => {
                 self.state = sync::Arc::clone(state);
                 self.meter.notes().in_force(state.revision.0);
             }
-            Action::NoteRefused(..) => self.meter.notes().refused(),
-            Action::NotesDiverged(..) => self.meter.notes().diverged(),
-            Action::ViewChanged(view) => self.change_members(view),
-            Action::Send(_, wire::PeerMessage::Place(place::Message::Refused(refusal))) => {
+            control::Action::NoteRefused(..) => self.meter.notes().refused(),
+            control::Action::NotesDiverged(..) => self.meter.notes().diverged(),
+            control::Action::ViewChanged(view) => self.change_members(view),
+            control::Action::Send(
+                _,
+                wire::PeerMessage::Place(place::Message::Refused(refusal)),
+            ) => {
                 self.meter.placements().refused(refusal.reason);
             }
-            Action::Prefill {
+            control::Action::Prefill {
                 request, attempt, ..
             } => self.start_prefill(now, *request, *attempt),
-            Action::PrefillWasted(tokens, cause) => self.meter.requests().wasted(*cause, *tokens),
-            Action::FinishRequest(request, outcome) => self.finish_request(*request, outcome),
-            Action::Attempt { attempt, .. } if attempt.0 > 0 => self.meter.calls().retried(),
-            Action::FinishCall(request, outcome) => self.finish_call(*request, outcome),
-            Action::Order(_, order, _) => self.meter.orders().ordered(&order.action),
+            control::Action::PrefillWasted(tokens, cause) => {
+                self.meter.requests().wasted(*cause, *tokens)
+            }
+            control::Action::FinishRequest(request, outcome) => {
+                self.finish_request(*request, outcome)
+            }
+            control::Action::Attempt { attempt, .. } if attempt.0 > 0 => {
+                self.meter.calls().retried()
+            }
+            control::Action::FinishCall(request, outcome) => self.finish_call(*request, outcome),
+            control::Action::Order(_, order, _) => self.meter.orders().ordered(&order.action),
             _ => {}
         }
     }
--- a/components/logs/src/log_layer.rs
+++ b/components/logs/src/log_layer.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use tracing::{Event, Subscriber, span};
+use tracing::span;
 use tracing_subscriber::{layer, registry};
 
 use crate::event_fields;
@@ -46,7 +46,7 @@
 
 impl<Registry> layer::Layer<Registry> for LogLayer
 where
-    Registry: Subscriber + for<'span> registry::LookupSpan<'span>,
+    Registry: tracing::Subscriber + for<'span> registry::LookupSpan<'span>,
 {
     fn on_new_span(
         &self,
@@ -99,7 +99,7 @@
         }
     }
 
-    fn on_event(&self, event: &Event<'_>, context: layer::Context<'_, Registry>) {
+    fn on_event(&self, event: &tracing::Event<'_>, context: layer::Context<'_, Registry>) {
         let mut fields = event_fields::EventFields::default();
         event.record(&mut fields);
         let mut path = Vec::new();
--- a/components/peer/src/hub_shared.rs
+++ b/components/peer/src/hub_shared.rs
@@ -3,7 +3,6 @@
 use std::{collections::BTreeMap, net, sync};
 
 use tokio::{runtime, sync::mpsc};
-use tokio_util::sync::CancellationToken;
 
 use crate::{hub_counters, lane_input, peer_config, peer_lane, peer_link};
 
@@ -15,7 +14,7 @@
 pub(crate) struct HubShared {
     pub(crate) config: peer_config::PeerConfig,
     pub(crate) counters: hub_counters::HubCounters,
-    pub(crate) stopped: CancellationToken,
+    pub(crate) stopped: tokio_util::sync::CancellationToken,
     inbound: mpsc::Sender<(ids::InstanceId, wire::PeerMessage)>,
     runtime: runtime::Handle,
     addresses: sync::Mutex<BTreeMap<ids::InstanceId, net::SocketAddr>>,
@@ -32,7 +31,7 @@
         Self {
             config,
             counters: hub_counters::HubCounters::default(),
-            stopped: CancellationToken::new(),
+            stopped: tokio_util::sync::CancellationToken::new(),
             inbound,
             runtime,
             addresses: sync::Mutex::default(),
--- a/components/peer/src/peer_link.rs
+++ b/components/peer/src/peer_link.rs
@@ -4,7 +4,6 @@
 
 use prost::Message as _;
 use tokio::{sync::mpsc, time};
-use tokio_util::sync::CancellationToken;
 
 use crate::{hub_shared, link_counts};
 
@@ -17,14 +16,14 @@
     peer: ids::InstanceId,
     envelopes: mpsc::Sender<wire::proto::Envelope>,
     counts: sync::Arc<sync::Mutex<link_counts::LinkCounts>>,
-    closed: CancellationToken,
+    closed: tokio_util::sync::CancellationToken,
 }
 
 impl PeerLink {
     /// Makes a link and the queue that feeds its connection.
     pub(crate) fn new(
         peer: ids::InstanceId,
-        closed: CancellationToken,
+        closed: tokio_util::sync::CancellationToken,
     ) -> (Self, mpsc::Receiver<wire::proto::Envelope>) {
         let (envelopes, queue) = mpsc::channel(LINK_QUEUE_LENGTH);
         let counts = link_counts::LinkCounts::new(time::Instant::now());
@@ -43,7 +42,7 @@
     }
 
     /// Returns a token that is cancelled when the link closes.
-    pub(crate) const fn closed(&self) -> &CancellationToken {
+    pub(crate) const fn closed(&self) -> &tokio_util::sync::CancellationToken {
         &self.closed
     }
 
--- a/components/wire/src/call_convert.rs
+++ b/components/wire/src/call_convert.rs
@@ -6,14 +6,13 @@
 
 impl From<call::Message> for proto::CallMessage {
     fn from(message: call::Message) -> Self {
-        use proto::call_message::Body;
         let body = match message {
             call::Message::Claim {
                 key,
                 request,
                 fingerprint,
                 window,
-            } => Body::Claim(proto::Claim {
+            } => proto::call_message::Body::Claim(proto::Claim {
                 key: field::wide_bytes(key.0),
                 request: field::request_bytes(request),
                 fingerprint: field::wide_bytes(fingerprint),
@@ -24,7 +23,7 @@
                 request,
                 state,
                 vouched,
-            } => Body::Claimed(proto::ClaimAnswer {
+            } => proto::call_message::Body::Claimed(proto::ClaimAnswer {
                 report: Some(claim_convert::encode_report(key, request, state)),
                 vouched,
             }),
@@ -32,18 +31,22 @@
                 key,
                 request,
                 state,
-            } => Body::Settle(claim_convert::encode_report(key, request, state)),
-            call::Message::Recall { process, after } => Body::Recall(proto::Recall {
-                process: process.0,
-                after: claim_convert::encode_after(after),
-            }),
+            } => {
+                proto::call_message::Body::Settle(claim_convert::encode_report(key, request, state))
+            }
+            call::Message::Recall { process, after } => {
+                proto::call_message::Body::Recall(proto::Recall {
+                    process: process.0,
+                    after: claim_convert::encode_after(after),
+                })
+            }
             call::Message::HandOver {
                 process,
                 after,
                 claims,
                 known_for,
                 more,
-            } => Body::HandOver(proto::HandOver {
+            } => proto::call_message::Body::HandOver(proto::HandOver {
                 claims: claims.into_iter().map(claim_convert::encode_held).collect(),
                 process: process.map(|process| process.0),
                 after: claim_convert::encode_after(after),
@@ -59,11 +62,10 @@
     type Error = wire_error::WireError;
 
     fn try_from(message: proto::CallMessage) -> Result<Self, Self::Error> {
-        use proto::call_message::Body;
         match field::required("call message", message.body)? {
-            Body::Claim(claim) => decode_claim(&claim),
-            Body::Claimed(answer) => decode_answer(answer),
-            Body::Settle(report) => {
+            proto::call_message::Body::Claim(claim) => decode_claim(&claim),
+            proto::call_message::Body::Claimed(answer) => decode_answer(answer),
+            proto::call_message::Body::Settle(report) => {
                 let (key, request, state) = claim_convert::decode_report(&report)?;
                 Ok(Self::Settle {
                     key,
@@ -71,11 +73,11 @@
                     state,
                 })
             }
-            Body::Recall(recall) => Ok(Self::Recall {
+            proto::call_message::Body::Recall(recall) => Ok(Self::Recall {
                 process: ids::Incarnation(recall.process),
                 after: claim_convert::decode_after(recall.after.as_ref())?,
             }),
-            Body::HandOver(page) => decode_page(&page),
+            proto::call_message::Body::HandOver(page) => decode_page(&page),
         }
     }
 }
--- a/components/wire/src/member_convert.rs
+++ b/components/wire/src/member_convert.rs
@@ -4,16 +4,21 @@
 
 impl From<member::Message> for proto::MemberMessage {
     fn from(message: member::Message) -> Self {
-        use proto::member_message::Body;
         let body = match message {
-            member::Message::Probe(heartbeat) => Body::Probe(heartbeat.into()),
-            member::Message::Ack(heartbeat) => Body::Ack(heartbeat.into()),
-            member::Message::ProbeFor(instance) => Body::ProbeFor(instance.0),
-            member::Message::AckFor(instance, incarnation, epoch) => Body::AckFor(proto::AckFor {
-                instance: instance.0,
-                incarnation: incarnation.0,
-                epoch,
-            }),
+            member::Message::Probe(heartbeat) => {
+                proto::member_message::Body::Probe(heartbeat.into())
+            }
+            member::Message::Ack(heartbeat) => proto::member_message::Body::Ack(heartbeat.into()),
+            member::Message::ProbeFor(instance) => {
+                proto::member_message::Body::ProbeFor(instance.0)
+            }
+            member::Message::AckFor(instance, incarnation, epoch) => {
+                proto::member_message::Body::AckFor(proto::AckFor {
+                    instance: instance.0,
+                    incarnation: incarnation.0,
+                    epoch,
+                })
+            }
         };
         Self { body: Some(body) }
     }
@@ -23,12 +28,13 @@
     type Error = wire_error::WireError;
 
     fn try_from(message: proto::MemberMessage) -> Result<Self, Self::Error> {
-        use proto::member_message::Body;
         Ok(match field::required("member message", message.body)? {
-            Body::Probe(heartbeat) => Self::Probe(heartbeat.try_into()?),
-            Body::Ack(heartbeat) => Self::Ack(heartbeat.try_into()?),
-            Body::ProbeFor(instance) => Self::ProbeFor(ids::InstanceId(instance)),
-            Body::AckFor(proto::AckFor {
+            proto::member_message::Body::Probe(heartbeat) => Self::Probe(heartbeat.try_into()?),
+            proto::member_message::Body::Ack(heartbeat) => Self::Ack(heartbeat.try_into()?),
+            proto::member_message::Body::ProbeFor(instance) => {
+                Self::ProbeFor(ids::InstanceId(instance))
+            }
+            proto::member_message::Body::AckFor(proto::AckFor {
                 instance,
                 incarnation,
                 epoch,
--- a/components/wire/src/peer_message.rs
+++ b/components/wire/src/peer_message.rs
@@ -30,12 +30,11 @@
     type Error = wire_error::WireError;
 
     fn try_from(body: proto::envelope::Body) -> Result<Self, Self::Error> {
-        use proto::envelope::Body;
         Ok(match body {
-            Body::Member(message) => Self::Member(message.try_into()?),
-            Body::Spread(message) => Self::Spread(message.try_into()?),
-            Body::Place(message) => Self::Place(message.try_into()?),
-            Body::Call(message) => Self::Call(message.try_into()?),
+            proto::envelope::Body::Member(message) => Self::Member(message.try_into()?),
+            proto::envelope::Body::Spread(message) => Self::Spread(message.try_into()?),
+            proto::envelope::Body::Place(message) => Self::Place(message.try_into()?),
+            proto::envelope::Body::Call(message) => Self::Call(message.try_into()?),
         })
     }
 }
--- a/components/wire/src/place_convert.rs
+++ b/components/wire/src/place_convert.rs
@@ -6,31 +6,42 @@
 
 impl From<place::Message> for proto::PlaceMessage {
     fn from(message: place::Message) -> Self {
-        use proto::place_message::Body;
         let body = match message {
-            place::Message::Ask(ask) => Body::Ask(ask.into()),
-            place::Message::Placed(placement) => Body::Placed(placement.into()),
-            place::Message::Refused(refusal) => Body::Refused(refusal.into()),
-            place::Message::Withdraw(request, attempt) => Body::Withdraw(proto::Withdrawal {
-                request: field::request_bytes(request),
-                attempt: attempt.0,
-            }),
-            place::Message::Updates(updates) => Body::Updates(proto::LeaseUpdates {
-                updates: field::list(updates),
-            }),
-            place::Message::Retarget(ask) => Body::Retarget(ask.into()),
-            place::Message::Claims(cell, claims, last) => Body::Claims(proto::LeaseClaims {
-                cell: cell.0,
-                claims: field::list(claims),
-                last,
-            }),
-            place::Message::WantClaims(cell) => Body::WantClaims(cell.0),
-            place::Message::Revoked(leases) => Body::Revoked(proto::Revocations {
-                leases: field::list(leases),
-            }),
-            place::Message::Spare(adverts) => Body::Spare(proto::SpareAdverts {
-                adverts: field::list(adverts),
-            }),
+            place::Message::Ask(ask) => proto::place_message::Body::Ask(ask.into()),
+            place::Message::Placed(placement) => {
+                proto::place_message::Body::Placed(placement.into())
+            }
+            place::Message::Refused(refusal) => proto::place_message::Body::Refused(refusal.into()),
+            place::Message::Withdraw(request, attempt) => {
+                proto::place_message::Body::Withdraw(proto::Withdrawal {
+                    request: field::request_bytes(request),
+                    attempt: attempt.0,
+                })
+            }
+            place::Message::Updates(updates) => {
+                proto::place_message::Body::Updates(proto::LeaseUpdates {
+                    updates: field::list(updates),
+                })
+            }
+            place::Message::Retarget(ask) => proto::place_message::Body::Retarget(ask.into()),
+            place::Message::Claims(cell, claims, last) => {
+                proto::place_message::Body::Claims(proto::LeaseClaims {
+                    cell: cell.0,
+                    claims: field::list(claims),
+                    last,
+                })
+            }
+            place::Message::WantClaims(cell) => proto::place_message::Body::WantClaims(cell.0),
+            place::Message::Revoked(leases) => {
+                proto::place_message::Body::Revoked(proto::Revocations {
+                    leases: field::list(leases),
+                })
+            }
+            place::Message::Spare(adverts) => {
+                proto::place_message::Body::Spare(proto::SpareAdverts {
+                    adverts: field::list(adverts),
+                })
+            }
         };
         Self { body: Some(body) }
     }
@@ -40,22 +51,27 @@
     type Error = wire_error::WireError;
 
     fn try_from(message: proto::PlaceMessage) -> Result<Self, Self::Error> {
-        use proto::place_message::Body;
         Ok(match field::required("place message", message.body)? {
-            Body::Ask(ask) => Self::Ask(ask.try_into()?),
-            Body::Placed(placement) => Self::Placed(placement.try_into()?),
-            Body::Refused(refusal) => Self::Refused(refusal.try_into()?),
-            Body::Withdraw(proto::Withdrawal { request, attempt }) => {
+            proto::place_message::Body::Ask(ask) => Self::Ask(ask.try_into()?),
+            proto::place_message::Body::Placed(placement) => Self::Placed(placement.try_into()?),
+            proto::place_message::Body::Refused(refusal) => Self::Refused(refusal.try_into()?),
+            proto::place_message::Body::Withdraw(proto::Withdrawal { request, attempt }) => {
                 Self::Withdraw(field::request_id(&request)?, ids::AttemptNumber(attempt))
             }
-            Body::Updates(proto::LeaseUpdates { updates }) => Self::Updates(field::all(updates)?),
-            Body::Retarget(ask) => Self::Retarget(ask.try_into()?),
-            Body::Claims(proto::LeaseClaims { cell, claims, last }) => {
+            proto::place_message::Body::Updates(proto::LeaseUpdates { updates }) => {
+                Self::Updates(field::all(updates)?)
+            }
+            proto::place_message::Body::Retarget(ask) => Self::Retarget(ask.try_into()?),
+            proto::place_message::Body::Claims(proto::LeaseClaims { cell, claims, last }) => {
                 Self::Claims(ids::CellId(cell), field::all(claims)?, last)
             }
-            Body::WantClaims(cell) => Self::WantClaims(ids::CellId(cell)),
-            Body::Revoked(proto::Revocations { leases }) => Self::Revoked(field::list(leases)),
-            Body::Spare(proto::SpareAdverts { adverts }) => Self::Spare(field::list(adverts)),
+            proto::place_message::Body::WantClaims(cell) => Self::WantClaims(ids::CellId(cell)),
+            proto::place_message::Body::Revoked(proto::Revocations { leases }) => {
+                Self::Revoked(field::list(leases))
+            }
+            proto::place_message::Body::Spare(proto::SpareAdverts { adverts }) => {
+                Self::Spare(field::list(adverts))
+            }
         })
     }
 }
@@ -208,19 +224,20 @@
 }
 
 fn decode_reason(found: i32) -> Result<place::RefusalReason, wire_error::WireError> {
-    use proto::RefusalReason;
-    match RefusalReason::try_from(found) {
-        Ok(RefusalReason::NotOwner) => Ok(place::RefusalReason::NotOwner),
-        Ok(RefusalReason::TakingOver) => Ok(place::RefusalReason::TakingOver),
-        Ok(RefusalReason::FirstTokenLate) => Ok(place::RefusalReason::FirstTokenLate),
-        Ok(RefusalReason::PaceTooSlow) => Ok(place::RefusalReason::PaceTooSlow),
-        Ok(RefusalReason::TooLarge) => Ok(place::RefusalReason::TooLarge),
-        Ok(RefusalReason::QueueFull) => Ok(place::RefusalReason::QueueFull),
-        Ok(RefusalReason::RetryBudget) => Ok(place::RefusalReason::RetryBudget),
-        Ok(RefusalReason::NoEngine) => Ok(place::RefusalReason::NoEngine),
-        Ok(RefusalReason::Unspecified) | Err(_) => Err(wire_error::WireError::UnknownValue {
-            field: "refusal reason",
-            found,
-        }),
+    match proto::RefusalReason::try_from(found) {
+        Ok(proto::RefusalReason::NotOwner) => Ok(place::RefusalReason::NotOwner),
+        Ok(proto::RefusalReason::TakingOver) => Ok(place::RefusalReason::TakingOver),
+        Ok(proto::RefusalReason::FirstTokenLate) => Ok(place::RefusalReason::FirstTokenLate),
+        Ok(proto::RefusalReason::PaceTooSlow) => Ok(place::RefusalReason::PaceTooSlow),
+        Ok(proto::RefusalReason::TooLarge) => Ok(place::RefusalReason::TooLarge),
+        Ok(proto::RefusalReason::QueueFull) => Ok(place::RefusalReason::QueueFull),
+        Ok(proto::RefusalReason::RetryBudget) => Ok(place::RefusalReason::RetryBudget),
+        Ok(proto::RefusalReason::NoEngine) => Ok(place::RefusalReason::NoEngine),
+        Ok(proto::RefusalReason::Unspecified) | Err(_) => {
+            Err(wire_error::WireError::UnknownValue {
+                field: "refusal reason",
+                found,
+            })
+        }
     }
 }
--- a/components/wire/src/spread_convert.rs
+++ b/components/wire/src/spread_convert.rs
@@ -4,19 +4,22 @@
 
 impl From<spread::Message> for proto::SpreadMessage {
     fn from(message: spread::Message) -> Self {
-        use proto::spread_message::Body;
         let body = match message {
-            spread::Message::Ask(standing) => Body::Ask(standing.into()),
-            spread::Message::Tell(standing) => Body::Tell(standing.into()),
-            spread::Message::Notes(standing, notes) => Body::Notes(proto::Notes {
-                standing: Some(standing.into()),
-                notes: field::list(notes),
-            }),
-            spread::Message::FetchPart(summary, number) => Body::FetchPart(proto::PartAsk {
-                summary: Some(summary.into()),
-                number,
-            }),
-            spread::Message::Part(part) => Body::Part(part.into()),
+            spread::Message::Ask(standing) => proto::spread_message::Body::Ask(standing.into()),
+            spread::Message::Tell(standing) => proto::spread_message::Body::Tell(standing.into()),
+            spread::Message::Notes(standing, notes) => {
+                proto::spread_message::Body::Notes(proto::Notes {
+                    standing: Some(standing.into()),
+                    notes: field::list(notes),
+                })
+            }
+            spread::Message::FetchPart(summary, number) => {
+                proto::spread_message::Body::FetchPart(proto::PartAsk {
+                    summary: Some(summary.into()),
+                    number,
+                })
+            }
+            spread::Message::Part(part) => proto::spread_message::Body::Part(part.into()),
         };
         Self { body: Some(body) }
     }
@@ -26,18 +29,17 @@
     type Error = wire_error::WireError;
 
     fn try_from(message: proto::SpreadMessage) -> Result<Self, Self::Error> {
-        use proto::spread_message::Body;
         Ok(match field::required("spread message", message.body)? {
-            Body::Ask(standing) => Self::Ask(standing.try_into()?),
-            Body::Tell(standing) => Self::Tell(standing.try_into()?),
-            Body::Notes(proto::Notes { standing, notes }) => {
+            proto::spread_message::Body::Ask(standing) => Self::Ask(standing.try_into()?),
+            proto::spread_message::Body::Tell(standing) => Self::Tell(standing.try_into()?),
+            proto::spread_message::Body::Notes(proto::Notes { standing, notes }) => {
                 let standing = field::required("standing", standing)?;
                 Self::Notes(standing.try_into()?, field::list(notes))
             }
-            Body::FetchPart(proto::PartAsk { summary, number }) => {
+            proto::spread_message::Body::FetchPart(proto::PartAsk { summary, number }) => {
                 Self::FetchPart(decode_summary(summary)?, number)
             }
-            Body::Part(part) => Self::Part(part.try_into()?),
+            proto::spread_message::Body::Part(part) => Self::Part(part.try_into()?),
         })
     }
 }
--- a/components/wire/tests/strategy/mod.rs
+++ b/components/wire/tests/strategy/mod.rs
@@ -3,7 +3,6 @@
 use std::{net, time};
 
 use proptest::{collection, option, prelude::*, sample};
-use strum::IntoEnumIterator;
 
 /// Longest list in a generated message.
 const LIST_LENGTH: usize = 4;
@@ -369,7 +368,7 @@
 }
 
 /// Takes any value of an enum that has names.
-fn named<Named: IntoEnumIterator + std::fmt::Debug + Clone + 'static>()
+fn named<Named: strum::IntoEnumIterator + std::fmt::Debug + Clone + 'static>()
 -> impl Strategy<Value = Named> {
     sample::select(Named::iter().collect::<Vec<_>>())
 }
