daemon: test that a caller who doesn't read is cut off

The patience of 10 s with a caller that leaves a full window of tokens unread had no test, since it would have taken as long. It is an option of the process now, and a test with 300 ms and an answer larger than the sockets hold shows the error event and both engines freed.

--- a/components/daemon/src/action_runner.rs
+++ b/components/daemon/src/action_runner.rs
@@ -21,6 +21,8 @@
     pub(crate) port: core_port::CorePort,
     pub(crate) peers: Box<dyn peer_port::PeerPort>,
     pub(crate) addresses: address_book::AddressBook,
+    /// Time a caller may leave a full window of tokens unread.
+    pub(crate) caller_patience: time::Duration,
     pub(crate) placements: placement_spans::PlacementSpans,
 }
 
@@ -195,6 +197,7 @@
             port: self.port.clone(),
             engine: address,
             job,
+            caller_patience: self.caller_patience,
         };
         let span = tracing::info_span!("decode", %request, %attempt, %engine);
         let task = self
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -72,6 +72,7 @@
                 hub: sync::Arc::clone(&hub),
             }),
             addresses: address_book::AddressBook::default(),
+            caller_patience: options.caller_patience,
             placements: placement_spans::PlacementSpans::default(),
         };
         let control = control_loop::ControlLoop {
--- a/components/daemon/src/token_pump.rs
+++ b/components/daemon/src/token_pump.rs
@@ -9,9 +9,6 @@
 /// Time between two reports of progress to the core.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// Time a caller may leave a full window of tokens unread before its request is cancelled.
-const SLOW_CALLER_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// Moves the tokens of one attempt from its engine to its caller.
 pub(crate) struct TokenPump {
     pub(crate) session: sync::Arc<entry::AnswerSession>,
@@ -20,6 +17,8 @@
     pub(crate) port: core_port::CorePort,
     pub(crate) engine: net::SocketAddr,
     pub(crate) job: border::DecodeJob,
+    /// Time a caller may leave a full window of tokens unread.
+    pub(crate) caller_patience: time::Duration,
 }
 
 /// Why a pump stopped.
@@ -61,7 +60,7 @@
             };
             let finish = token.finish;
             let reserving = self.session.tokens().reserve();
-            let reserved = tokio::time::timeout(SLOW_CALLER_TIMEOUT, reserving).await;
+            let reserved = tokio::time::timeout(self.caller_patience, reserving).await;
             let Ok(Ok(permit)) = reserved else {
                 return PumpEnd::Caller;
             };
--- a/components/daemon/tests/daemon/common.rs
+++ b/components/daemon/tests/daemon/common.rs
@@ -5,6 +5,9 @@
 /// Longest wait for something that a test needs.
 const PATIENCE: time::Duration = time::Duration::from_secs(10);
 
+/// Time that these instances give a caller that doesn't read.
+const CALLER_PATIENCE: time::Duration = time::Duration::from_millis(300);
+
 /// Time between two looks at something that a test waits for.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -26,6 +29,7 @@
     let options = daemon::DaemonOptions::builder()
         .traffic_threads(2)
         .seed(1)
+        .caller_patience(CALLER_PATIENCE)
         .build();
     let instance = daemon::Daemon::start(settings, &options).unwrap();
     site.list.set(vec![site.instance(id, instance.peers())]);
--- a/components/daemon/tests/daemon/whole_path.rs
+++ b/components/daemon/tests/daemon/whole_path.rs
@@ -94,3 +94,24 @@
     assert_ne!(sent.span, given.span);
     assert!(sent.sampled);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_doesnt_read_is_cut_off_and_frees_both_engines() {
+    let figures = fakes::SiteFigures::builder().full_batch_token_ms(8).build();
+    let (site, instance) = common::site_with_instance(figures).await;
+    let caller = fakes::SiteCaller::new("coilquote");
+    // The tag makes each token so large that the sockets can't hold the answer.
+    let prompt = format!("#{} out=400 draft", "t".repeat(60_000));
+    let mut answer = caller
+        .chat_stream(instance.callers(), "dossier", &prompt)
+        .await
+        .unwrap();
+
+    common::wait_until(|| !site.fleet.running().is_empty()).await;
+    common::wait_until(|| site.fleet.running().is_empty()).await;
+    answer.read_all().await.unwrap();
+
+    assert!(!answer.is_whole());
+    assert!(answer.text.contains("event: error"));
+    assert_eq!(site.fleet.held_pieces(), 0);
+}
