--- a/components/place/src/cell_planner.rs
+++ b/components/place/src/cell_planner.rs
@@ -21,7 +21,7 @@
 const TRY_INTERVAL: time::Duration = time::Duration::from_millis(1);
 
 /// Asks tried in one go, so that one that can't go now holds back few behind it.
-const TRY_LIMIT: usize = 4;
+const TRY_LIMIT: usize = 2;
 
 /// The placements of one owned cell.
 pub struct CellPlanner {
