--- a/components/member/src/member_table.rs
+++ b/components/member/src/member_table.rs
@@ -21,6 +21,9 @@
 /// Members that hear at once of an instance that joins, leaves or dies.
 pub(crate) const URGENT_PEERS: usize = 3;
 
+/// Changes in a row that members hear of at once; one more is allowed with each probe.
+pub(crate) const URGENT_BURST: u32 = 4;
+
 /// Shortest time a suspect has to refute.
 const SUSPECT_FLOOR: time::Duration = time::Duration::from_millis(1_500);
 
@@ -55,6 +58,8 @@
     pub(crate) learned: bool,
     next_learned: clock::Moment,
     listed: bool,
+    /// Changes that members may still hear of at once.
+    pub(crate) urgent_left: u32,
     pub(crate) sequence: u64,
     last_input: clock::Moment,
     next_list: clock::Moment,
@@ -86,6 +91,7 @@
             learned: false,
             next_learned: clock::Moment::default(),
             listed: false,
+            urgent_left: URGENT_BURST,
             sequence: 0,
             last_input: clock::Moment::default(),
             next_list: clock::Moment::default(),
@@ -209,6 +215,7 @@
         self.end_probes(now);
         if now >= self.next_probe {
             self.next_probe = now + PROBE_INTERVAL;
+            self.urgent_left = URGENT_BURST.min(self.urgent_left + 1);
             if self.learned && now >= self.next_learned {
                 self.next_learned = now + LEARNED_INTERVAL;
                 self.learned = false;
--- a/components/member/src/table_probes.rs
+++ b/components/member/src/table_probes.rs
@@ -120,12 +120,19 @@
     }
 
     /// Tells a few members at once of a change and queues it for the others.
+    ///
+    /// Of many changes in a row only some are told at once, so that the bytes stay bounded when
+    /// a region goes silent; the others travel with the heartbeats.
     pub(crate) fn spread_at_once(
         &mut self,
         instance: ids::InstanceId,
         outputs: &mut Vec<output::Output>,
     ) {
         self.news.push(instance, self.records.len());
+        if self.urgent_left == 0 {
+            return;
+        }
+        self.urgent_left -= 1;
         for peer in self.sample_alive(member_table::URGENT_PEERS, instance) {
             self.probe(peer, outputs);
         }
--- /dev/null
+++ b/components/note/examples/state_cost.rs
@@ -0,0 +1,85 @@
+//! Measures what a note costs at full size: `cargo run --release -p note --example state_cost`.
+
+use std::time;
+
+/// Notes that are folded in.
+const NOTES: u64 = 2_000;
+
+fn main() {
+    let texts = base(12_000, 9_400);
+    let begin = time::Instant::now();
+    let mut note = note::ReleaseNote::default();
+    for text in &texts {
+        let part = note::ReleaseNote::from_yaml(text).expect("part");
+        note.revision = part.revision;
+        note.base = part.base;
+        note.added.append(part.added);
+    }
+    let read = begin.elapsed();
+    let begin = time::Instant::now();
+    let mut state = note::StateInForce::default()
+        .apply(&note)
+        .expect("valid base");
+    let folded = begin.elapsed();
+    let begin = time::Instant::now();
+    let parts = note::cut(&state, 128_000).expect("parts");
+    let cut = begin.elapsed();
+    let begin = time::Instant::now();
+    let joined = note::join(&parts).expect("state");
+    let join = begin.elapsed();
+    assert_eq!(joined.digest(), state.digest());
+    let begin = time::Instant::now();
+    let mut digests = 0;
+    for _ in 0..NOTES {
+        let text = change(&state);
+        let note = note::ReleaseNote::from_yaml(&text).expect("note");
+        state = state.apply(&note).expect("valid note");
+        digests ^= state.digest().0;
+    }
+    let each = begin.elapsed() / u32::try_from(NOTES).unwrap_or(u32::MAX);
+    let bytes: usize = texts.iter().map(String::len).sum();
+    println!(
+        "base of 12,000 engines and 9,400 workspaces: {bytes} bytes in {} parts",
+        texts.len()
+    );
+    println!("read {read:?}, validate and fold {folded:?}");
+    println!("cut into {} parts {cut:?}, join {join:?}", parts.len());
+    println!("change of one engine, read, validate, fold and digest: {each:?} ({digests:x})");
+}
+
+/// Returns the parts of a base note, each below the limit of a value.
+fn base(engines: u64, workspaces: u64) -> Vec<String> {
+    let head = |number| {
+        format!("revision: 1\nbase: true\npart: {{ number: {number}, count: 7 }}\nadded:\n")
+    };
+    let mut texts = vec![head(1) + "  models: [{ name: m, version: v }]\n  workspaces:\n"];
+    for number in 0..workspaces {
+        texts[0].push_str(&format!(
+            "    - {{ name: desk-{number}, weight: 1, in_flight_limit: 8 }}\n"
+        ));
+    }
+    for part in 0..6 {
+        let mut text = head(part + 2) + "  engines:\n";
+        for number in (0..engines).filter(|number| number % 6 == part) {
+            text.push_str(&engine(number, 20));
+        }
+        texts.push(text);
+    }
+    texts
+}
+
+fn change(state: &note::StateInForce) -> String {
+    let revision = state.revision.next();
+    let engine = engine(revision.0 * 7 % 12_000, 21);
+    format!("revision: {revision}\nchanged:\n  engines:\n{engine}")
+}
+
+fn engine(number: u64, decode_slots: u32) -> String {
+    let (high, low) = (number / 250, number % 250 + 1);
+    format!(
+        "    - name: engine-{number}\n      address: 10.1.{high}.{low}:8000\n      region: region-0\n      \
+         data_centre: centre-0\n      role: flexible\n      models: [m]\n      decode_slots: \
+         {decode_slots}\n      kv_pieces: 400\n      prefill_tokens_per_second: 8000\n      \
+         link_tokens_per_second: 200000\n      full_batch_token_ms: 45\n      retention_ms: 800\n"
+    )
+}
