note: fold a note once

A note was folded for its validation and then again to come into force, which copied the map of 12,000 engines twice.

--- a/components/note/src/note_check.rs
+++ b/components/note/src/note_check.rs
@@ -13,24 +13,31 @@
     state: &state_in_force::StateInForce,
     note: &release_note::ReleaseNote,
 ) -> Vec<note_fault::NoteFault> {
+    judge(state, note).0
+}
+
+/// Returns every fault of `note` and the state that it would bring into force after `state`.
+pub(crate) fn judge(
+    state: &state_in_force::StateInForce,
+    note: &release_note::ReleaseNote,
+) -> (Vec<note_fault::NoteFault>, state_in_force::StateInForce) {
+    let empty = state_in_force::StateInForce::default();
+    let before = if note.base { &empty } else { state };
+    let after = before.fold(note);
     let mut faults = shape_faults(note);
     if note.part.is_some() {
-        return faults;
+        return (faults, after);
     }
-    if note.base {
-        let empty = state_in_force::StateInForce::default();
-        faults.extend(content_faults(&empty, note));
-        return faults;
-    }
-    if note.revision != state.revision.next() {
+    if !note.base && note.revision != state.revision.next() {
         let reason = refusal_reason::RefusalReason::RevisionGap {
             found: note.revision,
             in_force: state.revision,
         };
         faults.push(note_fault::NoteFault::whole(reason));
     }
-    faults.extend(content_faults(state, note));
-    faults
+    faults.extend(content_faults(before, note));
+    faults.extend(reference_check::faults(&after, note));
+    (faults, after)
 }
 
 /// Returns the faults that show in the note alone.
@@ -89,8 +96,6 @@
         &withdrawn.workspaces,
         &mut faults,
     );
-    let after = state.fold(note);
-    faults.extend(reference_check::faults(&after, note));
     faults
 }
 
--- a/components/note/src/state_in_force.rs
+++ b/components/note/src/state_in_force.rs
@@ -36,10 +36,10 @@
         &self,
         note: &release_note::ReleaseNote,
     ) -> Result<Self, refusal_reason::RefusalReason> {
-        match note_check::faults(self, note).into_iter().next() {
+        let (faults, after) = note_check::judge(self, note);
+        match faults.into_iter().next() {
             Some(fault) => Err(fault.reason),
-            None if note.base => Ok(Self::from_base(note)),
-            None => Ok(self.fold(note)),
+            None => Ok(after),
         }
     }
 
