--- a/components/member/src/member_entry.rs
+++ b/components/member/src/member_entry.rs
@@ -3,7 +3,7 @@
 use crate::member_state;
 
 /// One instance as the membership sees it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, serde::Serialize)]
 pub struct MemberEntry {
     /// Where the instance is, from the platform's list or from itself.
     pub instance: border::InstanceEntry,
--- a/components/member/src/member_state.rs
+++ b/components/member/src/member_state.rs
@@ -10,10 +10,12 @@
     Ord,
     PartialEq,
     PartialOrd,
+    serde::Serialize,
     strum::Display,
     strum::EnumIter,
     strum::IntoStaticStr,
 )]
+#[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum MemberState {
     /// Heartbeats arrive.
--- a/components/member/src/member_view.rs
+++ b/components/member/src/member_view.rs
@@ -5,7 +5,7 @@
 use crate::{member_entry, member_state};
 
 /// An immutable view of the membership, this instance included.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq, serde::Serialize)]
 pub struct MemberView {
     /// Instance that holds the view.
     pub own: ids::InstanceId,
--- a/components/rounds/tests/notes.rs
+++ b/components/rounds/tests/notes.rs
@@ -181,3 +181,45 @@
 
     assert_eq!(revisions(&run), [2; 8]);
 }
+
+#[test]
+fn notes_are_in_force_everywhere_within_four_seconds_while_a_data_centre_restarts() {
+    let mut run = rounds::FleetRun::new(
+        rounds::FleetLayout::of_size(105),
+        rounds::ChooserKind::Centre,
+        9,
+    );
+    run.links.loss = 0.02;
+    run.publish(1, rounds::base_note(1, 0), true);
+    run.run_for(seconds(30));
+    let restarting: Vec<_> = (0..run.nodes().len())
+        .filter(|index| run.nodes()[*index].entry.data_centre.as_str() == "centre-2")
+        .collect();
+    let mut published = Vec::new();
+
+    for revision in 2..12 {
+        for index in &restarting {
+            match revision {
+                4 => run.stop(*index),
+                8 => run.start(*index),
+                _ => {}
+            }
+        }
+        change(&mut run, revision);
+        published.push((ids::Revision(revision), run.now()));
+        run.run_for(time::Duration::from_millis(1_400));
+    }
+    run.run_for(seconds(10));
+
+    for (revision, moment) in published {
+        for node in run.nodes().iter().filter(|node| node.started <= moment) {
+            let in_force = node.in_force_at(revision).expect("in force");
+            assert!(
+                in_force.since(moment) <= seconds(4),
+                "{revision}: {}",
+                node.entry.id
+            );
+        }
+    }
+    assert!(run.nodes().iter().all(|node| node.spreader.is_ready()));
+}
