--- a/components/rounds/src/fleet_run.rs
+++ b/components/rounds/src/fleet_run.rs
@@ -5,15 +5,11 @@
 use rand::{RngExt as _, SeedableRng as _};
 
 use crate::{
-    chooser_kind, fleet_event, fleet_layout, fleet_node, link_model, message_size, run_meter,
-    service_model,
+    chooser_kind, fleet_event, fleet_layout, fleet_node, link_model, run_meter, service_model,
 };
 
 /// Time that the service and the list take to answer.
-const ANSWER_DELAY: time::Duration = time::Duration::from_millis(5);
-
-/// Time that the service lets a watch wait.
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(15);
+pub(crate) const ANSWER_DELAY: time::Duration = time::Duration::from_millis(5);
 
 /// Time by which the platform's list lags.
 const LIST_LAG: time::Duration = time::Duration::from_secs(10);
@@ -26,14 +22,14 @@
     pub service: service_model::ServiceModel,
     /// What was counted.
     pub meter: run_meter::RunMeter,
-    now: clock::Moment,
-    nodes: Vec<fleet_node::FleetNode>,
+    pub(crate) now: clock::Moment,
+    pub(crate) nodes: Vec<fleet_node::FleetNode>,
     queue: BTreeMap<(clock::Moment, u64), fleet_event::DueEvent>,
     /// For each instance, since when it is up or down, as the list will tell after its lag.
     since: Vec<(clock::Moment, bool)>,
     chooser: chooser_kind::ChooserKind,
-    sequence: u64,
-    random: rand_chacha::ChaCha8Rng,
+    pub(crate) sequence: u64,
+    pub(crate) random: rand_chacha::ChaCha8Rng,
 }
 
 impl FleetRun {
@@ -161,7 +157,7 @@
         }
     }
 
-    fn push(&mut self, at: clock::Moment, node: usize, event: fleet_event::FleetEvent) {
+    pub(crate) fn push(&mut self, at: clock::Moment, node: usize, event: fleet_event::FleetEvent) {
         self.sequence += 1;
         let due = fleet_event::DueEvent {
             node,
@@ -277,138 +273,4 @@
             .min()
             .unwrap_or_default()
     }
-
-    fn member(&mut self, index: usize, input: member::Input) {
-        let mut outputs = Vec::new();
-        self.nodes[index]
-            .members
-            .handle(self.now, input, &mut outputs);
-        self.take_member(index, outputs);
-    }
-
-    fn take_member(&mut self, index: usize, outputs: Vec<member::Output>) {
-        for output in outputs {
-            match output {
-                member::Output::Send(to, message) => {
-                    let bytes = message_size::member_bytes(&message);
-                    self.meter.member_messages += 1;
-                    self.meter.member_bytes += u64::try_from(bytes).unwrap_or(u64::MAX);
-                    let from = self.nodes[index].entry.id;
-                    self.send(index, to, fleet_event::FleetEvent::Member(from, message));
-                }
-                member::Output::ReadList => {
-                    self.meter.list_reads += 1;
-                    self.push(
-                        self.now + ANSWER_DELAY,
-                        index,
-                        fleet_event::FleetEvent::Listed,
-                    );
-                }
-                member::Output::ViewChanged(view) => {
-                    self.meter.view_changes += 1;
-                    self.spread(index, spread::Input::View(view));
-                }
-            }
-        }
-    }
-
-    fn spread(&mut self, index: usize, input: spread::Input) {
-        let mut outputs = Vec::new();
-        self.nodes[index]
-            .spreader
-            .handle(self.now, input, &mut outputs);
-        for output in outputs {
-            self.take_spread(index, output);
-        }
-    }
-
-    fn take_spread(&mut self, index: usize, output: spread::Output) {
-        match output {
-            spread::Output::Send(to, message) => self.send_spread(index, to, message),
-            spread::Output::ReadService(after) => {
-                self.meter.service_calls += 1;
-                self.nodes[index].watch = None;
-                self.push(
-                    self.now + ANSWER_DELAY,
-                    index,
-                    fleet_event::FleetEvent::Read(after),
-                );
-            }
-            spread::Output::WatchService(after) => self.watch(index, after),
-            spread::Output::Diverged(..) => self.meter.divergences += 1,
-            spread::Output::InForce(_) | spread::Output::Refused(..) => {}
-        }
-    }
-
-    fn watch(&mut self, index: usize, after: ids::Revision) {
-        self.meter.service_calls += 1;
-        let down = self.service.health == service_model::ServiceHealth::Down;
-        if down || self.service.latest() > after {
-            self.push(
-                self.now + ANSWER_DELAY,
-                index,
-                fleet_event::FleetEvent::Read(after),
-            );
-            return;
-        }
-        self.sequence += 1;
-        let number = self.sequence;
-        self.nodes[index].watch = Some((number, after));
-        self.push(
-            self.now + WATCH_WAIT,
-            index,
-            fleet_event::FleetEvent::WatchEnd(number),
-        );
-    }
-
-    fn answer_watches(&mut self) {
-        let latest = self.service.latest();
-        for index in 0..self.nodes.len() {
-            let Some((_, after)) = self.nodes[index].watch else {
-                continue;
-            };
-            if latest > after {
-                self.nodes[index].watch = None;
-                self.push(
-                    self.now + ANSWER_DELAY,
-                    index,
-                    fleet_event::FleetEvent::Read(after),
-                );
-            }
-        }
-    }
-
-    fn send_spread(&mut self, index: usize, to: ids::InstanceId, message: spread::Message) {
-        let bytes = message_size::spread_bytes(&message);
-        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.meter.spread_messages += 1;
-        self.meter.spread_bytes += bytes;
-        if matches!(message, spread::Message::Part(_)) {
-            self.meter.part_bytes += bytes;
-        }
-        let from = self.nodes[index].entry.id;
-        let far = self
-            .find(to)
-            .is_some_and(|other| self.nodes[other].entry.region != self.nodes[index].entry.region);
-        if far {
-            self.meter.far_bytes += bytes;
-        }
-        self.send(index, to, fleet_event::FleetEvent::Spread(from, message));
-    }
-
-    fn send(&mut self, index: usize, to: ids::InstanceId, event: fleet_event::FleetEvent) {
-        let Some(target) = self.find(to) else {
-            return;
-        };
-        let (from, to) = (&self.nodes[index].entry, &self.nodes[target].entry);
-        let Some(delay) = self.links.delay(from, to, &mut self.random) else {
-            return;
-        };
-        self.push(self.now + delay, target, event);
-    }
-
-    fn find(&self, instance: ids::InstanceId) -> Option<usize> {
-        let index = usize::try_from(instance.0.checked_sub(1)?).ok()?;
-        (index < self.nodes.len()).then_some(index)
-    }
 }
--- a/components/rounds/src/lib.rs
+++ b/components/rounds/src/lib.rs
@@ -12,6 +12,7 @@
 mod link_model;
 mod message_size;
 mod run_meter;
+mod run_outputs;
 mod sample_notes;
 mod service_model;
 
