daemon: tell once when a service of the platform fails or answers again

An instance whose settings name a wrong address waited for the instance list without a word, because failed reads were logged at level debug. The first failure is a warning now, the recovery is logged, and the repeats stay at debug.

--- a/components/daemon/src/action_runner.rs
+++ b/components/daemon/src/action_runner.rs
@@ -3,7 +3,8 @@
 use std::{future, net, sync, time};
 
 use crate::{
-    address_book, border_set, core_port, hop_span, peer_port, placement_spans, token_pump,
+    address_book, border_set, core_port, hop_span, outage_log, peer_port, placement_spans,
+    token_pump,
 };
 
 /// Times that a cancellation is sent when it isn't acknowledged.
@@ -22,6 +23,8 @@
     pub(crate) peers: Box<dyn peer_port::PeerPort>,
     pub(crate) addresses: address_book::AddressBook,
     pub(crate) placements: placement_spans::PlacementSpans,
+    pub(crate) list_outages: outage_log::OutageLog,
+    pub(crate) note_outages: outage_log::OutageLog,
 }
 
 impl ActionRunner {
@@ -106,16 +109,19 @@
     fn read_list(&self) {
         let list = sync::Arc::clone(&self.borders.list);
         let port = self.port.clone();
+        let outages = self.list_outages.clone();
         self.spawn(async move {
-            match list.read().await {
-                Ok(entries) => port.tell(control::Event::Listed(entries)),
-                Err(error) => tracing::debug!(%error, "can't read the instance list"),
+            let answer = list.read().await;
+            outages.note(&answer);
+            if let Ok(entries) = answer {
+                port.tell(control::Event::Listed(entries));
             }
         });
     }
 
     fn read_notes(&self, revision: ids::Revision, is_watch: bool) {
         let notes = sync::Arc::clone(&self.borders.notes);
+        let outages = self.note_outages.clone();
         let port = self.port.clone();
         self.spawn(async move {
             let answer = if is_watch {
@@ -123,9 +129,7 @@
             } else {
                 notes.read(revision).await
             };
-            if let Err(error) = &answer {
-                tracing::debug!(%error, "can't read the configuration service");
-            }
+            outages.note(&answer);
             port.tell(control::Event::ServiceAnswered(answer.ok()));
         });
     }
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     action_runner, address_book, admin_source, border_set, control_loop, core_meter, core_port,
-    daemon_error, daemon_handle, daemon_options, peer_port, placement_spans, system_clock,
+    daemon_error, daemon_handle, daemon_options, outage_log, peer_port, placement_spans,
+    system_clock,
 };
 
 /// Messages of peers that may wait for the control thread.
@@ -73,6 +74,8 @@
             }),
             addresses: address_book::AddressBook::default(),
             placements: placement_spans::PlacementSpans::default(),
+            list_outages: outage_log::OutageLog::new("instance list"),
+            note_outages: outage_log::OutageLog::new("configuration service"),
         };
         let control = control_loop::ControlLoop {
             core,
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod engine_count;
 mod hop_span;
 mod instance_snapshot;
+mod outage_log;
 mod peer_port;
 mod placement_spans;
 mod system_clock;
