--- a/components/order/src/lib.rs
+++ b/components/order/src/lib.rs
@@ -1,7 +1,7 @@
 //! Engine orders: the cell owner brings its engines to what the release notes ask for.
 //!
 //! [`OrderReconciler`] is a state machine without I/O: it takes [`Input`]s with the time and
-//! returns [`Output`]s. It orders an engine only while [`order_gate`] allows it, one order at a
+//! returns [`Output`]s. It orders an engine only while its gate allows it, one order at a
 //! time, and believes only what the engine's status says afterwards.
 
 mod engine_plan;
