place: grant no slot ahead beyond the pace limit

The traces of missed requests show paces of 55.01 to 55.56 ms against 55: slots are limited to 18 of 20 for the pace, and a lease granted ahead of a stream's end was let in by the engine at once, as a 19th.

Change: where the pace limits the slots, a lease is granted ahead only if the slot is expected to be free when prefill ends.

--- a/components/place/src/deadline_policy.rs
+++ b/components/place/src/deadline_policy.rs
@@ -240,7 +240,13 @@
             }
             let slack = ask.deadline.since(first_token);
             let retention = time::Duration::from_millis(u64::from(source.entry.retention_ms));
-            let patience = slack.min(retention.mul_f64(RETENTION_SHARE));
+            // The engine lets a transfer wait for its slots only, not for the pace target.
+            let waits = engine.slot_limit(ask.pace_ms) == engine.entry.decode_slots;
+            let patience = if waits {
+                slack.min(retention.mul_f64(RETENTION_SHARE))
+            } else {
+                time::Duration::ZERO
+            };
             let missing = missing_slots(book, engine, ask);
             let by = prefill.end() + patience;
             if missing > 0 && !frees_in_time(now, book, engine, missing, by) {
