place, flow: extend leases by a digest of what an entry holds

Change: the entry tells a count and a sum of hashes for each cell; the owner extends the leases if it counts the same, and otherwise asks for the claims. Only whole claims count as a list, and for their cell only. Progress between news is estimated from the pace for up to 30 s.

--- a/components/flow/src/table/leases.rs
+++ b/components/flow/src/table/leases.rs
@@ -24,10 +24,10 @@
             self.return_lease(from, &placement, outputs);
             return;
         }
-        self.update_interval = placement.expires_in / super::UPDATES_PER_LEASE;
-        let next_update = now + self.update_interval;
-        if self.next_update < now || self.next_update > next_update {
-            self.next_update = next_update;
+        self.extension_interval = placement.expires_in / super::EXTENSIONS_PER_LEASE;
+        let next_extension = now + self.extension_interval;
+        if self.next_extension < now || self.next_extension > next_extension {
+            self.next_extension = next_extension;
         }
         let Some(flow) = self.flows.get_mut(&request) else {
             return;
@@ -157,19 +157,19 @@
         outputs.push(output::Output::Send(owner, message));
     }
 
-    /// Tells every owner how far the work under its leases has come.
-    pub(super) fn update_leases(&mut self, outputs: &mut Vec<output::Output>) {
-        let mut by_owner: BTreeMap<ids::InstanceId, Vec<place::LeaseUpdate>> = BTreeMap::new();
+    /// Tells every owner in short which of its leases are held here.
+    pub(super) fn extend_leases(&mut self, outputs: &mut Vec<output::Output>) {
+        let mut held: BTreeMap<(ids::InstanceId, ids::CellId), place::LeaseDigest> =
+            BTreeMap::new();
         for flow in self.flows.values() {
-            if let Some(update) = flow.update(flow.phase()) {
-                by_owner.entry(flow.owner).or_default().push(update);
+            if let Some(placement) = &flow.placement {
+                let digest = held.entry((flow.owner, flow.cell)).or_default();
+                digest.add(placement.lease);
             }
         }
-        for (owner, updates) in by_owner {
-            outputs.push(output::Output::Send(
-                owner,
-                place::Message::Updates(updates),
-            ));
+        for ((owner, cell), digest) in held {
+            let message = place::Message::Holding(cell, digest);
+            outputs.push(output::Output::Send(owner, message));
         }
     }
 
--- a/components/flow/src/table/mod.rs
+++ b/components/flow/src/table/mod.rs
@@ -12,11 +12,11 @@
 
 use crate::{cell_board, flow_stage, flow_timers, input, model_flow, output};
 
-/// Time between two updates of the leases before an owner has said how long they hold.
-const UPDATE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Time between two extensions of the leases before an owner has said how long they hold.
+const EXTENSION_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
-/// Updates of a lease within the time it holds, so that losing some doesn't end it.
-const UPDATES_PER_LEASE: u32 = 3;
+/// Extensions of a lease within the time it holds, so that losing some doesn't end it.
+const EXTENSIONS_PER_LEASE: u32 = 3;
 
 /// The model requests of one entry instance.
 #[derive(Clone, Debug)]
@@ -27,8 +27,8 @@
     flows: BTreeMap<ids::RequestId, model_flow::ModelFlow>,
     timers: flow_timers::FlowTimers,
     endings: ending::EndingList,
-    update_interval: time::Duration,
-    next_update: clock::Moment,
+    extension_interval: time::Duration,
+    next_extension: clock::Moment,
 }
 
 impl FlowTable {
@@ -42,8 +42,8 @@
             flows: BTreeMap::new(),
             timers: flow_timers::FlowTimers::default(),
             endings: ending::EndingList::default(),
-            update_interval: UPDATE_INTERVAL,
-            next_update: clock::Moment::default(),
+            extension_interval: EXTENSION_INTERVAL,
+            next_extension: clock::Moment::default(),
         }
     }
 
@@ -59,7 +59,7 @@
         let update = if self.flows.is_empty() {
             clock::Moment::MAX
         } else {
-            self.next_update
+            self.next_extension
         };
         self.timers.next().min(update).min(self.endings.next())
     }
@@ -118,6 +118,7 @@
             place::Message::Ask(_)
             | place::Message::Withdraw(..)
             | place::Message::Updates(_)
+            | place::Message::Holding(..)
             | place::Message::Retarget(_)
             | place::Message::Claims(..) => {}
         }
@@ -151,9 +152,9 @@
             self.wake_flow(now, request, outputs);
         }
         self.endings.repeat_due(now, outputs);
-        if now >= self.next_update {
-            self.next_update = now + self.update_interval;
-            self.update_leases(outputs);
+        if now >= self.next_extension {
+            self.next_extension = now + self.extension_interval;
+            self.extend_leases(outputs);
         }
     }
 
--- a/components/place/src/cell_book.rs
+++ b/components/place/src/cell_book.rs
@@ -10,7 +10,7 @@
 const RATE_LIFE: time::Duration = time::Duration::from_millis(100);
 
 /// Time without news beyond which a stream's progress is not extrapolated.
-const PROGRESS_LIMIT: time::Duration = time::Duration::from_secs(3);
+const PROGRESS_LIMIT: time::Duration = time::Duration::from_secs(30);
 
 /// What an owner counts of one cell: each lease once, on both of its engines.
 #[derive(Clone, Debug, Default)]
@@ -190,6 +190,7 @@
             return;
         };
         lease.heard_at = now;
+        lease.told_at = now;
         lease.generated = lease.generated.max(generated);
         let was_reading = lease.is_reading();
         let went_on = phase > lease.phase;
@@ -238,7 +239,7 @@
                 .filter(|lease| lease.is_decoding())
                 .filter_map(|lease| {
                     let guess = self.guesses.get(&lease.class)?;
-                    let quiet = now.since(lease.heard_at).min(PROGRESS_LIMIT);
+                    let quiet = now.since(lease.told_at).min(PROGRESS_LIMIT);
                     let unheard = quiet.as_secs_f64() * tokens_per_second;
                     Some(guess.ending_chance(f64::from(lease.generated) + unheard))
                 })
--- a/components/place/src/cell_owner.rs
+++ b/components/place/src/cell_owner.rs
@@ -228,6 +228,11 @@
                 }
             }
             message::Message::Updates(updates) => self.take_updates(now, from, &updates, outputs),
+            message::Message::Holding(cell, digest) => {
+                if let Some(planner) = self.planners.get_mut(&cell) {
+                    planner.take_holding(now, from, digest, &mut self.context, outputs);
+                }
+            }
             message::Message::Retarget(ask) => {
                 let planner = self
                     .planners
@@ -245,7 +250,7 @@
             }
             message::Message::Claims(cell, claims, last) => {
                 if last {
-                    self.context.news.note_list(now, from);
+                    self.context.news.note_list(now, cell, from);
                 }
                 if let Some(planner) = self.planners.get_mut(&cell) {
                     planner.take_claims(now, from, claims, last, &self.context);
@@ -294,7 +299,6 @@
                 unknown = true;
             }
         }
-        self.context.news.note_list(now, from);
         let cells: Vec<ids::CellId> = self.planners.keys().copied().collect();
         for cell in cells.into_iter().filter(|_| unknown) {
             self.context.want_claims(now, cell, from, outputs);
--- a/components/place/src/cell_planner.rs
+++ b/components/place/src/cell_planner.rs
@@ -329,7 +329,7 @@
             .start_at(plan.start_at)
             .prefill_span(plan.prefill_span)
             .heard_at(now)
-            .expires_at(now + LEASE_SPAN)
+            .told_at(now)
             .build();
         let Some(key) = self.book.insert(lease) else {
             return;
--- a/components/place/src/entry_news.rs
+++ b/components/place/src/entry_news.rs
@@ -14,18 +14,18 @@
 /// What an owner hears of the entry instances.
 #[derive(Clone, Debug, Default)]
 pub struct EntryNews {
-    /// Time of the last list of leases from each instance.
-    lists: BTreeMap<ids::InstanceId, clock::Moment>,
+    /// Time of the last list of leases in a cell from each instance.
+    lists: BTreeMap<(ids::CellId, ids::InstanceId), clock::Moment>,
     /// Time at which an entry last named work that no lease covers.
     mentions: BTreeMap<ids::RequestId, clock::Moment>,
-    /// Time at which each instance was last asked for its claims.
-    claims_asked: BTreeMap<ids::InstanceId, clock::Moment>,
+    /// Time at which each instance was last asked for its claims in a cell.
+    claims_asked: BTreeMap<(ids::CellId, ids::InstanceId), clock::Moment>,
 }
 
 impl EntryNews {
-    /// Notes that an instance has listed all its leases.
-    pub fn note_list(&mut self, now: clock::Moment, entry: ids::InstanceId) {
-        self.lists.insert(entry, now);
+    /// Notes that an instance has listed all its leases in a cell.
+    pub fn note_list(&mut self, now: clock::Moment, cell: ids::CellId, entry: ids::InstanceId) {
+        self.lists.insert((cell, entry), now);
     }
 
     /// Notes that an entry named work that no lease covers.
@@ -42,20 +42,32 @@
             .is_some_and(|at| *at + MENTION_SPAN > now)
     }
 
-    /// Returns whether the instance has listed its leases since `moment`.
+    /// Returns whether the instance has listed its leases in a cell since `moment`.
     #[must_use]
-    pub fn has_listed_since(&self, entry: ids::InstanceId, moment: clock::Moment) -> bool {
-        self.lists.get(&entry).is_some_and(|at| *at >= moment)
+    pub fn has_listed_since(
+        &self,
+        cell: ids::CellId,
+        entry: ids::InstanceId,
+        moment: clock::Moment,
+    ) -> bool {
+        self.lists
+            .get(&(cell, entry))
+            .is_some_and(|at| *at >= moment)
     }
 
     /// Returns whether the instance may be asked for its claims now, and notes that it is.
-    pub fn ask_claims(&mut self, now: clock::Moment, entry: ids::InstanceId) -> bool {
+    pub fn ask_claims(
+        &mut self,
+        now: clock::Moment,
+        cell: ids::CellId,
+        entry: ids::InstanceId,
+    ) -> bool {
         let due = self
             .claims_asked
-            .get(&entry)
+            .get(&(cell, entry))
             .is_none_or(|at| *at + CLAIM_INTERVAL <= now);
         if due {
-            self.claims_asked.insert(entry, now);
+            self.claims_asked.insert((cell, entry), now);
         }
         due
     }
--- a/components/place/src/held_lease.rs
+++ b/components/place/src/held_lease.rs
@@ -32,10 +32,10 @@
     pub start_at: clock::Moment,
     /// Time prefill is expected to take.
     pub prefill_span: time::Duration,
-    /// Time of the last news.
+    /// Time at which the entry last held the lease.
     pub heard_at: clock::Moment,
-    /// Time at which the lease expires without news.
-    pub expires_at: clock::Moment,
+    /// Time of the last news of the work's progress.
+    pub told_at: clock::Moment,
 }
 
 impl HeldLease {
--- a/components/place/src/lease_news.rs
+++ b/components/place/src/lease_news.rs
@@ -3,8 +3,9 @@
 use std::time;
 
 use crate::{
-    cell_planner, engine_reach, held_lease, keys, lease_claim, lease_phase, lease_update, message,
-    output, owner_context, refusal, refusal_reason, retarget_ask, takeover, work_key,
+    cell_planner, engine_reach, held_lease, keys, lease_claim, lease_digest, lease_phase,
+    lease_update, message, output, owner_context, refusal, refusal_reason, retarget_ask, takeover,
+    work_key,
 };
 
 /// Time after which a caller may ask again whose work couldn't be moved.
@@ -33,14 +34,38 @@
             }
             _ => {
                 self.book.advance(now, key, phase, update.generated_tokens);
-                if let Some(lease) = self.book.lease_mut(key) {
-                    lease.expires_at = now + cell_planner::LEASE_SPAN;
-                }
             }
         }
         true
     }
 
+    /// Takes what an entry holds in the cell: extends its leases, or asks for them all.
+    pub fn take_holding(
+        &mut self,
+        now: clock::Moment,
+        from: ids::InstanceId,
+        digest: lease_digest::LeaseDigest,
+        context: &mut owner_context::OwnerContext,
+        outputs: &mut Vec<output::Output>,
+    ) {
+        let held: Vec<(keys::LeaseKey, ids::LeaseId)> = self
+            .book
+            .leases()
+            .filter(|(_, lease)| lease.entry == from)
+            .map(|(key, lease)| (key, lease.id))
+            .collect();
+        let counted: lease_digest::LeaseDigest = held.iter().map(|(_, id)| *id).collect();
+        if counted != digest {
+            context.want_claims(now, self.cell.id, from, outputs);
+            return;
+        }
+        for (key, _) in held {
+            if let Some(lease) = self.book.lease_mut(key) {
+                lease.heard_at = now;
+            }
+        }
+    }
+
     /// Begins to learn what is held under leases of a former owner.
     pub fn begin_takeover(
         &mut self,
@@ -125,7 +150,6 @@
         self.book.move_decode(now, key, ask.attempt, target);
         if let Some(lease) = self.book.lease_mut(key) {
             lease.heard_at = now;
-            lease.expires_at = now + cell_planner::LEASE_SPAN;
             lease.phase = lease_phase::LeasePhase::Transfer;
             lease.start_at = now;
         }
@@ -217,7 +241,7 @@
             .start_at(now + placement.start_in)
             .prefill_span(span.unwrap_or_default())
             .heard_at(now)
-            .expires_at(now + cell_planner::LEASE_SPAN)
+            .told_at(now)
             .build();
         self.book.insert(lease);
     }
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -21,6 +21,7 @@
 mod input;
 mod keys;
 mod lease_claim;
+mod lease_digest;
 mod lease_news;
 mod lease_phase;
 mod lease_update;
@@ -63,6 +64,7 @@
 pub use input::Input;
 pub use keys::{EngineKey, LeaseKey};
 pub use lease_claim::LeaseClaim;
+pub use lease_digest::LeaseDigest;
 pub use lease_phase::LeasePhase;
 pub use lease_update::LeaseUpdate;
 pub use message::Message;
@@ -80,6 +82,3 @@
 pub use retarget_ask::RetargetAsk;
 pub use spare_advert::SpareAdvert;
 pub use work_key::WorkKey;
-
-/// Time between two lists of all its leases that an entry instance sends to an owner.
-pub const UPDATE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
--- a/components/place/src/message.rs
+++ b/components/place/src/message.rs
@@ -1,6 +1,9 @@
 //! Messages between entry instances and cell owners.
 
-use crate::{lease_claim, lease_update, place_ask, placement, refusal, retarget_ask, spare_advert};
+use crate::{
+    lease_claim, lease_digest, lease_update, place_ask, placement, refusal, retarget_ask,
+    spare_advert,
+};
 
 /// A message between an entry instance and a cell owner.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -15,6 +18,8 @@
     Withdraw(ids::RequestId, ids::AttemptNumber),
     /// Entry to owner: news of leases.
     Updates(Vec<lease_update::LeaseUpdate>),
+    /// Entry to owner: what the sender holds in a cell, which extends the leases if it agrees.
+    Holding(ids::CellId, lease_digest::LeaseDigest),
     /// Entry to owner: asks for another decode engine.
     Retarget(retarget_ask::RetargetAsk),
     /// Entry to new owner: leases held in a cell, the last part flagged.
--- a/components/place/src/orphan_watch.rs
+++ b/components/place/src/orphan_watch.rs
@@ -36,7 +36,7 @@
         let ended: Vec<keys::LeaseKey> = self
             .book
             .leases()
-            .filter(|(_, lease)| is_abandoned(now, lease, context))
+            .filter(|(_, lease)| is_abandoned(now, self.cell.id, lease, context))
             .map(|(key, _)| key)
             .collect();
         for key in ended {
@@ -75,7 +75,7 @@
             return;
         };
         for entry in &list {
-            self.correct_progress(entry);
+            self.correct_progress(now, entry);
         }
         let unleased: Vec<border::RunningEntry> = list
             .into_iter()
@@ -102,10 +102,11 @@
         }
     }
 
-    fn correct_progress(&mut self, entry: &border::RunningEntry) {
+    fn correct_progress(&mut self, now: clock::Moment, entry: &border::RunningEntry) {
         let key = self.book.lease_of_work(work_of(entry));
         if let Some(lease) = key.and_then(|key| self.book.lease_mut(key)) {
             lease.generated = lease.generated.max(entry.generated_tokens);
+            lease.told_at = now;
         }
     }
 
@@ -178,7 +179,7 @@
         for (key, engine) in self.book.engines() {
             for (work, foreign) in &engine.foreign {
                 let ended = self.book.ended.ended_at(*work).is_some();
-                if is_orphan(now, *work, foreign, ended, context) {
+                if is_orphan(now, self.cell.id, *work, foreign, ended, context) {
                     orphans.push((key, *work));
                 } else {
                     unsure.push(key);
@@ -222,6 +223,7 @@
 /// Returns whether the entry of a lease is gone, or alive and without the lease.
 fn is_abandoned(
     now: clock::Moment,
+    cell: ids::CellId,
     lease: &held_lease::HeldLease,
     context: &owner_context::OwnerContext,
 ) -> bool {
@@ -229,7 +231,7 @@
     let quiet = now.since(heard_at);
     let unlisted = context
         .news
-        .has_listed_since(lease.entry, heard_at + UNLISTED_SPAN);
+        .has_listed_since(cell, lease.entry, heard_at + UNLISTED_SPAN);
     entry_news::is_gone(now, &context.view, lease.entry, heard_at)
         || unlisted
         || quiet >= SILENCE_SPAN
@@ -238,6 +240,7 @@
 /// Returns whether work without a lease belongs to no live entry.
 fn is_orphan(
     now: clock::Moment,
+    cell: ids::CellId,
     work: work_key::WorkKey,
     foreign: &foreign_work::ForeignWork,
     ended: bool,
@@ -256,6 +259,6 @@
     let disowned = ended
         || context
             .news
-            .has_listed_since(foreign.entry, foreign.first_seen + ORPHAN_GRACE);
+            .has_listed_since(cell, foreign.entry, foreign.first_seen + ORPHAN_GRACE);
     seen_long && disowned || foreign.first_seen + SILENCE_SPAN <= now
 }
--- a/components/place/src/owner_context.rs
+++ b/components/place/src/owner_context.rs
@@ -36,7 +36,7 @@
         entry: ids::InstanceId,
         outputs: &mut Vec<output::Output>,
     ) {
-        if self.news.ask_claims(now, entry) {
+        if self.news.ask_claims(now, cell, entry) {
             let message = crate::Message::WantClaims(cell);
             outputs.push(output::Output::Send(entry, message));
         }
--- a/components/place/tests/place/main.rs
+++ b/components/place/tests/place/main.rs
@@ -3,4 +3,5 @@
 mod cells;
 mod common;
 mod failures;
+mod holding;
 mod properties;
--- a/components/wire/src/place_convert.rs
+++ b/components/wire/src/place_convert.rs
@@ -31,6 +31,14 @@
                     last,
                 })
             }
+            place::Message::Holding(cell, digest) => {
+                let place::LeaseDigest { count, sum } = digest;
+                proto::place_message::Body::Holding(proto::Holding {
+                    cell: cell.0,
+                    count,
+                    sum,
+                })
+            }
             place::Message::WantClaims(cell) => proto::place_message::Body::WantClaims(cell.0),
             place::Message::Revoked(leases) => {
                 proto::place_message::Body::Revoked(proto::Revocations {
@@ -65,6 +73,9 @@
             proto::place_message::Body::Claims(proto::LeaseClaims { cell, claims, last }) => {
                 Self::Claims(ids::CellId(cell), field::all(claims)?, last)
             }
+            proto::place_message::Body::Holding(proto::Holding { cell, count, sum }) => {
+                Self::Holding(ids::CellId(cell), place::LeaseDigest { count, sum })
+            }
             proto::place_message::Body::WantClaims(cell) => Self::WantClaims(ids::CellId(cell)),
             proto::place_message::Body::Revoked(proto::Revocations { leases }) => {
                 Self::Revoked(field::list(leases))
--- a/components/wire/tests/strategy/mod.rs
+++ b/components/wire/tests/strategy/mod.rs
@@ -144,6 +144,9 @@
         collection::vec(lease_update(), 0..LIST_LENGTH).prop_map(place::Message::Updates),
         retarget_ask().prop_map(place::Message::Retarget),
         any::<u64>().prop_map(|cell| place::Message::WantClaims(ids::CellId(cell))),
+        (any::<u64>(), any::<u32>(), any::<u64>()).prop_map(|(cell, count, sum)| {
+            place::Message::Holding(ids::CellId(cell), place::LeaseDigest { count, sum })
+        }),
         (
             any::<u64>(),
             collection::vec(lease_claim(), 0..LIST_LENGTH),
