--- a/components/call/src/call_keeper/arrivals.rs
+++ b/components/call/src/call_keeper/arrivals.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::BTreeMap, sync};
 
-use super::CallKeeper;
 use crate::{call_entry, call_failure::CallFailure, call_spec, output, service_lane};
 
-impl CallKeeper {
+impl super::CallKeeper {
     pub(super) fn refresh_lanes(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         let state = sync::Arc::clone(&self.state);
         let view = sync::Arc::clone(&self.view);
--- a/components/call/src/call_keeper/attempts.rs
+++ b/components/call/src/call_keeper/attempts.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use super::CallKeeper;
 use crate::{
     attempt_result, call_entry, call_failure::CallFailure, call_outcome, claim_state::ClaimState,
     output,
@@ -20,7 +19,7 @@
 /// Status with which a server asks for fewer calls.
 const TOO_MANY_STATUS: u16 = 429;
 
-impl CallKeeper {
+impl super::CallKeeper {
     /// Hands waiting calls of a service to servers while there is room.
     pub(super) fn pump(
         &mut self,
--- a/components/call/src/call_keeper/claims.rs
+++ b/components/call/src/call_keeper/claims.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use super::CallKeeper;
 use crate::{
     call_entry, call_failure::CallFailure, claim_key, claim_round, claim_state::ClaimState,
     message, output, service_lane, witness_rank,
@@ -17,7 +16,7 @@
 /// Added to a key's age for differences between clocks and for messages on their way.
 const CLOCK_MARGIN: time::Duration = time::Duration::from_secs(5);
 
-impl CallKeeper {
+impl super::CallKeeper {
     /// Asks the witnesses of a key to hold it for a call.
     pub(super) fn begin_claim(
         &mut self,
--- a/components/call/src/call_keeper/endings.rs
+++ b/components/call/src/call_keeper/endings.rs
@@ -4,7 +4,6 @@
 
 use rand::RngExt as _;
 
-use super::CallKeeper;
 use crate::{call_entry, call_failure::CallFailure, call_outcome, output};
 
 /// Time after its deadline for which an attempt that doesn't end keeps its room at the server.
@@ -16,7 +15,7 @@
 /// Longest time after which a refused caller is asked to come back.
 const RETRY_AFTER_CAP: time::Duration = time::Duration::from_secs(30);
 
-impl CallKeeper {
+impl super::CallKeeper {
     pub(super) fn abandon(&mut self, request: ids::RequestId, outputs: &mut Vec<output::Output>) {
         let Some(entry) = self.calls.get(&request) else {
             return;
--- a/components/call/src/key_witness/handing.rs
+++ b/components/call/src/key_witness/handing.rs
@@ -2,13 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use super::KeyWitness;
 use crate::{claim_key, held_claim, message, output, witness_rank};
 
 /// Claims in one message of a hand-over.
 const PAGE_CLAIMS: usize = 1_000;
 
-impl KeyWitness {
+impl super::KeyWitness {
     /// Answers a new witness with a page of the claims that it is a witness of.
     pub(super) fn recalled(
         &self,
