--- a/components/call/benches/keeper.rs
+++ b/components/call/benches/keeper.rs
@@ -1,6 +1,6 @@
 //! Measures the calls that keepers handle in a second on one core.
 
-use std::{collections::VecDeque, sync};
+use std::{collections, sync};
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -58,7 +58,7 @@
 
 /// Carries calls to their end, one after the other.
 fn run(mut keepers: Vec<call::CallKeeper>, calls: Vec<call::CallSpec>) -> usize {
-    let mut inputs = VecDeque::new();
+    let mut inputs = collections::VecDeque::new();
     let mut answered = 0;
     for spec in calls {
         inputs.push_back((1, call::Input::Arrived(spec)));
@@ -122,7 +122,7 @@
 }
 
 fn queue_and_serve(keeper: &mut call::CallKeeper, calls: Vec<call::CallSpec>) -> usize {
-    let mut open = VecDeque::new();
+    let mut open = collections::VecDeque::new();
     for spec in calls {
         let outputs = common::give(keeper, START_MS, call::Input::Arrived(spec));
         open.extend(common::attempts(&outputs));
--- a/components/call/src/call_keeper.rs
+++ b/components/call/src/call_keeper.rs
@@ -1,9 +1,6 @@
 //! The state machine of calls.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt, sync, time,
-};
+use std::{collections, fmt, sync, time};
 
 use rand::SeedableRng as _;
 
@@ -26,21 +23,21 @@
     state: sync::Arc<note::StateInForce>,
     view: sync::Arc<member::MemberView>,
     generator: rand_chacha::ChaCha8Rng,
-    calls: BTreeMap<ids::RequestId, call_entry::CallEntry>,
-    timers: BTreeSet<(clock::Moment, ids::RequestId)>,
-    lanes: BTreeMap<ids::ServiceName, service_lane::ServiceLane>,
+    calls: collections::BTreeMap<ids::RequestId, call_entry::CallEntry>,
+    timers: collections::BTreeSet<(clock::Moment, ids::RequestId)>,
+    lanes: collections::BTreeMap<ids::ServiceName, service_lane::ServiceLane>,
     /// Services with waiting calls.
-    waiting: BTreeSet<ids::ServiceName>,
+    waiting: collections::BTreeSet<ids::ServiceName>,
     /// Services at whose servers room has become free during the current input.
-    freed: BTreeSet<ids::ServiceName>,
+    freed: collections::BTreeSet<ids::ServiceName>,
     /// Unanswered calls of each workspace.
-    workspaces: BTreeMap<ids::WorkspaceName, u32>,
+    workspaces: collections::BTreeMap<ids::WorkspaceName, u32>,
     unanswered: usize,
     /// Until when calls wait because the view is too old to act on.
     held_until: Option<clock::Moment>,
     witness: key_witness::KeyWitness,
     /// Instances of each region.
-    rosters: BTreeMap<ids::RegionName, Vec<ids::InstanceId>>,
+    rosters: collections::BTreeMap<ids::RegionName, Vec<ids::InstanceId>>,
 }
 
 impl CallKeeper {
@@ -62,16 +59,16 @@
             state: sync::Arc::default(),
             view: sync::Arc::default(),
             generator: rand_chacha::ChaCha8Rng::seed_from_u64(config.seed),
-            calls: BTreeMap::new(),
-            timers: BTreeSet::new(),
-            lanes: BTreeMap::new(),
-            waiting: BTreeSet::new(),
-            freed: BTreeSet::new(),
-            workspaces: BTreeMap::new(),
+            calls: collections::BTreeMap::new(),
+            timers: collections::BTreeSet::new(),
+            lanes: collections::BTreeMap::new(),
+            waiting: collections::BTreeSet::new(),
+            freed: collections::BTreeSet::new(),
+            workspaces: collections::BTreeMap::new(),
             unanswered: 0,
             held_until: None,
             witness: key_witness::KeyWitness::new(&config),
-            rosters: BTreeMap::new(),
+            rosters: collections::BTreeMap::new(),
             config,
         }
     }
--- a/components/call/src/call_keeper/arrivals.rs
+++ b/components/call/src/call_keeper/arrivals.rs
@@ -1,6 +1,6 @@
 //! Taking calls in, and the servers they may go to.
 
-use std::{collections::BTreeMap, sync};
+use std::{collections, sync};
 
 use crate::{call_entry, call_failure::CallFailure, call_spec, output, service_lane};
 
@@ -14,7 +14,7 @@
             .filter(|member| own.is_none_or(|own| own.region == member.instance.region))
             .count();
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
-        let mut servers: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        let mut servers: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
         for entry in state.servers.values() {
             servers.entry(&entry.service).or_default().push(entry);
         }
--- a/components/call/src/claim_round.rs
+++ b/components/call/src/claim_round.rs
@@ -1,6 +1,6 @@
 //! One request's claim of its key, as the entry counts the answers.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::{call_failure::CallFailure, claim_quorum, claim_state::ClaimState};
 
@@ -25,7 +25,7 @@
     /// Instances that were asked.
     pub witnesses: Vec<ids::InstanceId>,
     quorum: claim_quorum::ClaimQuorum,
-    answers: BTreeMap<ids::InstanceId, (ClaimState, bool)>,
+    answers: collections::BTreeMap<ids::InstanceId, (ClaimState, bool)>,
 }
 
 impl ClaimRound {
@@ -40,7 +40,7 @@
             repeated: false,
             witnesses,
             quorum,
-            answers: BTreeMap::new(),
+            answers: collections::BTreeMap::new(),
         }
     }
 
--- a/components/call/src/claim_store.rs
+++ b/components/call/src/claim_store.rs
@@ -1,9 +1,6 @@
 //! The claims that one witness holds.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    fmt, ops, time,
-};
+use std::{collections, fmt, ops, time};
 
 use crate::{claim_key, claim_state::ClaimState, held_claim};
 
@@ -35,8 +32,8 @@
 /// A full store refuses new keys; it never forgets one before its time.
 #[derive(Clone)]
 pub struct ClaimStore {
-    records: BTreeMap<claim_key::ClaimKey, ClaimRecord>,
-    expiries: BTreeSet<(clock::Moment, claim_key::ClaimKey)>,
+    records: collections::BTreeMap<claim_key::ClaimKey, ClaimRecord>,
+    expiries: collections::BTreeSet<(clock::Moment, claim_key::ClaimKey)>,
     limit: usize,
     lifetime: time::Duration,
 }
@@ -45,8 +42,8 @@
     /// Makes an empty store of at most `limit` claims, each kept for `lifetime` after its last change.
     pub const fn new(limit: usize, lifetime: time::Duration) -> Self {
         Self {
-            records: BTreeMap::new(),
-            expiries: BTreeSet::new(),
+            records: collections::BTreeMap::new(),
+            expiries: collections::BTreeSet::new(),
             limit,
             lifetime,
         }
--- a/components/call/src/fair_queue.rs
+++ b/components/call/src/fair_queue.rs
@@ -1,9 +1,6 @@
 //! Calls that wait for a backend server, shared fairly between workspaces.
 
-use std::{
-    cmp,
-    collections::{BTreeMap, BTreeSet, VecDeque},
-};
+use std::{cmp, collections};
 
 /// Where a call waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,7 +16,7 @@
 /// The waiting calls of one workspace at one priority.
 #[derive(Clone, Debug, Default)]
 struct WorkspaceLine {
-    calls: BTreeMap<u64, ids::RequestId>,
+    calls: collections::BTreeMap<u64, ids::RequestId>,
     /// Calls that the workspace may still send in its turn.
     turn: u32,
 }
@@ -27,8 +24,8 @@
 /// The waiting calls of one priority; workspaces take turns by deficit round robin.
 #[derive(Clone, Debug, Default)]
 struct PriorityBand {
-    lines: BTreeMap<ids::WorkspaceName, WorkspaceLine>,
-    turns: VecDeque<ids::WorkspaceName>,
+    lines: collections::BTreeMap<ids::WorkspaceName, WorkspaceLine>,
+    turns: collections::VecDeque<ids::WorkspaceName>,
 }
 
 /// A bounded queue: higher priorities first, workspaces by weight within a priority.
@@ -36,9 +33,9 @@
 /// When the queue is full, the workspace with the most waiting calls loses its newest one.
 #[derive(Clone, Debug)]
 pub struct FairQueue {
-    bands: BTreeMap<cmp::Reverse<u8>, PriorityBand>,
-    by_length: BTreeSet<(usize, ids::WorkspaceName)>,
-    lengths: BTreeMap<ids::WorkspaceName, usize>,
+    bands: collections::BTreeMap<cmp::Reverse<u8>, PriorityBand>,
+    by_length: collections::BTreeSet<(usize, ids::WorkspaceName)>,
+    lengths: collections::BTreeMap<ids::WorkspaceName, usize>,
     length: usize,
     limit: usize,
     next_position: u64,
@@ -48,9 +45,9 @@
     /// Makes an empty queue of at most `limit` calls.
     pub const fn new(limit: usize) -> Self {
         Self {
-            bands: BTreeMap::new(),
-            by_length: BTreeSet::new(),
-            lengths: BTreeMap::new(),
+            bands: collections::BTreeMap::new(),
+            by_length: collections::BTreeSet::new(),
+            lengths: collections::BTreeMap::new(),
             length: 0,
             limit,
             next_position: 0,
--- a/components/call/src/key_witness.rs
+++ b/components/call/src/key_witness.rs
@@ -1,9 +1,6 @@
 //! The witness's side of claims: what this instance remembers of keys, and how far back.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    fmt, sync, time,
-};
+use std::{collections, fmt, sync, time};
 
 use crate::{
     claim_key, claim_policy, claim_state::ClaimState, claim_store, held_claim, keeper_config,
@@ -33,7 +30,7 @@
     retention: time::Duration,
     policy: sync::Arc<dyn claim_policy::ClaimPolicy>,
     store: claim_store::ClaimStore,
-    rosters: VecDeque<RosterSpan>,
+    rosters: collections::VecDeque<RosterSpan>,
     /// How far back every claim that this instance should know of is known; unset before the start.
     known: Option<known_span::KnownSpan>,
     /// When an instance last left the roster, by which this one may have moved up in rank.
@@ -53,7 +50,7 @@
                 config.claim_limit,
                 config.key_retention + RETENTION_GRACE,
             ),
-            rosters: VecDeque::new(),
+            rosters: collections::VecDeque::new(),
             known: None,
             moved_up: None,
             usable: false,
@@ -90,7 +87,7 @@
         &mut self,
         now: clock::Moment,
         view: &member::MemberView,
-        rosters: &BTreeMap<ids::RegionName, Vec<ids::InstanceId>>,
+        rosters: &collections::BTreeMap<ids::RegionName, Vec<ids::InstanceId>>,
     ) {
         self.usable = view.fresh && !view.partitioned;
         let Some(own) = view.members.get(&self.own) else {
--- a/components/call/src/key_witness/handing.rs
+++ b/components/call/src/key_witness/handing.rs
@@ -1,6 +1,6 @@
 //! Passing claims on to other witnesses.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::{claim_key, held_claim, message, output, witness_rank};
 
@@ -43,7 +43,7 @@
     pub fn drain(&self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
         let mut roster = self.roster().to_vec();
         roster.retain(|instance| *instance != self.own);
-        let mut batches: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        let mut batches: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
         for claim in self.store.after(None) {
             let ranks = witness_rank::witnesses(claim.key, &roster);
             let known = if roster.len() < witness_rank::WITNESS_COUNT {
--- a/components/call/src/recall_task.rs
+++ b/components/call/src/recall_task.rs
@@ -1,6 +1,6 @@
 //! A new witness's recall of the claims that older witnesses hold.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::{claim_key, held_claim, known_span, message};
 
@@ -38,7 +38,7 @@
 /// A new witness's recall of the claims that older witnesses hold.
 #[derive(Clone, Debug, Default)]
 pub struct RecallTask {
-    cursors: BTreeMap<ids::InstanceId, RecallCursor>,
+    cursors: collections::BTreeMap<ids::InstanceId, RecallCursor>,
     /// When the questions go out next; unset before the start.
     next_ask: Option<clock::Moment>,
     begun: bool,
--- a/components/call/src/witness_rank.rs
+++ b/components/call/src/witness_rank.rs
@@ -1,6 +1,6 @@
 //! Which instances are the witnesses of a key.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::claim_key;
 
@@ -11,8 +11,10 @@
 ///
 /// A silent instance may live on the other side of a partition, and one that leaves may come back
 /// as a new process, so both stay until the membership drops them.
-pub fn rosters(view: &member::MemberView) -> BTreeMap<ids::RegionName, Vec<ids::InstanceId>> {
-    let mut rosters: BTreeMap<_, Vec<_>> = BTreeMap::new();
+pub fn rosters(
+    view: &member::MemberView,
+) -> collections::BTreeMap<ids::RegionName, Vec<ids::InstanceId>> {
+    let mut rosters: collections::BTreeMap<_, Vec<_>> = collections::BTreeMap::new();
     for (instance, member) in &view.members {
         let region = &member.instance.region;
         match rosters.get_mut(region) {
--- a/components/call/tests/at_most_once.rs
+++ b/components/call/tests/at_most_once.rs
@@ -1,7 +1,7 @@
 //! Random histories of faults over several keepers: no call runs twice under a key, and whoever is
 //! told that a call didn't run is told the truth.
 
-use std::collections::BTreeSet;
+use std::collections;
 
 use call::ClaimPolicy as _;
 use common::fleet;
@@ -32,9 +32,9 @@
     Cancel { back: u128 },
     Crash(u64),
     Start(u64),
-    Restart(BTreeSet<u64>),
+    Restart(collections::BTreeSet<u64>),
     Pause(u64, u64),
-    Partition(BTreeSet<u64>),
+    Partition(collections::BTreeSet<u64>),
     Drain(u64),
     Unlist(u64),
     Wait(u64),
--- a/components/call/tests/common/fleet.rs
+++ b/components/call/tests/common/fleet.rs
@@ -1,9 +1,6 @@
 //! Keepers, a network, a platform list and a service, driven in virtual time.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync, time,
-};
+use std::{collections, sync, time};
 
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -60,17 +57,17 @@
 /// Keepers, a network, a platform list and a service.
 pub struct CallFleet {
     pub now: u64,
-    pub calls: BTreeMap<u128, FleetCall>,
+    pub calls: collections::BTreeMap<u128, FleetCall>,
     /// Runs at the service, by key: when and for which request.
-    pub runs: BTreeMap<u128, Vec<(u64, u128)>>,
+    pub runs: collections::BTreeMap<u128, Vec<(u64, u128)>>,
     /// Whether the driver checks the time before the first byte.
     pub checks_start: bool,
-    born: BTreeMap<u128, u64>,
-    nodes: BTreeMap<u64, FleetNode>,
-    listed: BTreeSet<u64>,
-    events: BTreeMap<(u64, u64), FleetEvent>,
+    born: collections::BTreeMap<u128, u64>,
+    nodes: collections::BTreeMap<u64, FleetNode>,
+    listed: collections::BTreeSet<u64>,
+    events: collections::BTreeMap<(u64, u64), FleetEvent>,
     count: u64,
-    cut: BTreeSet<u64>,
+    cut: collections::BTreeSet<u64>,
     /// When every running instance has seen the last change of the list.
     list_settles: u64,
     generator: rand_chacha::ChaCha8Rng,
@@ -83,15 +80,15 @@
     pub fn new(size: u64, seed: u64, policy: impl call::ClaimPolicy + 'static) -> Self {
         let mut fleet = Self {
             now: 0,
-            calls: BTreeMap::new(),
-            runs: BTreeMap::new(),
+            calls: collections::BTreeMap::new(),
+            runs: collections::BTreeMap::new(),
             checks_start: true,
-            born: BTreeMap::new(),
-            nodes: BTreeMap::new(),
+            born: collections::BTreeMap::new(),
+            nodes: collections::BTreeMap::new(),
             listed: (1..=size).collect(),
-            events: BTreeMap::new(),
+            events: collections::BTreeMap::new(),
             count: 0,
-            cut: BTreeSet::new(),
+            cut: collections::BTreeSet::new(),
             list_settles: 0,
             generator: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
             salt: u128::from(seed) << 64,
@@ -158,7 +155,7 @@
     }
 
     /// Cuts a side off from the others; an empty side heals the network.
-    pub fn partition(&mut self, side: BTreeSet<u64>) {
+    pub fn partition(&mut self, side: collections::BTreeSet<u64>) {
         self.cut = side;
     }
 
--- a/components/call/tests/exhaustive.rs
+++ b/components/call/tests/exhaustive.rs
@@ -5,7 +5,7 @@
 //! a late answer does.
 
 use std::{
-    collections::{BTreeSet, HashSet},
+    collections,
     hash::{DefaultHasher, Hasher as _},
     sync,
 };
@@ -50,9 +50,9 @@
     pending: Vec<(PendingStep, Option<call::Message>)>,
     runs: Vec<u128>,
     /// Requests that have their answer.
-    ended: BTreeSet<u128>,
+    ended: collections::BTreeSet<u128>,
     /// Requests that were told that their call didn't run.
-    not_run: BTreeSet<u128>,
+    not_run: collections::BTreeSet<u128>,
     /// Whether a request was told so although the key had run.
     lied: bool,
     /// Instance that crashed after its call had arrived.
@@ -76,8 +76,8 @@
             now: START_MS,
             pending: pending.into_iter().map(|step| (step, None)).collect(),
             runs: Vec::new(),
-            ended: BTreeSet::new(),
-            not_run: BTreeSet::new(),
+            ended: collections::BTreeSet::new(),
+            not_run: collections::BTreeSet::new(),
             lied: false,
             crashed: None,
         }
@@ -243,7 +243,7 @@
 fn search(policy: impl call::ClaimPolicy + 'static) -> (usize, usize, Option<Vec<u128>>) {
     let policy: sync::Arc<dyn call::ClaimPolicy> = sync::Arc::new(policy);
     let first = SearchState::new(&policy);
-    let mut seen = HashSet::from([first.fingerprint()]);
+    let mut seen = collections::HashSet::from([first.fingerprint()]);
     let mut open = vec![first];
     let mut ran = 0;
     while let Some(state) = open.pop() {
--- a/components/call/tests/keys.rs
+++ b/components/call/tests/keys.rs
@@ -1,6 +1,6 @@
 //! Keyed calls over several keepers: each failure of the promises, caused on purpose.
 
-use std::collections::BTreeSet;
+use std::collections;
 
 use border::Outcome;
 use call::CallFailure;
@@ -164,7 +164,7 @@
 fn the_sides_of_a_partition_do_not_both_run_a_call() {
     under_seeds(|seed| {
         let mut fleet = settled_fleet(seed);
-        let side = BTreeSet::from_iter(1..=(1 + seed % 5));
+        let side = collections::BTreeSet::from_iter(1..=(1 + seed % 5));
         fleet.partition(side);
 
         fleet.call(1, 1, KEY, false);
@@ -180,7 +180,7 @@
 fn the_larger_side_of_a_partition_goes_on() {
     let answered = count_seeds(|seed| {
         let mut fleet = settled_fleet(seed);
-        fleet.partition(BTreeSet::from([5, 6]));
+        fleet.partition(collections::BTreeSet::from([5, 6]));
 
         fleet.call(1, 1, KEY, false);
         fleet.run(3_000);
@@ -216,14 +216,14 @@
 fn a_new_witness_does_not_vouch_by_what_too_few_older_ones_remember() {
     let ran = count_seeds(|seed| {
         let mut fleet = settled_fleet(seed);
-        fleet.partition(BTreeSet::from([5, 6]));
+        fleet.partition(collections::BTreeSet::from([5, 6]));
         fleet.call(1, 1, KEY, false);
         fleet.run(400);
         for id in [1, 2] {
             fleet.crash(id);
             fleet.start(id);
         }
-        fleet.partition(BTreeSet::from([3, 4]));
+        fleet.partition(collections::BTreeSet::from([3, 4]));
         fleet.run(8_000);
 
         fleet.call(5, 2, KEY, false);
@@ -246,7 +246,7 @@
         let mut fleet = fleet::CallFleet::new(8, seed, call::OverlapPolicy);
         fleet.run(fleet::RETENTION_MS + 1_000);
         [5, 6].iter().for_each(|id| fleet.pause(*id, 100));
-        fleet.partition(BTreeSet::from([7, 8]));
+        fleet.partition(collections::BTreeSet::from([7, 8]));
         fleet.call(1, 1, KEY, false);
         fleet.run(3);
         for id in [2, 3, 4] {
@@ -254,7 +254,7 @@
             fleet.start(id);
         }
         fleet.run(600);
-        fleet.partition(BTreeSet::new());
+        fleet.partition(collections::BTreeSet::new());
         fleet.run(8_000);
 
         fleet.call(7, 2, KEY, false);
--- a/components/call/tests/overload.rs
+++ b/components/call/tests/overload.rs
@@ -1,6 +1,6 @@
 //! An outage of half the backend servers under a constant load, in virtual time.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use common::{give, lookup, server};
 
@@ -35,9 +35,9 @@
 fn counts_of_seconds() -> Vec<SecondCount> {
     let mut keeper = common::keeper((1..=4).map(|number| server(&format!("s{number}"))));
     let mut counts = vec![SecondCount::default(); 80];
-    let mut ends: BTreeMap<(u64, u128), (u32, bool)> = BTreeMap::new();
-    let mut returns: BTreeMap<(u64, u128), ()> = BTreeMap::new();
-    let mut free_at: BTreeMap<String, u64> = BTreeMap::new();
+    let mut ends: collections::BTreeMap<(u64, u128), (u32, bool)> = collections::BTreeMap::new();
+    let mut returns: collections::BTreeMap<(u64, u128), ()> = collections::BTreeMap::new();
+    let mut free_at: collections::BTreeMap<String, u64> = collections::BTreeMap::new();
     let mut next_request = 0_u128;
     for millis in 0..80_000 {
         let mut inputs = Vec::new();
--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to servers by address.
 
-use std::{collections::BTreeMap, net, sync, time};
+use std::{collections, net, sync, time};
 
 use hyper::client::conn::http1;
 
@@ -27,7 +27,7 @@
 pub struct ConnectionPool {
     settings: pool_settings::PoolSettings,
     clock: sync::Arc<dyn clock::ClockSource>,
-    servers: sync::Mutex<BTreeMap<net::SocketAddr, ServerConnections>>,
+    servers: sync::Mutex<collections::BTreeMap<net::SocketAddr, ServerConnections>>,
 }
 
 impl ConnectionPool {
@@ -205,7 +205,9 @@
         Ok(sender)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, BTreeMap<net::SocketAddr, ServerConnections>> {
+    fn lock(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::BTreeMap<net::SocketAddr, ServerConnections>> {
         self.servers
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/components/control/src/control_core/mod.rs
+++ b/components/control/src/control_core/mod.rs
@@ -4,7 +4,7 @@
 mod inner;
 mod machines;
 
-use std::{collections::VecDeque, sync};
+use std::{collections, sync};
 
 use crate::{action, core_config, event};
 
@@ -18,7 +18,7 @@
     keeper: call::CallKeeper,
     reconciler: order::OrderReconciler,
     draining: bool,
-    inner: VecDeque<inner::Inner>,
+    inner: collections::VecDeque<inner::Inner>,
 }
 
 impl ControlCore {
@@ -43,7 +43,7 @@
             keeper: call::CallKeeper::with_config(keeper),
             reconciler: order::OrderReconciler::new(own, seed),
             draining: false,
-            inner: VecDeque::from([inner::Inner::View(view)]),
+            inner: collections::VecDeque::from([inner::Inner::View(view)]),
         }
     }
 
--- a/components/control/tests/control/common.rs
+++ b/components/control/tests/control/common.rs
@@ -1,6 +1,6 @@
 //! Fixtures: instances' cores and a hand-written exchange of events.
 
-use std::{collections::VecDeque, net};
+use std::{collections, net};
 
 /// Cores of some instances with the messages between them.
 pub struct Fleet {
@@ -54,7 +54,7 @@
 impl Fleet {
     /// Gives an event to one core and carries the messages that follow from core to core.
     pub fn give(&mut self, core: usize, event: control::Event) {
-        let mut queue = VecDeque::from([(core, event)]);
+        let mut queue = collections::VecDeque::from([(core, event)]);
         while let Some((core, event)) = queue.pop_front() {
             let mut actions = Vec::new();
             self.cores[core].handle(self.now, event, &mut actions);
--- a/components/daemon/src/address_book.rs
+++ b/components/daemon/src/address_book.rs
@@ -1,6 +1,6 @@
 //! Addresses of backend servers by name.
 
-use std::{collections::VecDeque, net, sync};
+use std::{collections, net, sync};
 
 /// Withdrawn engines whose addresses are kept, so that work on them can still be cancelled.
 const WITHDRAWN_LIMIT: usize = 1_024;
@@ -9,7 +9,7 @@
 #[derive(Default)]
 pub(crate) struct AddressBook {
     state: sync::Arc<note::StateInForce>,
-    withdrawn: VecDeque<(ids::ServerName, net::SocketAddr)>,
+    withdrawn: collections::VecDeque<(ids::ServerName, net::SocketAddr)>,
 }
 
 impl AddressBook {
--- a/components/daemon/src/admin_source.rs
+++ b/components/daemon/src/admin_source.rs
@@ -1,6 +1,6 @@
 //! Tells operators what an instance shows.
 
-use std::{collections::BTreeMap, sync};
+use std::{collections, sync};
 
 use crate::{engine_count, instance_snapshot};
 
@@ -93,7 +93,7 @@
 
 fn membership_report(snapshot: &instance_snapshot::InstanceSnapshot) -> admin::MembershipReport {
     let peers = snapshot.notes.iter().flat_map(|notes| &notes.peers);
-    let mut revisions: BTreeMap<_, _> = peers
+    let mut revisions: collections::BTreeMap<_, _> = peers
         .map(|peer| (peer.instance, peer.summary.revision))
         .collect();
     revisions.insert(snapshot.view.own, snapshot.state.revision);
@@ -145,8 +145,8 @@
 /// Returns the owners of all engines' cells, as the membership has it.
 fn owners(
     snapshot: &instance_snapshot::InstanceSnapshot,
-) -> BTreeMap<ids::ServerName, ids::InstanceId> {
-    let mut owners = BTreeMap::new();
+) -> collections::BTreeMap<ids::ServerName, ids::InstanceId> {
+    let mut owners = collections::BTreeMap::new();
     for cell in place::cell::cells(&snapshot.state) {
         let Some(owner) = place::cell::owner(&cell, &snapshot.view) else {
             continue;
--- a/components/daemon/src/core_meter.rs
+++ b/components/daemon/src/core_meter.rs
@@ -1,9 +1,6 @@
 //! Records what the control core does as metrics.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync,
-};
+use std::{collections, sync};
 
 use crate::answer_clock;
 
@@ -14,9 +11,9 @@
 pub(crate) struct CoreMeter {
     meter: meter::Meter,
     state: sync::Arc<note::StateInForce>,
-    answers: HashMap<ids::RequestId, answer_clock::AnswerClock>,
+    answers: collections::HashMap<ids::RequestId, answer_clock::AnswerClock>,
     /// Whether each call in flight is idempotent.
-    calls: HashMap<ids::RequestId, bool>,
+    calls: collections::HashMap<ids::RequestId, bool>,
 }
 
 impl CoreMeter {
@@ -25,8 +22,8 @@
         Self {
             meter,
             state: sync::Arc::default(),
-            answers: HashMap::new(),
-            calls: HashMap::new(),
+            answers: collections::HashMap::new(),
+            calls: collections::HashMap::new(),
         }
     }
 
@@ -190,9 +187,10 @@
     }
 
     fn change_members(&self, view: &member::MemberView) {
-        let mut counts: BTreeMap<_, _> = <member::MemberState as strum::IntoEnumIterator>::iter()
-            .map(|state| (state, 0))
-            .collect();
+        let mut counts: collections::BTreeMap<_, _> =
+            <member::MemberState as strum::IntoEnumIterator>::iter()
+                .map(|state| (state, 0))
+                .collect();
         for member in view.members.values() {
             *counts.entry(member.state).or_default() += 1;
         }
--- a/components/daemon/src/instance_snapshot.rs
+++ b/components/daemon/src/instance_snapshot.rs
@@ -1,6 +1,6 @@
 //! What an instance shows of itself.
 
-use std::{collections::BTreeMap, sync};
+use std::{collections, sync};
 
 use crate::engine_count;
 
@@ -28,9 +28,9 @@
     /// Orders to engines that aren't settled.
     pub orders: Vec<order::OrderReport>,
     /// Leases in each cell that the instance owns.
-    pub leases: BTreeMap<ids::CellId, usize>,
+    pub leases: collections::BTreeMap<ids::CellId, usize>,
     /// What is counted of the engines of these cells.
-    pub engines: BTreeMap<ids::ServerName, engine_count::EngineCount>,
+    pub engines: collections::BTreeMap<ids::ServerName, engine_count::EngineCount>,
 }
 
 impl InstanceSnapshot {
--- a/components/daemon/src/placement_spans.rs
+++ b/components/daemon/src/placement_spans.rs
@@ -1,11 +1,11 @@
 //! Spans of the placements that this instance waits for.
 
-use std::collections::HashMap;
+use std::collections;
 
 /// Spans of the placements that this instance waits for, with the contexts to pass on.
 #[derive(Default)]
 pub(crate) struct PlacementSpans {
-    open: HashMap<ids::RequestId, (tracing::Span, border::TraceParent)>,
+    open: collections::HashMap<ids::RequestId, (tracing::Span, border::TraceParent)>,
 }
 
 impl PlacementSpans {
--- a/components/demo/src/demo_report.rs
+++ b/components/demo/src/demo_report.rs
@@ -1,6 +1,6 @@
 //! What happened in a demo.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::fault_script;
 
@@ -26,7 +26,7 @@
     /// Requests and calls whose connection broke.
     pub connection_lost: usize,
     /// Last errors of requests and calls that weren't answered, by kind and code.
-    pub errors: BTreeMap<String, usize>,
+    pub errors: collections::BTreeMap<String, usize>,
     /// Answers that ended as whole without being the whole answer to their request.
     pub wrong_answers: usize,
     /// Share of the prompt tokens read whose answer wasn't delivered.
--- a/components/demo/src/tally.rs
+++ b/components/demo/src/tally.rs
@@ -1,6 +1,6 @@
 //! Counts what became of all requests.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::{call_client, demo_report, demo_site, fault_script, planned_request, request_result};
 
@@ -57,8 +57,8 @@
         results.filter(|result| result.kind == kind).count()
     }
 
-    fn errors(&self) -> BTreeMap<String, usize> {
-        let mut errors = BTreeMap::new();
+    fn errors(&self) -> collections::BTreeMap<String, usize> {
+        let mut errors = collections::BTreeMap::new();
         for result in self.results {
             let is_answered = result.kind == request_result::ResultKind::Answered;
             let Some(code) = result.code.as_deref().filter(|_| !is_answered) else {
--- a/components/demo/tests/sessions/session_driver.rs
+++ b/components/demo/tests/sessions/session_driver.rs
@@ -1,6 +1,6 @@
 //! Drives one core and the engines of its site under virtual time.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use fakes::engine_model;
 
@@ -14,13 +14,13 @@
     core: control::ControlCore,
     now: clock::Moment,
     /// Events on their way to the core, in order of time and of sending.
-    queue: BTreeMap<(clock::Moment, u64), control::Event>,
+    queue: collections::BTreeMap<(clock::Moment, u64), control::Event>,
     sent: u64,
     notes: Vec<border::NoteValue>,
     watch: Option<ids::Revision>,
     engines: stand_engines::StandEngines,
     loaded: Vec<(ids::ModelName, ids::VersionName)>,
-    prompts: BTreeMap<ids::RequestId, u32>,
+    prompts: collections::BTreeMap<ids::RequestId, u32>,
     output_tokens: u32,
     calls_lost: bool,
     lines: Vec<String>,
@@ -39,13 +39,13 @@
         let mut driver = Self {
             core: control::ControlCore::new(config),
             now: clock::Moment::default(),
-            queue: BTreeMap::new(),
+            queue: collections::BTreeMap::new(),
             sent: 0,
             notes: Vec::new(),
             watch: None,
             engines: stand_engines::StandEngines::new(&state),
             loaded: vec![("quote-7b".into(), "1".into())],
-            prompts: BTreeMap::new(),
+            prompts: collections::BTreeMap::new(),
             output_tokens: 1,
             calls_lost: false,
             lines: Vec::new(),
--- a/components/demo/tests/sessions/stand_engines.rs
+++ b/components/demo/tests/sessions/stand_engines.rs
@@ -1,15 +1,15 @@
 //! The engines of a session, as timing models joined by hand.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections;
 
 use fakes::engine_model;
 
 /// The engines of a session.
 pub struct StandEngines {
-    models: BTreeMap<ids::ServerName, engine_model::EngineModel>,
-    addresses: BTreeMap<std::net::SocketAddr, ids::ServerName>,
+    models: collections::BTreeMap<ids::ServerName, engine_model::EngineModel>,
+    addresses: collections::BTreeMap<std::net::SocketAddr, ids::ServerName>,
     /// Engine and handle that each import comes from.
-    sources: BTreeMap<engine_model::WorkKey, (ids::ServerName, ids::ServerName, u64)>,
+    sources: collections::BTreeMap<engine_model::WorkKey, (ids::ServerName, ids::ServerName, u64)>,
 }
 
 /// Something that an engine tells the instance.
@@ -28,7 +28,7 @@
             addresses: addresses
                 .map(|entry| (entry.address, entry.name.clone()))
                 .collect(),
-            sources: BTreeMap::new(),
+            sources: collections::BTreeMap::new(),
         }
     }
 
@@ -99,7 +99,7 @@
         name: &ids::ServerName,
         events: Vec<engine_model::EngineEvent>,
     ) -> Vec<EngineNews> {
-        let mut queue: VecDeque<EngineNews> = events
+        let mut queue: collections::VecDeque<EngineNews> = events
             .into_iter()
             .map(|event| (name.clone(), event))
             .collect();
--- a/components/entry/src/call_session.rs
+++ b/components/entry/src/call_session.rs
@@ -1,6 +1,6 @@
 //! The traffic side of a call.
 
-use std::{collections::BTreeMap, sync, time};
+use std::{collections, sync, time};
 
 use tokio::sync::oneshot;
 
@@ -22,7 +22,7 @@
 /// The traffic side of a call: what to send and the way back to its caller.
 pub struct CallSession {
     source: CallSource,
-    replies: sync::Mutex<BTreeMap<ids::AttemptNumber, border::CallReply>>,
+    replies: sync::Mutex<collections::BTreeMap<ids::AttemptNumber, border::CallReply>>,
     end: sync::Mutex<Option<oneshot::Sender<CallEnd>>>,
 }
 
--- a/components/entry/src/load_gate.rs
+++ b/components/entry/src/load_gate.rs
@@ -1,6 +1,6 @@
 //! Bounds on the requests and bodies held at once.
 
-use std::{collections::HashMap, sync};
+use std::{collections, sync};
 
 use crate::entry_error;
 
@@ -8,7 +8,7 @@
 pub struct LoadGate {
     requests: sync::Arc<tokio::sync::Semaphore>,
     body_bytes: sync::Arc<tokio::sync::Semaphore>,
-    workspaces: sync::Mutex<HashMap<ids::WorkspaceName, u32>>,
+    workspaces: sync::Mutex<collections::HashMap<ids::WorkspaceName, u32>>,
 }
 
 /// A place among the requests in flight; dropping it frees the place.
@@ -65,7 +65,7 @@
             .map_err(|_| entry_error::EntryError::InstanceFull)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, HashMap<ids::WorkspaceName, u32>> {
+    fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<ids::WorkspaceName, u32>> {
         self.workspaces
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/components/entry/src/session_book.rs
+++ b/components/entry/src/session_book.rs
@@ -1,14 +1,15 @@
 //! The sessions under way.
 
-use std::{collections::HashMap, sync};
+use std::{collections, sync};
 
 use crate::{answer_session, call_session};
 
 /// The sessions under way at one instance, by request.
 #[derive(Default)]
 pub struct SessionBook {
-    answers: sync::Mutex<HashMap<ids::RequestId, sync::Arc<answer_session::AnswerSession>>>,
-    calls: sync::Mutex<HashMap<ids::RequestId, sync::Arc<call_session::CallSession>>>,
+    answers:
+        sync::Mutex<collections::HashMap<ids::RequestId, sync::Arc<answer_session::AnswerSession>>>,
+    calls: sync::Mutex<collections::HashMap<ids::RequestId, sync::Arc<call_session::CallSession>>>,
 }
 
 impl SessionBook {
--- a/components/fakes/src/engine_model/cache_log.rs
+++ b/components/fakes/src/engine_model/cache_log.rs
@@ -1,6 +1,6 @@
 //! The published changes of a prefix cache.
 
-use std::{collections::VecDeque, time};
+use std::{collections, time};
 
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -21,7 +21,7 @@
 pub struct CacheLog {
     delay: time::Duration,
     loss_permille: u32,
-    events: VecDeque<LoggedChange>,
+    events: collections::VecDeque<LoggedChange>,
     sequence: u64,
     random: rand_chacha::ChaCha8Rng,
 }
@@ -32,7 +32,7 @@
         Self {
             delay,
             loss_permille,
-            events: VecDeque::new(),
+            events: collections::VecDeque::new(),
             sequence: 0,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
         }
--- a/components/fakes/src/engine_model/decode_batch.rs
+++ b/components/fakes/src/engine_model/decode_batch.rs
@@ -1,6 +1,6 @@
 //! The attempts that a decode engine holds.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::engine_model::{decode_stream, engine_event, work_key};
 
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct DecodeBatch {
     /// Streams by attempt.
-    pub streams: BTreeMap<work_key::WorkKey, decode_stream::DecodeStream>,
+    pub streams: collections::BTreeMap<work_key::WorkKey, decode_stream::DecodeStream>,
     /// End of the step being computed; `None` while nothing is decoded.
     pub step_end: Option<clock::Moment>,
     /// Streams that take part in the step being computed.
--- a/components/fakes/src/engine_model/link_share.rs
+++ b/components/fakes/src/engine_model/link_share.rs
@@ -1,13 +1,13 @@
 //! A link whose rate is shared evenly by the transfers on it.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 /// A link whose rate is shared evenly by the transfers on it.
 #[derive(Clone, Debug)]
 pub struct LinkShare<Key> {
     tokens_per_second: f64,
     /// Tokens left of each transfer.
-    left: BTreeMap<Key, f64>,
+    left: collections::BTreeMap<Key, f64>,
     at: clock::Moment,
 }
 
@@ -19,7 +19,7 @@
     pub fn new(tokens_per_second: u32) -> Self {
         Self {
             tokens_per_second: f64::from(tokens_per_second.max(1)),
-            left: BTreeMap::new(),
+            left: collections::BTreeMap::new(),
             at: clock::Moment::default(),
         }
     }
--- a/components/fakes/src/engine_model/load_log.rs
+++ b/components/fakes/src/engine_model/load_log.rs
@@ -1,11 +1,11 @@
 //! The load of an engine over the last while.
 
-use std::{collections::VecDeque, time};
+use std::{collections, time};
 
 /// The load of an engine over the last while.
 #[derive(Clone, Debug, Default)]
 pub struct LoadLog {
-    samples: VecDeque<(clock::Moment, border::LoadReport)>,
+    samples: collections::VecDeque<(clock::Moment, border::LoadReport)>,
 }
 
 impl LoadLog {
--- a/components/fakes/src/engine_model/model.rs
+++ b/components/fakes/src/engine_model/model.rs
@@ -1,6 +1,6 @@
 //! The model of one engine.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::engine_model::{
     cache_log, decode_batch, decode_stream, engine_event, engine_figures, import_work, link_share,
@@ -19,7 +19,7 @@
 pub struct EngineModel {
     pub(super) figures: engine_figures::EngineFigures,
     pub(super) prefills: prefill_queue::PrefillQueue,
-    pub(super) retained: BTreeMap<u64, retained_cache::RetainedCache>,
+    pub(super) retained: collections::BTreeMap<u64, retained_cache::RetainedCache>,
     pub(super) batch: decode_batch::DecodeBatch,
     pub(super) link: link_share::LinkShare<LinkKey>,
     pub(super) cache: prefix_cache::PrefixCache,
@@ -35,7 +35,7 @@
     pub fn new(figures: engine_figures::EngineFigures) -> Self {
         Self {
             prefills: prefill_queue::PrefillQueue::default(),
-            retained: BTreeMap::new(),
+            retained: collections::BTreeMap::new(),
             batch: decode_batch::DecodeBatch::default(),
             link: link_share::LinkShare::new(figures.link_tokens_per_second),
             cache: prefix_cache::PrefixCache::new(figures.cache_blocks),
--- a/components/fakes/src/engine_model/prefill_queue.rs
+++ b/components/fakes/src/engine_model/prefill_queue.rs
@@ -1,6 +1,6 @@
 //! The prompts that wait to be read and the one being read.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::engine_model::{prefill_work, work_key};
 
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PrefillQueue {
     /// Waiting prompts with the time each came.
-    pub waiting: BTreeMap<QueuePlace, (prefill_work::PrefillWork, clock::Moment)>,
+    pub waiting: collections::BTreeMap<QueuePlace, (prefill_work::PrefillWork, clock::Moment)>,
     /// The prompt being read.
     pub reading: Option<ReadPrompt>,
     arrivals: u64,
--- a/components/fakes/src/engine_model/prefix_cache.rs
+++ b/components/fakes/src/engine_model/prefix_cache.rs
@@ -1,15 +1,15 @@
 //! The prefix cache of an engine.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 /// The prefix cache of an engine: the blocks used last.
 #[derive(Clone, Debug)]
 pub struct PrefixCache {
     limit: usize,
     /// Last use of each block.
-    used: BTreeMap<u64, u64>,
+    used: collections::BTreeMap<u64, u64>,
     /// Blocks by their last use.
-    order: BTreeMap<u64, u64>,
+    order: collections::BTreeMap<u64, u64>,
     uses: u64,
 }
 
@@ -18,8 +18,8 @@
     pub const fn new(limit: usize) -> Self {
         Self {
             limit,
-            used: BTreeMap::new(),
-            order: BTreeMap::new(),
+            used: collections::BTreeMap::new(),
+            order: collections::BTreeMap::new(),
             uses: 0,
         }
     }
--- a/components/fakes/src/engine_model/running_list.rs
+++ b/components/fakes/src/engine_model/running_list.rs
@@ -1,6 +1,6 @@
 //! The running list of an engine.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::engine_model::{
     decode_batch, decode_stream, prefill_queue, prefill_work, retained_cache,
@@ -10,7 +10,7 @@
 pub fn running_list(
     now: clock::Moment,
     prefills: &prefill_queue::PrefillQueue,
-    retained: &BTreeMap<u64, retained_cache::RetainedCache>,
+    retained: &collections::BTreeMap<u64, retained_cache::RetainedCache>,
     batch: &decode_batch::DecodeBatch,
 ) -> Vec<border::RunningEntry> {
     let waiting = prefills
--- a/components/fakes/src/engine_slot.rs
+++ b/components/fakes/src/engine_slot.rs
@@ -1,26 +1,27 @@
 //! One engine of a fleet of stand-ins.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections;
 
 use tokio::sync::oneshot;
 
 use crate::{engine_model, token_record};
 
 /// Those who wait for work, by attempt.
-pub(crate) type Waiters<Done> = BTreeMap<engine_model::WorkKey, Vec<oneshot::Sender<Done>>>;
+pub(crate) type Waiters<Done> =
+    collections::BTreeMap<engine_model::WorkKey, Vec<oneshot::Sender<Done>>>;
 
 /// One engine of a fleet of stand-ins, with those who wait for it.
 pub(crate) struct EngineSlot {
     pub(crate) model: engine_model::EngineModel,
     pub(crate) prefills: Waiters<border::PrefillResult>,
     /// Results of prefills that are kept or on their way.
-    pub(crate) results: BTreeMap<engine_model::WorkKey, border::PrefillResult>,
+    pub(crate) results: collections::BTreeMap<engine_model::WorkKey, border::PrefillResult>,
     pub(crate) imports: Waiters<()>,
     /// Attempts whose KV cache has arrived.
-    pub(crate) imported: BTreeSet<engine_model::WorkKey>,
+    pub(crate) imported: collections::BTreeSet<engine_model::WorkKey>,
     /// Engine and handle that each import under way comes from.
-    pub(crate) sources: BTreeMap<engine_model::WorkKey, (std::net::SocketAddr, u64)>,
-    pub(crate) records: BTreeMap<engine_model::WorkKey, token_record::TokenRecord>,
+    pub(crate) sources: collections::BTreeMap<engine_model::WorkKey, (std::net::SocketAddr, u64)>,
+    pub(crate) records: collections::BTreeMap<engine_model::WorkKey, token_record::TokenRecord>,
     pub(crate) loaded: Vec<(ids::ModelName, ids::VersionName)>,
     pub(crate) adapters: Vec<ids::AdapterName>,
     pub(crate) checks_fence: bool,
@@ -41,12 +42,12 @@
         }
         Self {
             model: engine_model::EngineModel::new(figures),
-            prefills: BTreeMap::new(),
-            results: BTreeMap::new(),
-            imports: BTreeMap::new(),
-            imported: BTreeSet::new(),
-            sources: BTreeMap::new(),
-            records: BTreeMap::new(),
+            prefills: collections::BTreeMap::new(),
+            results: collections::BTreeMap::new(),
+            imports: collections::BTreeMap::new(),
+            imported: collections::BTreeSet::new(),
+            sources: collections::BTreeMap::new(),
+            records: collections::BTreeMap::new(),
             loaded,
             adapters: Vec::new(),
             checks_fence: entry.fencing == note::FencingSupport::Enforced,
--- a/components/fakes/src/fleet_state.rs
+++ b/components/fakes/src/fleet_state.rs
@@ -1,14 +1,14 @@
 //! What the engines of a fleet share.
 
-use std::{collections::BTreeMap, net};
+use std::{collections, net};
 
 use crate::{answer_plan, engine_model, engine_slot, prefill_ledger};
 
 /// What the engines of a fleet share.
 #[derive(Default)]
 pub(crate) struct FleetState {
-    pub(crate) engines: BTreeMap<net::SocketAddr, engine_slot::EngineSlot>,
-    pub(crate) plans: BTreeMap<ids::RequestId, answer_plan::AnswerPlan>,
+    pub(crate) engines: collections::BTreeMap<net::SocketAddr, engine_slot::EngineSlot>,
+    pub(crate) plans: collections::BTreeMap<ids::RequestId, answer_plan::AnswerPlan>,
     pub(crate) ledger: prefill_ledger::PrefillLedger,
 }
 
--- a/components/fakes/src/prefill_ledger.rs
+++ b/components/fakes/src/prefill_ledger.rs
@@ -1,12 +1,12 @@
 //! The prompts that stand-in engines have read.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 /// The prompt tokens that stand-in engines have read, by request, without cached ones.
 #[derive(Clone, Debug, Default)]
 pub struct PrefillLedger {
     /// Tokens read by each attempt of a request.
-    pub attempts: BTreeMap<ids::RequestId, Vec<u64>>,
+    pub attempts: collections::BTreeMap<ids::RequestId, Vec<u64>>,
 }
 
 impl PrefillLedger {
--- a/components/fakes/src/service_stand.rs
+++ b/components/fakes/src/service_stand.rs
@@ -1,6 +1,6 @@
 //! A stand-in backend server of a plain service.
 
-use std::{collections::BTreeMap, io, net, sync, time};
+use std::{collections, io, net, sync, time};
 
 use crate::stand_server;
 
@@ -19,7 +19,7 @@
     latency: time::Duration,
     behaviour: sync::Mutex<ServiceBehaviour>,
     /// Runs of each call, by method, target and body.
-    runs: sync::Mutex<BTreeMap<String, u32>>,
+    runs: sync::Mutex<collections::BTreeMap<String, u32>>,
     /// Trace headers of the calls.
     traces: sync::Mutex<Vec<String>>,
 }
@@ -64,7 +64,7 @@
 
     /// Returns how often each call ran, by method, target and body.
     #[must_use]
-    pub fn runs(&self) -> BTreeMap<String, u32> {
+    pub fn runs(&self) -> collections::BTreeMap<String, u32> {
         lock(&self.state.runs).clone()
     }
 
--- a/components/flow/src/cell_board.rs
+++ b/components/flow/src/cell_board.rs
@@ -1,6 +1,6 @@
 //! The cells, their owners and their spare capacity, as an entry instance knows them.
 
-use std::{collections::BTreeMap, sync};
+use std::{collections, sync};
 
 /// Owner of a cell and the process of it that was last seen.
 type OwnerProcess = (ids::InstanceId, ids::Incarnation);
@@ -9,8 +9,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CellBoard {
     cells: place::CellMap,
-    owners: BTreeMap<ids::CellId, OwnerProcess>,
-    spare: BTreeMap<ids::CellId, place::SpareAdvert>,
+    owners: collections::BTreeMap<ids::CellId, OwnerProcess>,
+    spare: collections::BTreeMap<ids::CellId, place::SpareAdvert>,
     view: sync::Arc<member::MemberView>,
     members: place::RegionMembers,
 }
@@ -76,7 +76,7 @@
     }
 
     fn refresh_owners(&mut self) -> Vec<ids::CellId> {
-        let owners: BTreeMap<ids::CellId, OwnerProcess> = self
+        let owners: collections::BTreeMap<ids::CellId, OwnerProcess> = self
             .cells
             .cells()
             .values()
--- a/components/flow/src/flow_timers.rs
+++ b/components/flow/src/flow_timers.rs
@@ -1,11 +1,11 @@
 //! The wake-up times of many requests.
 
-use std::collections::BTreeSet;
+use std::collections;
 
 /// The wake-up times of many requests, earliest first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct FlowTimers {
-    due: BTreeSet<(clock::Moment, ids::RequestId)>,
+    due: collections::BTreeSet<(clock::Moment, ids::RequestId)>,
 }
 
 impl FlowTimers {
--- a/components/flow/src/table/ending.rs
+++ b/components/flow/src/table/ending.rs
@@ -1,6 +1,6 @@
 //! Ending requests and freeing what engines hold for them.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::{flow_outcome, flow_stage, output, waste_cause};
 
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EndingList {
     count: u64,
-    by_time: BTreeMap<(clock::Moment, u64), Ending>,
+    by_time: collections::BTreeMap<(clock::Moment, u64), Ending>,
 }
 
 impl EndingList {
--- a/components/flow/src/table/leases.rs
+++ b/components/flow/src/table/leases.rs
@@ -1,6 +1,6 @@
 //! Keeping the owners of cells informed of leases.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections;
 
 use crate::{flow_stage, output, waste_cause};
 
@@ -130,7 +130,7 @@
     /// Reports the leases of cells to their new owners.
     pub(super) fn claim_leases(
         &mut self,
-        cells: &BTreeSet<ids::CellId>,
+        cells: &collections::BTreeSet<ids::CellId>,
         outputs: &mut Vec<output::Output>,
     ) {
         for cell in cells {
@@ -159,8 +159,8 @@
 
     /// Tells every owner in short which of its leases are held here.
     pub(super) fn extend_leases(&mut self, outputs: &mut Vec<output::Output>) {
-        let mut held: BTreeMap<(ids::InstanceId, ids::CellId), place::LeaseDigest> =
-            BTreeMap::new();
+        let mut held: collections::BTreeMap<(ids::InstanceId, ids::CellId), place::LeaseDigest> =
+            collections::BTreeMap::new();
         for flow in self.flows.values() {
             if let Some(placement) = &flow.placement {
                 let digest = held.entry((flow.owner, flow.cell)).or_default();
--- a/components/flow/src/table/mod.rs
+++ b/components/flow/src/table/mod.rs
@@ -5,10 +5,7 @@
 mod engines;
 mod leases;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync, time,
-};
+use std::{collections, sync, time};
 
 use crate::{cell_board, flow_stage, flow_timers, input, model_flow, output};
 
@@ -24,7 +21,7 @@
     own: ids::InstanceId,
     state: sync::Arc<note::StateInForce>,
     board: cell_board::CellBoard,
-    flows: BTreeMap<ids::RequestId, model_flow::ModelFlow>,
+    flows: collections::BTreeMap<ids::RequestId, model_flow::ModelFlow>,
     timers: flow_timers::FlowTimers,
     endings: ending::EndingList,
     extension_interval: time::Duration,
@@ -39,7 +36,7 @@
             own,
             state: sync::Arc::default(),
             board: cell_board::CellBoard::default(),
-            flows: BTreeMap::new(),
+            flows: collections::BTreeMap::new(),
             timers: flow_timers::FlowTimers::default(),
             endings: ending::EndingList::default(),
             extension_interval: EXTENSION_INTERVAL,
@@ -133,7 +130,7 @@
         if changed.is_empty() {
             return;
         }
-        let changed: BTreeSet<ids::CellId> = changed.iter().copied().collect();
+        let changed: collections::BTreeSet<ids::CellId> = changed.iter().copied().collect();
         self.claim_leases(&changed, outputs);
         let asking: Vec<ids::RequestId> = self
             .flows
--- a/components/flow/tests/flow/properties.rs
+++ b/components/flow/tests/flow/properties.rs
@@ -1,6 +1,6 @@
 //! Properties of model requests under events in any order.
 
-use std::{collections::BTreeSet, time};
+use std::{collections, time};
 
 use proptest::{collection, prelude::Strategy as _, test_runner};
 
@@ -116,7 +116,7 @@
 /// What engines were given and not told to end.
 #[derive(Default)]
 struct EngineWork {
-    held: BTreeSet<(String, u32)>,
+    held: collections::BTreeSet<(String, u32)>,
     finishes: usize,
 }
 
@@ -178,7 +178,7 @@
         work.follow(None, &gone);
 
         proptest::prop_assert_eq!(site.table.in_flight(), 0);
-        proptest::prop_assert_eq!(&work.held, &BTreeSet::new());
+        proptest::prop_assert_eq!(&work.held, &collections::BTreeSet::new());
         proptest::prop_assert_eq!(work.finishes, usize::from(!left));
         Ok(())
     });
--- a/components/member/src/member_table.rs
+++ b/components/member/src/member_table.rs
@@ -1,9 +1,6 @@
 //! The membership state machine.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync, time,
-};
+use std::{collections, sync, time};
 
 use rand::{SeedableRng as _, seq::IndexedRandom as _};
 
@@ -45,11 +42,12 @@
 /// The membership as one instance sees it.
 pub struct MemberTable {
     pub(crate) own: member_record::MemberRecord,
-    pub(crate) records: BTreeMap<ids::InstanceId, member_record::MemberRecord>,
+    pub(crate) records: collections::BTreeMap<ids::InstanceId, member_record::MemberRecord>,
     pub(crate) news: news_queue::NewsQueue,
     pub(crate) round: probe_round::ProbeRound,
     /// Instances that wait for an answer about a member this one probes on their behalf.
-    pub(crate) waiting: BTreeMap<ids::InstanceId, BTreeSet<ids::InstanceId>>,
+    pub(crate) waiting:
+        collections::BTreeMap<ids::InstanceId, collections::BTreeSet<ids::InstanceId>>,
     pub(crate) refresh: Option<view_refresh::ViewRefresh>,
     view: sync::Arc<member_view::MemberView>,
     /// Whether the view has changed in what others act on.
@@ -76,15 +74,15 @@
         record.announce = true;
         let view = member_view::MemberView {
             own: record.instance.id,
-            members: BTreeMap::from([(record.instance.id, record.entry())]),
+            members: collections::BTreeMap::from([(record.instance.id, record.entry())]),
             ..Default::default()
         };
         Self {
             own: record,
-            records: BTreeMap::new(),
+            records: collections::BTreeMap::new(),
             news: news_queue::NewsQueue::default(),
             round: probe_round::ProbeRound::default(),
-            waiting: BTreeMap::new(),
+            waiting: collections::BTreeMap::new(),
             refresh: Some(view_refresh::ViewRefresh::default()),
             view: sync::Arc::new(view),
             changed: false,
--- a/components/member/src/member_view.rs
+++ b/components/member/src/member_view.rs
@@ -1,6 +1,6 @@
 //! An immutable view of the membership.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::{member_entry, member_state};
 
@@ -18,7 +18,7 @@
     /// Whether too many instances went silent at once to be a matter of single failures.
     pub partitioned: bool,
     /// Known instances.
-    pub members: BTreeMap<ids::InstanceId, member_entry::MemberEntry>,
+    pub members: collections::BTreeMap<ids::InstanceId, member_entry::MemberEntry>,
 }
 
 impl MemberView {
--- a/components/member/src/news_queue.rs
+++ b/components/member/src/news_queue.rs
@@ -1,9 +1,6 @@
 //! News that are still to be passed on.
 
-use std::{
-    cmp,
-    collections::{BTreeMap, BTreeSet},
-};
+use std::{cmp, collections};
 
 /// Times a piece of news is passed on, for each doubling of the fleet.
 const COPIES_PER_DOUBLING: u32 = 2;
@@ -11,9 +8,9 @@
 /// News that are still to be passed on, each a bounded number of times.
 #[derive(Debug, Default)]
 pub(crate) struct NewsQueue {
-    left: BTreeMap<ids::InstanceId, u32>,
+    left: collections::BTreeMap<ids::InstanceId, u32>,
     /// The same, with the news that were passed on least first.
-    order: BTreeSet<(cmp::Reverse<u32>, ids::InstanceId)>,
+    order: collections::BTreeSet<(cmp::Reverse<u32>, ids::InstanceId)>,
 }
 
 impl NewsQueue {
--- a/components/member/src/view_refresh.rs
+++ b/components/member/src/view_refresh.rs
@@ -1,9 +1,6 @@
 //! The refresh of a view that may be out of date.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time,
-};
+use std::{collections, time};
 
 /// Peers asked at once during a refresh.
 pub(crate) const REFRESH_PEERS: usize = 3;
@@ -22,8 +19,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ViewRefresh {
     listed: bool,
-    asked: BTreeMap<u64, ids::InstanceId>,
-    answered: BTreeSet<ids::InstanceId>,
+    asked: collections::BTreeMap<u64, ids::InstanceId>,
+    answered: collections::BTreeSet<ids::InstanceId>,
     ask_at: clock::Moment,
 }
 
@@ -43,7 +40,11 @@
     }
 
     /// Notes which peers were asked, by the sequence numbers of the probes.
-    pub(crate) fn ask(&mut self, now: clock::Moment, asked: BTreeMap<u64, ids::InstanceId>) {
+    pub(crate) fn ask(
+        &mut self,
+        now: clock::Moment,
+        asked: collections::BTreeMap<u64, ids::InstanceId>,
+    ) {
         self.asked.extend(asked);
         self.ask_at = now + REFRESH_WAIT;
     }
--- a/components/meter/src/class_bound.rs
+++ b/components/meter/src/class_bound.rs
@@ -1,6 +1,6 @@
 //! Bounds the request classes that are told apart.
 
-use std::{collections::BTreeSet, sync};
+use std::{collections, sync};
 
 /// Request classes that are told apart at most.
 const CLASS_LIMIT: usize = 64;
@@ -11,7 +11,7 @@
 /// Bounds the request classes that are told apart; the first ones seen keep their names.
 #[derive(Debug, Default)]
 pub(crate) struct ClassBound {
-    seen: sync::Mutex<BTreeSet<String>>,
+    seen: sync::Mutex<collections::BTreeSet<String>>,
 }
 
 impl ClassBound {
--- a/components/note/src/entry_map.rs
+++ b/components/note/src/entry_map.rs
@@ -1,6 +1,6 @@
 //! Entries of one kind by name, cheap to copy and to digest.
 
-use std::{collections::BTreeMap, ops, sync};
+use std::{collections, ops, sync};
 
 use crate::note_entry;
 
@@ -137,7 +137,7 @@
     fn deserialize<Source: serde::Deserializer<'de>>(
         deserializer: Source,
     ) -> Result<Self, Source::Error> {
-        let entries = BTreeMap::<Name, Entry>::deserialize(deserializer)?;
+        let entries = collections::BTreeMap::<Name, Entry>::deserialize(deserializer)?;
         Ok(entries.into_iter().collect())
     }
 }
--- a/components/note/src/note_check.rs
+++ b/components/note/src/note_check.rs
@@ -1,6 +1,6 @@
 //! Validation of a note against the state in force.
 
-use std::collections::BTreeSet;
+use std::collections;
 
 use crate::{
     entry_map, fault_place, note_entry, note_fault, note_section, range_check, reference_check,
@@ -133,7 +133,7 @@
     withdrawn: &[Entry::Name],
     faults: &mut Vec<note_fault::NoteFault>,
 ) {
-    let mut seen = BTreeSet::new();
+    let mut seen = collections::BTreeSet::new();
     let names = added
         .iter()
         .map(|entry| (note_section::NoteSection::Added, entry.name()))
--- a/components/note/src/part_buffer.rs
+++ b/components/note/src/part_buffer.rs
@@ -1,6 +1,6 @@
 //! Collects the parts of divided base notes.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::{note_part, release_note};
 
@@ -11,7 +11,7 @@
 pub struct PartBuffer {
     revision: ids::Revision,
     count: u32,
-    parts: BTreeMap<u32, release_note::ReleaseNote>,
+    parts: collections::BTreeMap<u32, release_note::ReleaseNote>,
 }
 
 impl PartBuffer {
--- a/components/order/src/order_reconciler/mod.rs
+++ b/components/order/src/order_reconciler/mod.rs
@@ -4,7 +4,7 @@
 mod roles;
 mod steps;
 
-use std::{collections::BTreeMap, sync, time};
+use std::{collections, sync, time};
 
 use rand::SeedableRng as _;
 
@@ -28,8 +28,8 @@
     view: sync::Arc<member::MemberView>,
     members: place::RegionMembers,
     cells: place::CellMap,
-    tracks: BTreeMap<ids::ServerName, engine_track::EngineTrack>,
-    planners: BTreeMap<ids::CellId, role_planner::RolePlanner>,
+    tracks: collections::BTreeMap<ids::ServerName, engine_track::EngineTrack>,
+    planners: collections::BTreeMap<ids::CellId, role_planner::RolePlanner>,
     budget: load_budget::LoadBudget,
 }
 
@@ -44,8 +44,8 @@
             view: sync::Arc::default(),
             members: place::RegionMembers::default(),
             cells: place::CellMap::default(),
-            tracks: BTreeMap::new(),
-            planners: BTreeMap::new(),
+            tracks: collections::BTreeMap::new(),
+            planners: collections::BTreeMap::new(),
             budget: load_budget::LoadBudget::new(DEFAULT_LOADS_PER_MINUTE),
         }
     }
@@ -116,7 +116,7 @@
 
     /// Follows the cells that this instance owns; a track starts anew with ownership.
     fn refresh_tracks(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
-        let mut tracks = BTreeMap::new();
+        let mut tracks = collections::BTreeMap::new();
         let mut owned = 0;
         for cell in self.cells.cells().values() {
             if self.members.owner(cell) != Some(self.own) {
--- a/components/order/tests/order/properties.rs
+++ b/components/order/tests/order/properties.rs
@@ -1,6 +1,6 @@
 //! Two owners order one engine in any order of events.
 
-use std::{collections::VecDeque, sync, time};
+use std::{collections, sync, time};
 
 use proptest::{collection, prelude::Strategy as _, test_runner};
 
@@ -68,7 +68,7 @@
     owners: [common::Owner; 2],
     revisions: [u64; 2],
     engine: Engine,
-    under_way: VecDeque<(usize, border::EngineOrder)>,
+    under_way: collections::VecDeque<(usize, border::EngineOrder)>,
 }
 
 impl Dispute {
@@ -80,7 +80,7 @@
                 status: common::status(note::EngineRole::Decode, None),
                 carried_out: Vec::new(),
             },
-            under_way: VecDeque::new(),
+            under_way: collections::VecDeque::new(),
         }
     }
 
--- a/components/peer/examples/link_cost.rs
+++ b/components/peer/examples/link_cost.rs
@@ -1,7 +1,7 @@
 //! Measures what messages between instances cost: over streams in use, over streams that are
 //! opened for each message, and as datagrams. Prints a table in Markdown.
 
-use std::{collections::BTreeMap, fs, net, time};
+use std::{collections, fs, net, time};
 
 use prost::Message as _;
 use tokio::sync::mpsc;
@@ -31,7 +31,7 @@
 }
 
 fn view(peers: &[CountingHub]) -> member::MemberView {
-    let members: BTreeMap<_, _> = (1_u64..)
+    let members: collections::BTreeMap<_, _> = (1_u64..)
         .zip(peers)
         .map(|(id, peer)| {
             let instance = border::InstanceEntry::builder()
--- a/components/peer/src/hub_shared.rs
+++ b/components/peer/src/hub_shared.rs
@@ -1,6 +1,6 @@
 //! What the tasks of a hub share.
 
-use std::{collections::BTreeMap, net, sync};
+use std::{collections, net, sync};
 
 use tokio::{runtime, sync::mpsc};
 
@@ -17,8 +17,8 @@
     pub(crate) stopped: tokio_util::sync::CancellationToken,
     inbound: mpsc::Sender<(ids::InstanceId, wire::PeerMessage)>,
     runtime: runtime::Handle,
-    addresses: sync::Mutex<BTreeMap<ids::InstanceId, net::SocketAddr>>,
-    lanes: sync::Mutex<BTreeMap<ids::InstanceId, LaneQueue>>,
+    addresses: sync::Mutex<collections::BTreeMap<ids::InstanceId, net::SocketAddr>>,
+    lanes: sync::Mutex<collections::BTreeMap<ids::InstanceId, LaneQueue>>,
 }
 
 impl HubShared {
@@ -40,7 +40,10 @@
     }
 
     /// Replaces the addresses of all peers.
-    pub(crate) fn set_addresses(&self, addresses: BTreeMap<ids::InstanceId, net::SocketAddr>) {
+    pub(crate) fn set_addresses(
+        &self,
+        addresses: collections::BTreeMap<ids::InstanceId, net::SocketAddr>,
+    ) {
         *lock(&self.addresses) = addresses;
     }
 
--- a/components/peer/tests/hubs.rs
+++ b/components/peer/tests/hubs.rs
@@ -2,7 +2,7 @@
 
 mod silent_proxy;
 
-use std::{collections::BTreeMap, net, time};
+use std::{collections, net, time};
 
 use tokio::sync::mpsc;
 
@@ -40,7 +40,7 @@
 }
 
 fn view(own: u64, peers: &[(u64, net::SocketAddr)]) -> member::MemberView {
-    let members: BTreeMap<_, _> = peers
+    let members: collections::BTreeMap<_, _> = peers
         .iter()
         .map(|(id, address)| (ids::InstanceId(*id), member_entry(*id, *address)))
         .collect();
--- a/components/place/src/ask_queue.rs
+++ b/components/place/src/ask_queue.rs
@@ -1,6 +1,6 @@
 //! The asks that wait for a placement.
 
-use std::{cmp, collections::BTreeMap, time};
+use std::{cmp, collections, time};
 
 use crate::{pending_ask, work_key};
 
@@ -29,9 +29,9 @@
 /// The asks that wait for a placement: earliest deadline first, within priority and share.
 #[derive(Clone, Debug, Default)]
 pub struct AskQueue {
-    asks: BTreeMap<QueuePlace, pending_ask::PendingAsk>,
-    places: BTreeMap<work_key::WorkKey, QueuePlace>,
-    bands: BTreeMap<QueueBand, QueueAhead>,
+    asks: collections::BTreeMap<QueuePlace, pending_ask::PendingAsk>,
+    places: collections::BTreeMap<work_key::WorkKey, QueuePlace>,
+    bands: collections::BTreeMap<QueueBand, QueueAhead>,
     arrivals: u64,
 }
 
--- a/components/place/src/cell.rs
+++ b/components/place/src/cell.rs
@@ -1,6 +1,6 @@
 //! Cells, as a pure function of the state in force, and their owners.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use crate::{cell_group, cell_split, region_members};
 
@@ -27,7 +27,8 @@
 /// [`crate::CellMap`] keeps them across changes of the state.
 #[must_use]
 pub fn cells(state: &note::StateInForce) -> Vec<Cell> {
-    let mut groups: BTreeMap<cell_group::CellGroup, cell_split::GroupEngines> = BTreeMap::new();
+    let mut groups: collections::BTreeMap<cell_group::CellGroup, cell_split::GroupEngines> =
+        collections::BTreeMap::new();
     for engine in state.engines.values() {
         groups
             .entry(cell_group::CellGroup::of(engine))
--- a/components/place/src/cell_book.rs
+++ b/components/place/src/cell_book.rs
@@ -1,6 +1,6 @@
 //! What an owner counts of one cell.
 
-use std::{collections::BTreeMap, sync, time};
+use std::{collections, sync, time};
 
 use crate::{
     ended_works, engine_book, held_lease, keys, lease_phase, output_guess, prefix_hints, work_key,
@@ -16,11 +16,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct CellBook {
     engines: slotmap::SlotMap<keys::EngineKey, engine_book::EngineBook>,
-    names: BTreeMap<ids::ServerName, keys::EngineKey>,
+    names: collections::BTreeMap<ids::ServerName, keys::EngineKey>,
     leases: slotmap::SlotMap<keys::LeaseKey, held_lease::HeldLease>,
-    by_id: BTreeMap<ids::LeaseId, keys::LeaseKey>,
-    by_work: BTreeMap<work_key::WorkKey, keys::LeaseKey>,
-    guesses: BTreeMap<ids::ClassName, output_guess::OutputGuess>,
+    by_id: collections::BTreeMap<ids::LeaseId, keys::LeaseKey>,
+    by_work: collections::BTreeMap<work_key::WorkKey, keys::LeaseKey>,
+    guesses: collections::BTreeMap<ids::ClassName, output_guess::OutputGuess>,
     /// Work that has ended lately.
     pub ended: ended_works::EndedWorks,
     /// Which engines are believed to cache which prefixes.
--- a/components/place/src/cell_map.rs
+++ b/components/place/src/cell_map.rs
@@ -1,9 +1,6 @@
 //! The cells of the state in force, kept across its changes.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync,
-};
+use std::{collections, sync};
 
 use crate::{cell, cell_group, cell_split};
 
@@ -12,10 +9,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct CellMap {
     state: sync::Arc<note::StateInForce>,
-    groups: BTreeMap<cell_group::CellGroup, cell_split::GroupEngines>,
-    group_cells: BTreeMap<cell_group::CellGroup, Vec<ids::CellId>>,
-    cells: BTreeMap<ids::CellId, cell::Cell>,
-    models: BTreeMap<ids::ModelName, BTreeSet<ids::CellId>>,
+    groups: collections::BTreeMap<cell_group::CellGroup, cell_split::GroupEngines>,
+    group_cells: collections::BTreeMap<cell_group::CellGroup, Vec<ids::CellId>>,
+    cells: collections::BTreeMap<ids::CellId, cell::Cell>,
+    models: collections::BTreeMap<ids::ModelName, collections::BTreeSet<ids::CellId>>,
 }
 
 impl CellMap {
@@ -31,7 +28,7 @@
 
     /// Returns the cells by their ids.
     #[must_use]
-    pub const fn cells(&self) -> &BTreeMap<ids::CellId, cell::Cell> {
+    pub const fn cells(&self) -> &collections::BTreeMap<ids::CellId, cell::Cell> {
         &self.cells
     }
 
@@ -55,8 +52,8 @@
         &mut self,
         before: &note::StateInForce,
         after: &note::StateInForce,
-    ) -> BTreeSet<cell_group::CellGroup> {
-        let mut changed = BTreeSet::new();
+    ) -> collections::BTreeSet<cell_group::CellGroup> {
+        let mut changed = collections::BTreeSet::new();
         for (old, new) in before.engines.changes(&after.engines) {
             if let (Some(old), Some(new)) = (old, new)
                 && is_same_place(old, new)
@@ -96,7 +93,7 @@
             }
         }
         let engines = self.groups.get(group);
-        if engines.is_none_or(BTreeMap::is_empty) {
+        if engines.is_none_or(collections::BTreeMap::is_empty) {
             self.groups.remove(group);
             return;
         }
--- a/components/place/src/cell_owner.rs
+++ b/components/place/src/cell_owner.rs
@@ -1,6 +1,6 @@
 //! The owner's part of placement.
 
-use std::{collections::BTreeMap, sync, time};
+use std::{collections, sync, time};
 
 use rand::SeedableRng as _;
 
@@ -20,9 +20,9 @@
     context: owner_context::OwnerContext,
     map: cell_map::CellMap,
     members: region_members::RegionMembers,
-    owned: BTreeMap<ids::CellId, cell::Cell>,
-    planners: BTreeMap<ids::CellId, cell_planner::CellPlanner>,
-    spares: BTreeMap<ids::CellId, spare_news::SpareNews>,
+    owned: collections::BTreeMap<ids::CellId, cell::Cell>,
+    planners: collections::BTreeMap<ids::CellId, cell_planner::CellPlanner>,
+    spares: collections::BTreeMap<ids::CellId, spare_news::SpareNews>,
     next_sweep: clock::Moment,
 }
 
@@ -48,16 +48,16 @@
             context,
             map: cell_map::CellMap::default(),
             members: region_members::RegionMembers::default(),
-            owned: BTreeMap::new(),
-            planners: BTreeMap::new(),
-            spares: BTreeMap::new(),
+            owned: collections::BTreeMap::new(),
+            planners: collections::BTreeMap::new(),
+            spares: collections::BTreeMap::new(),
             next_sweep: clock::Moment::default(),
         }
     }
 
     /// Returns the cells that this instance owns.
     #[must_use]
-    pub const fn owned(&self) -> &BTreeMap<ids::CellId, cell::Cell> {
+    pub const fn owned(&self) -> &collections::BTreeMap<ids::CellId, cell::Cell> {
         &self.owned
     }
 
--- a/components/place/src/cell_split.rs
+++ b/components/place/src/cell_split.rs
@@ -1,13 +1,13 @@
 //! Splits a group of engines into cells.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use xxhash_rust::xxh3;
 
 use crate::{cell, cell_group};
 
 /// Engines of a group with the data centre of each.
-pub type GroupEngines = BTreeMap<ids::ServerName, ids::DataCentreName>;
+pub type GroupEngines = collections::BTreeMap<ids::ServerName, ids::DataCentreName>;
 
 /// Bits of an engine's hash that splitting may use.
 const HASH_BITS: u32 = 32;
@@ -29,7 +29,8 @@
     if all.len() <= cell::CELL_ENGINE_LIMIT {
         return make_cell(group, "", &all).into_iter().collect();
     }
-    let mut centres: BTreeMap<&ids::DataCentreName, Vec<SplitEngine<'_>>> = BTreeMap::new();
+    let mut centres: collections::BTreeMap<&ids::DataCentreName, Vec<SplitEngine<'_>>> =
+        collections::BTreeMap::new();
     for engine in all {
         centres.entry(engine.data_centre).or_default().push(engine);
     }
@@ -84,7 +85,8 @@
 
 /// Returns the data centre of most of the engines.
 fn main_centre(engines: &[SplitEngine<'_>]) -> Option<ids::DataCentreName> {
-    let mut counts: BTreeMap<&ids::DataCentreName, usize> = BTreeMap::new();
+    let mut counts: collections::BTreeMap<&ids::DataCentreName, usize> =
+        collections::BTreeMap::new();
     for engine in engines {
         *counts.entry(engine.data_centre).or_default() += 1;
     }
--- a/components/place/src/ended_works.rs
+++ b/components/place/src/ended_works.rs
@@ -1,9 +1,6 @@
 //! Work that has ended lately.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    time,
-};
+use std::{collections, time};
 
 use crate::work_key;
 
@@ -16,9 +13,9 @@
 /// Work that has ended lately, so that late and repeated messages about it change nothing.
 #[derive(Clone, Debug, Default)]
 pub struct EndedWorks {
-    order: VecDeque<(clock::Moment, work_key::WorkKey, Option<ids::LeaseId>)>,
-    works: BTreeMap<work_key::WorkKey, clock::Moment>,
-    leases: BTreeSet<ids::LeaseId>,
+    order: collections::VecDeque<(clock::Moment, work_key::WorkKey, Option<ids::LeaseId>)>,
+    works: collections::BTreeMap<work_key::WorkKey, clock::Moment>,
+    leases: collections::BTreeSet<ids::LeaseId>,
 }
 
 impl EndedWorks {
--- a/components/place/src/engine_book.rs
+++ b/components/place/src/engine_book.rs
@@ -1,9 +1,6 @@
 //! What an owner counts of one engine.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync, time,
-};
+use std::{collections, sync, time};
 
 use crate::{engine_reach, foreign_work, keys, work_key};
 
@@ -35,13 +32,13 @@
     /// Whether the engine answers.
     pub reach: engine_reach::EngineReach,
     /// Prefills that the engine is to do.
-    pub prefills: VecDeque<PlannedPrefill>,
+    pub prefills: collections::VecDeque<PlannedPrefill>,
     /// Leases on the decode side.
-    pub decodes: BTreeSet<keys::LeaseKey>,
+    pub decodes: collections::BTreeSet<keys::LeaseKey>,
     /// Pieces of memory held by leases on the decode side.
     pub leased_pieces: u32,
     /// Work that no lease covers.
-    pub foreign: BTreeMap<work_key::WorkKey, foreign_work::ForeignWork>,
+    pub foreign: collections::BTreeMap<work_key::WorkKey, foreign_work::ForeignWork>,
     /// Time until which transfers are planned on the link.
     pub link_until: clock::Moment,
     /// Last load report and when it was read.
@@ -60,10 +57,10 @@
             drained: false,
             withdrawn: false,
             reach: engine_reach::EngineReach::default(),
-            prefills: VecDeque::new(),
-            decodes: BTreeSet::new(),
+            prefills: collections::VecDeque::new(),
+            decodes: collections::BTreeSet::new(),
             leased_pieces: 0,
-            foreign: BTreeMap::new(),
+            foreign: collections::BTreeMap::new(),
             link_until: clock::Moment::default(),
             load: None,
             free_rate: (0.0, clock::Moment::default()),
--- a/components/place/src/entry_news.rs
+++ b/components/place/src/entry_news.rs
@@ -1,6 +1,6 @@
 //! What an owner hears of the entry instances.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 /// Time for which an instance that dies is still trusted to report.
 const SILENCE_LIMIT: time::Duration = time::Duration::from_millis(1_500);
@@ -15,11 +15,11 @@
 #[derive(Clone, Debug, Default)]
 pub struct EntryNews {
     /// Time of the last list of leases in a cell from each instance.
-    lists: BTreeMap<(ids::CellId, ids::InstanceId), clock::Moment>,
+    lists: collections::BTreeMap<(ids::CellId, ids::InstanceId), clock::Moment>,
     /// Time at which an entry last named work that no lease covers.
-    mentions: BTreeMap<ids::RequestId, clock::Moment>,
+    mentions: collections::BTreeMap<ids::RequestId, clock::Moment>,
     /// Time at which each instance was last asked for its claims in a cell.
-    claims_asked: BTreeMap<(ids::CellId, ids::InstanceId), clock::Moment>,
+    claims_asked: collections::BTreeMap<(ids::CellId, ids::InstanceId), clock::Moment>,
 }
 
 impl EntryNews {
--- a/components/place/src/orphan_watch.rs
+++ b/components/place/src/orphan_watch.rs
@@ -1,6 +1,6 @@
 //! Finds and ends work whose entry is gone: by leases without news and by running lists.
 
-use std::{collections::BTreeSet, time};
+use std::{collections, time};
 
 use crate::{
     cell_planner, engine_reach, entry_news, foreign_work, held_lease, keys, message, output,
@@ -46,7 +46,7 @@
     }
 
     /// Returns the instances whose leases or work went without news for long.
-    fn doubtful_entries(&self, now: clock::Moment) -> BTreeSet<ids::InstanceId> {
+    fn doubtful_entries(&self, now: clock::Moment) -> collections::BTreeSet<ids::InstanceId> {
         let quiet = self
             .book
             .leases()
--- a/components/place/src/prefix_hints.rs
+++ b/components/place/src/prefix_hints.rs
@@ -1,6 +1,6 @@
 //! Which engines are believed to cache which prefix blocks.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::keys;
 
@@ -26,7 +26,7 @@
 /// Which engines are believed to cache which prefix blocks; late and incomplete.
 #[derive(Clone, Debug, Default)]
 pub struct PrefixHints {
-    blocks: BTreeMap<u64, smallvec::SmallVec<[BlockHint; 4]>>,
+    blocks: collections::BTreeMap<u64, smallvec::SmallVec<[BlockHint; 4]>>,
 }
 
 impl PrefixHints {
--- a/components/place/src/region_members.rs
+++ b/components/place/src/region_members.rs
@@ -1,6 +1,6 @@
 //! The instances that may own cells, by region.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use xxhash_rust::xxh3;
 
@@ -16,14 +16,15 @@
 /// The instances that may own cells, by region; made once for each view.
 #[derive(Clone, Debug, Default)]
 pub struct RegionMembers {
-    regions: BTreeMap<ids::RegionName, Vec<UsableMember>>,
+    regions: collections::BTreeMap<ids::RegionName, Vec<UsableMember>>,
 }
 
 impl RegionMembers {
     /// Sorts the usable instances of a view by region.
     #[must_use]
     pub fn of(view: &member::MemberView) -> Self {
-        let mut regions: BTreeMap<ids::RegionName, Vec<UsableMember>> = BTreeMap::new();
+        let mut regions: collections::BTreeMap<ids::RegionName, Vec<UsableMember>> =
+            collections::BTreeMap::new();
         for member in view.usable() {
             let instance = &member.instance;
             regions
--- a/components/place/src/takeover.rs
+++ b/components/place/src/takeover.rs
@@ -1,6 +1,6 @@
 //! The time in which a new owner learns what is held.
 
-use std::{collections::BTreeSet, time};
+use std::{collections, time};
 
 /// Time after which the new owner stops waiting.
 const TAKEOVER_LIMIT: time::Duration = time::Duration::from_secs(2);
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug)]
 pub struct TakeoverWait {
     until: clock::Moment,
-    entries: BTreeSet<ids::InstanceId>,
+    entries: collections::BTreeSet<ids::InstanceId>,
 }
 
 impl TakeoverWait {
--- a/components/place/src/timed_reads.rs
+++ b/components/place/src/timed_reads.rs
@@ -1,6 +1,6 @@
 //! What is read from the engines of a cell, and when.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::{cell_book, engine_reach, keys, output};
 
@@ -25,7 +25,7 @@
 /// What is read from the engines of a cell, and when.
 #[derive(Clone, Debug)]
 pub struct TimedReads {
-    times: BTreeMap<keys::EngineKey, ReadTimes>,
+    times: collections::BTreeMap<keys::EngineKey, ReadTimes>,
     next_wake: clock::Moment,
 }
 
@@ -33,7 +33,7 @@
     /// Makes reads that are all due.
     pub const fn new(now: clock::Moment) -> Self {
         Self {
-            times: BTreeMap::new(),
+            times: collections::BTreeMap::new(),
             next_wake: now,
         }
     }
--- a/components/place/src/workspace_shares.rs
+++ b/components/place/src/workspace_shares.rs
@@ -1,6 +1,6 @@
 //! What each workspace has used lately.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 /// Time in which use loses half of its weight.
 const HALF_LIFE: time::Duration = time::Duration::from_secs(10);
@@ -26,7 +26,7 @@
 /// Instead of fading every entry, later use is scaled up against a common epoch.
 #[derive(Clone, Debug, Default)]
 pub struct WorkspaceShares {
-    uses: BTreeMap<ids::WorkspaceName, ShareUse>,
+    uses: collections::BTreeMap<ids::WorkspaceName, ShareUse>,
     total: f64,
     weights: f64,
     epoch: clock::Moment,
--- a/components/place/tests/place/cells.rs
+++ b/components/place/tests/place/cells.rs
@@ -1,6 +1,6 @@
 //! Cells and their owners.
 
-use std::{collections::BTreeMap, sync};
+use std::{collections, sync};
 
 use proptest::prelude::*;
 
@@ -17,7 +17,7 @@
     state
 }
 
-fn by_id(cells: Vec<place::cell::Cell>) -> BTreeMap<ids::CellId, place::cell::Cell> {
+fn by_id(cells: Vec<place::cell::Cell>) -> collections::BTreeMap<ids::CellId, place::cell::Cell> {
     cells.into_iter().map(|cell| (cell.id, cell)).collect()
 }
 
--- a/components/place/tests/place/properties.rs
+++ b/components/place/tests/place/properties.rs
@@ -1,6 +1,6 @@
 //! Properties that hold for any order of events.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections;
 
 use proptest::prelude::*;
 
@@ -83,7 +83,7 @@
 
 fn check_counts(book: &place::CellBook) -> Result<(), TestCaseError> {
     for (key, engine) in book.engines() {
-        let held: BTreeSet<place::LeaseKey> = book
+        let held: collections::BTreeSet<place::LeaseKey> = book
             .leases()
             .filter(|(_, lease)| lease.decode == key)
             .map(|(lease, _)| lease)
@@ -118,7 +118,7 @@
     ) {
         let mut site = common::idle_owner();
         let mut granted: Vec<place::Placement> = Vec::new();
-        let mut refused = BTreeMap::new();
+        let mut refused = collections::BTreeMap::new();
 
         for step in steps {
             let is_retarget = matches!(step, HistoryStep::Retarget(_));
--- a/components/rounds/src/fleet_run.rs
+++ b/components/rounds/src/fleet_run.rs
@@ -1,6 +1,6 @@
 //! The loop over the machines of a fleet.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -24,7 +24,7 @@
     pub meter: run_meter::RunMeter,
     pub(crate) now: clock::Moment,
     pub(crate) nodes: Vec<fleet_node::FleetNode>,
-    queue: BTreeMap<(clock::Moment, u64), fleet_event::DueEvent>,
+    queue: collections::BTreeMap<(clock::Moment, u64), fleet_event::DueEvent>,
     /// For each instance, since when it is up or down, as the list will tell after its lag.
     since: Vec<(clock::Moment, bool)>,
     chooser: chooser_kind::ChooserKind,
@@ -46,7 +46,7 @@
             meter: run_meter::RunMeter::default(),
             now: clock::Moment::from_millis(LIST_LAG.as_secs() * 1_000),
             nodes: Vec::new(),
-            queue: BTreeMap::new(),
+            queue: collections::BTreeMap::new(),
             since: Vec::new(),
             chooser,
             sequence: 0,
--- a/components/rounds/src/link_model.rs
+++ b/components/rounds/src/link_model.rs
@@ -1,6 +1,6 @@
 //! Delay, loss and partitions between instances.
 
-use std::{collections::BTreeSet, time};
+use std::{collections, time};
 
 use rand::RngExt as _;
 
@@ -19,7 +19,7 @@
     /// Share of messages that are lost, from zero to one.
     pub loss: f64,
     /// Instances cut off from all others, but not from each other.
-    pub cut_off: BTreeSet<ids::InstanceId>,
+    pub cut_off: collections::BTreeSet<ids::InstanceId>,
 }
 
 impl LinkModel {
--- a/components/rounds/src/service_model.rs
+++ b/components/rounds/src/service_model.rs
@@ -1,6 +1,6 @@
 //! The configuration service, as far as its readers notice.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 /// How the configuration service behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -21,7 +21,7 @@
 pub struct ServiceModel {
     /// How the service behaves.
     pub health: ServiceHealth,
-    values: BTreeMap<ids::Revision, Vec<border::NoteValue>>,
+    values: collections::BTreeMap<ids::Revision, Vec<border::NoteValue>>,
     /// Latest base note.
     base: ids::Revision,
 }
--- a/components/settings/src/key_tree.rs
+++ b/components/settings/src/key_tree.rs
@@ -1,13 +1,13 @@
 //! The keys of a YAML document and where they stand.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections, fmt};
 
 use serde::de;
 
 /// The keys of a YAML document and where they stand; values are dropped.
 #[derive(Debug, Default)]
 pub(crate) struct KeyTree {
-    children: BTreeMap<String, KeyNode>,
+    children: collections::BTreeMap<String, KeyNode>,
 }
 
 /// One key with its place and the keys below it.
--- a/components/spread/src/note_log.rs
+++ b/components/spread/src/note_log.rs
@@ -1,6 +1,6 @@
 //! The notes that an instance keeps for peers that lag.
 
-use std::{collections::VecDeque, sync};
+use std::{collections, sync};
 
 use crate::message;
 
@@ -13,7 +13,7 @@
 /// The last notes, oldest first, without a gap.
 #[derive(Debug, Default)]
 pub(crate) struct NoteLog {
-    notes: VecDeque<message::LoggedNote>,
+    notes: collections::VecDeque<message::LoggedNote>,
     bytes: usize,
 }
 
--- a/components/spread/src/note_spreader.rs
+++ b/components/spread/src/note_spreader.rs
@@ -1,9 +1,6 @@
 //! The state machine that brings release notes into force.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync, time,
-};
+use std::{collections, sync, time};
 
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 
@@ -33,9 +30,9 @@
     pub(crate) is_reader: bool,
     pub(crate) fetch: Option<state_fetch::StateFetch>,
     pub(crate) donor: state_donor::StateDonor,
-    pub(crate) refused: VecDeque<spread_status::RefusedNote>,
+    pub(crate) refused: collections::VecDeque<spread_status::RefusedNote>,
     pub(crate) divergences: u64,
-    pub(crate) peers: BTreeMap<ids::InstanceId, (message::Summary, clock::Moment)>,
+    pub(crate) peers: collections::BTreeMap<ids::InstanceId, (message::Summary, clock::Moment)>,
     /// Notes that have come into force since the last push.
     pub(crate) unpushed: Vec<message::LoggedNote>,
     pub(crate) changed: bool,
@@ -73,9 +70,9 @@
             is_reader: false,
             fetch: None,
             donor: state_donor::StateDonor::default(),
-            refused: VecDeque::new(),
+            refused: collections::VecDeque::new(),
             divergences: 0,
-            peers: BTreeMap::new(),
+            peers: collections::BTreeMap::new(),
             unpushed: Vec::new(),
             changed: false,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(config.seed),
--- a/components/spread/src/reader_rule.rs
+++ b/components/spread/src/reader_rule.rs
@@ -1,6 +1,6 @@
 //! Which instances watch the configuration service.
 
-use std::collections::BTreeSet;
+use std::collections;
 
 /// Readers of the whole fleet, as long as it has fewer regions than that.
 const FLEET_READERS: usize = 4;
@@ -14,7 +14,7 @@
     let Some(own) = view.members.get(&view.own) else {
         return false;
     };
-    let regions: BTreeSet<_> = view
+    let regions: collections::BTreeSet<_> = view
         .usable()
         .map(|member| &member.instance.region)
         .collect();
--- a/components/spread/src/start_gate.rs
+++ b/components/spread/src/start_gate.rs
@@ -1,6 +1,6 @@
 //! Holds a new instance back until it has heard what peers have in force.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections;
 
 use crate::{message, readiness};
 
@@ -15,10 +15,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct StartGate {
     listed: bool,
-    expected: BTreeSet<ids::InstanceId>,
+    expected: collections::BTreeSet<ids::InstanceId>,
     reachable: usize,
     /// Peers that were heard, with whether they serve.
-    heard: BTreeMap<ids::InstanceId, bool>,
+    heard: collections::BTreeMap<ids::InstanceId, bool>,
     highest: ids::Revision,
     open: bool,
 }
--- a/components/spread/src/state_fetch.rs
+++ b/components/spread/src/state_fetch.rs
@@ -1,6 +1,6 @@
 //! Fetches a whole state from a peer, part by part.
 
-use std::{collections::BTreeMap, sync, time};
+use std::{collections, sync, time};
 
 use crate::{message, output};
 
@@ -20,7 +20,7 @@
     summary: message::Summary,
     /// Number of parts; zero until the first one is there.
     count: u32,
-    parts: BTreeMap<u32, sync::Arc<str>>,
+    parts: collections::BTreeMap<u32, sync::Arc<str>>,
     highest_asked: u32,
     deadline: clock::Moment,
     asks: u32,
@@ -38,7 +38,7 @@
             donor,
             summary,
             count: 0,
-            parts: BTreeMap::new(),
+            parts: collections::BTreeMap::new(),
             highest_asked: 0,
             deadline: now + PART_WAIT,
             asks: 1,
--- a/components/spread/tests/divergence.rs
+++ b/components/spread/tests/divergence.rs
@@ -1,6 +1,6 @@
 //! Two states at one revision.
 
-use std::collections::VecDeque;
+use std::collections;
 
 fn base(weight: u32) -> border::NoteValue {
     border::NoteValue {
@@ -22,7 +22,7 @@
 /// Passes messages between two spreaders until none is left; returns the reports of divergence.
 fn exchange(pair: &mut [spread::NoteSpreader; 2], first: spread::Message) -> usize {
     let now = clock::Moment::from_millis(10);
-    let mut queue = VecDeque::from([(1, first)]);
+    let mut queue = collections::VecDeque::from([(1, first)]);
     let mut reports = 0;
     while let Some((to, message)) = queue.pop_front() {
         let from = ids::InstanceId(2 - to as u64);
--- a/components/study/src/engine_host.rs
+++ b/components/study/src/engine_host.rs
@@ -1,6 +1,6 @@
 //! An engine of the study with the instances that wait for it.
 
-use std::collections::BTreeMap;
+use std::collections;
 
 use fakes::engine_model;
 
@@ -20,11 +20,11 @@
     /// The model; `None` once the engine has died.
     pub model: Option<engine_model::EngineModel>,
     /// Instances that wait, by the work.
-    pub awaited: BTreeMap<engine_model::WorkKey, (usize, AwaitedStep)>,
+    pub awaited: collections::BTreeMap<engine_model::WorkKey, (usize, AwaitedStep)>,
     /// Imports that wait for this engine's exports, by the handle.
-    pub exports: BTreeMap<u64, (usize, engine_model::WorkKey)>,
+    pub exports: collections::BTreeMap<u64, (usize, engine_model::WorkKey)>,
     /// Sources of the imports of this engine.
-    pub sources: BTreeMap<engine_model::WorkKey, usize>,
+    pub sources: collections::BTreeMap<engine_model::WorkKey, usize>,
     /// Time of the next event that is in the queue.
     pub scheduled: clock::Moment,
 }
@@ -35,9 +35,9 @@
         let figures = engine_model::EngineFigures::from_entry(entry, seed);
         Self {
             model: Some(engine_model::EngineModel::new(figures)),
-            awaited: BTreeMap::new(),
-            exports: BTreeMap::new(),
-            sources: BTreeMap::new(),
+            awaited: collections::BTreeMap::new(),
+            exports: collections::BTreeMap::new(),
+            sources: collections::BTreeMap::new(),
             scheduled: clock::Moment::MAX,
         }
     }
--- a/components/study/src/fault_script.rs
+++ b/components/study/src/fault_script.rs
@@ -1,6 +1,6 @@
 //! The instances of a case, its fault and the search for leaks.
 
-use std::{collections::BTreeMap, time};
+use std::{collections, time};
 
 use crate::{study_case, study_fault, study_world};
 
@@ -64,7 +64,7 @@
     /// Counts the engine memory of requests that ended a while ago.
     pub(crate) fn inspect(&mut self) {
         let mut leaked = 0;
-        let mut held: BTreeMap<usize, u32> = BTreeMap::new();
+        let mut held: collections::BTreeMap<usize, u32> = collections::BTreeMap::new();
         for host in &self.engines {
             for entry in host.model.iter().flat_map(|model| model.running(self.now)) {
                 if let Some(number) = self.request_numbers.get(&entry.request) {
