call: import modules in the last places that imported items

Cause: the house style. Change: call_failure::, claim_state:: and border:: before the names. Conclusion: behaviour is unchanged.

--- a/components/call/src/call_keeper/arrivals.rs
+++ b/components/call/src/call_keeper/arrivals.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync};
 
-use crate::{call_entry, call_failure::CallFailure, call_spec, output, service_lane};
+use crate::{call_entry, call_failure, call_spec, output, service_lane};
 
 impl super::CallKeeper {
     pub(super) fn refresh_lanes(&mut self, now: clock::Moment, outputs: &mut Vec<output::Output>) {
@@ -52,7 +52,7 @@
             let Some((request, _)) = lane.queue.pop(|_| 1) else {
                 return;
             };
-            self.fail(now, request, CallFailure::NoServer, outputs);
+            self.fail(now, request, call_failure::CallFailure::NoServer, outputs);
         }
     }
 
@@ -90,7 +90,7 @@
         self.calls.insert(request, entry);
         self.set_timer(request, wait_until);
         if let Some(loser) = evicted {
-            self.fail(now, loser, CallFailure::QueueFull, outputs);
+            self.fail(now, loser, call_failure::CallFailure::QueueFull, outputs);
         }
         self.pump(now, &service, outputs);
     }
@@ -100,16 +100,16 @@
         &self,
         now: clock::Moment,
         spec: &call_spec::CallSpec,
-    ) -> Option<CallFailure> {
+    ) -> Option<call_failure::CallFailure> {
         let Some(lane) = self
             .lanes
             .get(&spec.service)
             .filter(|lane| lane.has_server())
         else {
-            return Some(CallFailure::NoServer);
+            return Some(call_failure::CallFailure::NoServer);
         };
         if spec.time_left.is_zero() {
-            return Some(CallFailure::DeadlinePassed);
+            return Some(call_failure::CallFailure::DeadlinePassed);
         }
         let held = self.workspaces.get(&spec.workspace).copied().unwrap_or(0);
         let limit = self
@@ -118,7 +118,7 @@
             .get(&spec.workspace)
             .map_or(u32::MAX, |workspace| workspace.in_flight_limit);
         if held >= limit || lane.expected_wait(now) > spec.time_left / 2 {
-            return Some(CallFailure::QueueFull);
+            return Some(call_failure::CallFailure::QueueFull);
         }
         if spec.idempotent || spec.key.is_none() {
             return None;
@@ -127,8 +127,8 @@
             .key_age
             .is_some_and(|age| age > self.config.key_retention)
         {
-            return Some(CallFailure::KeyUncertain);
+            return Some(call_failure::CallFailure::KeyUncertain);
         }
-        (!self.view_is_usable()).then_some(CallFailure::ViewStale)
+        (!self.view_is_usable()).then_some(call_failure::CallFailure::ViewStale)
     }
 }
--- a/components/call/src/call_keeper/endings.rs
+++ b/components/call/src/call_keeper/endings.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{call_entry, call_failure::CallFailure, call_outcome, output};
+use crate::{call_entry, call_failure, call_outcome, output};
 
 /// Time after its deadline for which an attempt that doesn't end keeps its room at the server.
 const LINGER_TIME: time::Duration = time::Duration::from_secs(10);
@@ -40,7 +40,12 @@
         };
         match entry.phase {
             call_entry::CallPhase::Queued(_) => {
-                self.fail(now, request, CallFailure::DeadlinePassed, outputs);
+                self.fail(
+                    now,
+                    request,
+                    call_failure::CallFailure::DeadlinePassed,
+                    outputs,
+                );
             }
             call_entry::CallPhase::Claiming => self.repeat_claim(now, request, outputs),
             call_entry::CallPhase::Sent if entry.answered => self.give_up(request, outputs),
@@ -49,7 +54,7 @@
                     now,
                     request,
                     border::Outcome::Unknown,
-                    CallFailure::DeadlinePassed,
+                    call_failure::CallFailure::DeadlinePassed,
                 );
                 self.answer(request, outcome, outputs);
                 self.set_timer(request, now + LINGER_TIME);
@@ -68,7 +73,7 @@
         &mut self,
         now: clock::Moment,
         request: ids::RequestId,
-        failure: CallFailure,
+        failure: call_failure::CallFailure,
         outputs: &mut Vec<output::Output>,
     ) {
         let Some(entry) = self.calls.get(&request) else {
@@ -85,7 +90,7 @@
         now: clock::Moment,
         request: ids::RequestId,
         outcome: border::Outcome,
-        failure: CallFailure,
+        failure: call_failure::CallFailure,
     ) -> call_outcome::CallOutcome {
         let wait = self
             .calls
@@ -94,7 +99,10 @@
             .map_or(time::Duration::ZERO, |lane| lane.expected_wait(now));
         let spread = self.generator.random_range(1.0..1.5);
         let after = wait.clamp(RETRY_AFTER_FLOOR, RETRY_AFTER_CAP);
-        let is_final = matches!(failure, CallFailure::KeyUsed | CallFailure::KeyMismatch);
+        let is_final = matches!(
+            failure,
+            call_failure::CallFailure::KeyUsed | call_failure::CallFailure::KeyMismatch
+        );
         call_outcome::CallOutcome::Failed {
             outcome,
             failure,
--- a/components/call/src/claim_round.rs
+++ b/components/call/src/claim_round.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use crate::{call_failure::CallFailure, claim_quorum, claim_state::ClaimState};
+use crate::{call_failure, claim_quorum, claim_state};
 
 /// What a round of claims has come to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -12,7 +12,7 @@
     /// The call may run.
     Granted,
     /// The call must not run under this request.
-    Refused(border::Outcome, CallFailure),
+    Refused(border::Outcome, call_failure::CallFailure),
 }
 
 /// One request's claim of its key.
@@ -25,7 +25,7 @@
     /// Instances that were asked.
     pub witnesses: Vec<ids::InstanceId>,
     quorum: claim_quorum::ClaimQuorum,
-    answers: collections::BTreeMap<ids::InstanceId, (ClaimState, bool)>,
+    answers: collections::BTreeMap<ids::InstanceId, (claim_state::ClaimState, bool)>,
 }
 
 impl ClaimRound {
@@ -45,7 +45,12 @@
     }
 
     /// Counts an answer; a witness's later answer replaces its earlier one.
-    pub fn count(&mut self, witness: ids::InstanceId, state: ClaimState, vouched: bool) {
+    pub fn count(
+        &mut self,
+        witness: ids::InstanceId,
+        state: claim_state::ClaimState,
+        vouched: bool,
+    ) {
         if self.witnesses.contains(&witness) {
             self.answers.insert(witness, (state, vouched));
         }
@@ -61,10 +66,11 @@
 
     /// Returns what the answers so far come to.
     pub fn verdict(&self) -> RoundVerdict {
-        let acks = self.number(|state, _| state == ClaimState::Granted);
-        let vouchers = self.number(|state, vouched| state == ClaimState::Granted && vouched);
-        if self.holds(ClaimState::Ran) {
-            return RoundVerdict::Refused(border::Outcome::Ran, CallFailure::KeyUsed);
+        let acks = self.number(|state, _| state == claim_state::ClaimState::Granted);
+        let vouchers =
+            self.number(|state, vouched| state == claim_state::ClaimState::Granted && vouched);
+        if self.holds(claim_state::ClaimState::Ran) {
+            return RoundVerdict::Refused(border::Outcome::Ran, call_failure::CallFailure::KeyUsed);
         }
         if acks >= self.quorum.acks && vouchers >= self.quorum.vouchers {
             return RoundVerdict::Granted;
@@ -81,21 +87,21 @@
     /// A witness that holds the key for another request doesn't tell whether that request ran,
     /// so the outcome is unknown unless a witness has it as run.
     pub fn refusal(&self) -> RoundVerdict {
-        let failure = if self.holds(ClaimState::Mismatch) {
-            CallFailure::KeyMismatch
-        } else if self.holds(ClaimState::Running) {
-            CallFailure::KeyInUse
+        let failure = if self.holds(claim_state::ClaimState::Mismatch) {
+            call_failure::CallFailure::KeyMismatch
+        } else if self.holds(claim_state::ClaimState::Running) {
+            call_failure::CallFailure::KeyInUse
         } else {
-            CallFailure::KeyUncertain
+            call_failure::CallFailure::KeyUncertain
         };
         RoundVerdict::Refused(border::Outcome::Unknown, failure)
     }
 
-    fn holds(&self, wanted: ClaimState) -> bool {
+    fn holds(&self, wanted: claim_state::ClaimState) -> bool {
         self.answers.values().any(|(state, _)| *state == wanted)
     }
 
-    fn number(&self, counts: impl Fn(ClaimState, bool) -> bool) -> usize {
+    fn number(&self, counts: impl Fn(claim_state::ClaimState, bool) -> bool) -> usize {
         self.answers
             .values()
             .filter(|(state, vouched)| counts(*state, *vouched))
--- a/components/call/src/claim_store.rs
+++ b/components/call/src/claim_store.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, fmt, ops, time};
 
-use crate::{claim_key, claim_state::ClaimState, held_claim};
+use crate::{claim_key, claim_state, held_claim};
 
 /// Time for which expired claims may stay, so that each doesn't cost a wake.
 const EXPIRY_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -13,7 +13,7 @@
     request: ids::RequestId,
     fingerprint: u128,
     expires: clock::Moment,
-    state: ClaimState,
+    state: claim_state::ClaimState,
 }
 
 impl ClaimRecord {
@@ -70,15 +70,19 @@
     }
 
     /// Claims a key and returns what the store holds of it.
-    pub fn claim(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> ClaimState {
+    pub fn claim(
+        &mut self,
+        now: clock::Moment,
+        claim: held_claim::HeldClaim,
+    ) -> claim_state::ClaimState {
         let Some(held) = self.records.get(&claim.key) else {
             return self.claim_free(now, claim);
         };
         if held.fingerprint != claim.fingerprint {
-            return ClaimState::Mismatch;
+            return claim_state::ClaimState::Mismatch;
         }
-        if held.request == claim.request && held.state == ClaimState::Running {
-            return ClaimState::Granted;
+        if held.request == claim.request && held.state == claim_state::ClaimState::Running {
+            return claim_state::ClaimState::Granted;
         }
         held.state
     }
@@ -89,15 +93,15 @@
         now: clock::Moment,
         key: claim_key::ClaimKey,
         request: ids::RequestId,
-        state: ClaimState,
+        state: claim_state::ClaimState,
     ) {
         let Some(held) = self.records.get(&key) else {
             return;
         };
-        if held.request != request || held.state != ClaimState::Running {
+        if held.request != request || held.state != claim_state::ClaimState::Running {
             return;
         }
-        if state == ClaimState::NotRun {
+        if state == claim_state::ClaimState::NotRun {
             self.remove(key);
         } else {
             let claim = held.claim(key);
@@ -108,8 +112,8 @@
     /// Takes in a claim that another witness holds.
     pub fn merge(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> bool {
         match self.records.get(&claim.key) {
-            Some(held) if held.state != ClaimState::Running => true,
-            Some(_) if claim.state == ClaimState::Running => true,
+            Some(held) if held.state != claim_state::ClaimState::Running => true,
+            Some(_) if claim.state == claim_state::ClaimState::Running => true,
             None if self.records.len() >= self.limit => false,
             _ => {
                 self.insert(now, claim);
@@ -129,12 +133,16 @@
             .map(|(key, record)| record.claim(*key))
     }
 
-    fn claim_free(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) -> ClaimState {
+    fn claim_free(
+        &mut self,
+        now: clock::Moment,
+        claim: held_claim::HeldClaim,
+    ) -> claim_state::ClaimState {
         if self.records.len() >= self.limit {
-            return ClaimState::Unknown;
+            return claim_state::ClaimState::Unknown;
         }
         self.insert(now, claim);
-        ClaimState::Granted
+        claim_state::ClaimState::Granted
     }
 
     fn insert(&mut self, now: clock::Moment, claim: held_claim::HeldClaim) {
--- a/components/call/tests/keys.rs
+++ b/components/call/tests/keys.rs
@@ -2,8 +2,6 @@
 
 use std::collections;
 
-use border::Outcome;
-use call::CallFailure;
 use common::fleet;
 
 mod common;
@@ -26,7 +24,7 @@
 }
 
 /// Returns what a request was told, when it has no answer of a server.
-fn told(fleet: &fleet::CallFleet, request: u128) -> Option<(Outcome, CallFailure)> {
+fn told(fleet: &fleet::CallFleet, request: u128) -> Option<(border::Outcome, call::CallFailure)> {
     match fleet.calls[&request].told.first()?.1 {
         call::CallOutcome::Failed {
             outcome, failure, ..
@@ -64,9 +62,12 @@
 
         if is_answered(&fleet, 1) {
             assert_eq!(runs(&fleet), 1);
-            assert_ne!(told(&fleet, 2).map(|told| told.0), Some(Outcome::NotRun));
+            assert_ne!(
+                told(&fleet, 2).map(|told| told.0),
+                Some(border::Outcome::NotRun)
+            );
         }
-        told(&fleet, 2) == Some((Outcome::Ran, CallFailure::KeyUsed))
+        told(&fleet, 2) == Some((border::Outcome::Ran, call::CallFailure::KeyUsed))
     });
 
     assert!(told_ran > 100);
@@ -86,7 +87,7 @@
 
     let outputs = claim_at_itself(&mut keeper, later, common::keyed(2, KEY));
 
-    assert_eq!(common::failures(&ends)[0].1, Outcome::NotRun);
+    assert_eq!(common::failures(&ends)[0].1, border::Outcome::NotRun);
     assert_eq!(common::attempts(&outputs)[0].0, 2);
 }
 
@@ -172,7 +173,10 @@
         fleet.run(3_000);
 
         assert!(runs(&fleet) <= 1);
-        assert_ne!(told(&fleet, 1).map(|told| told.0), Some(Outcome::NotRun));
+        assert_ne!(
+            told(&fleet, 1).map(|told| told.0),
+            Some(border::Outcome::NotRun)
+        );
     });
 }
 
@@ -310,7 +314,7 @@
         fleet.run(3_000);
 
         assert_eq!(runs(&fleet), 0);
-        let expected = (Outcome::Unknown, CallFailure::KeyUncertain);
+        let expected = (border::Outcome::Unknown, call::CallFailure::KeyUncertain);
         assert_eq!(told(&fleet, 1), Some(expected));
     });
 }
@@ -325,7 +329,10 @@
         fleet.call(2, 2, KEY + 100, true);
         fleet.run(3_000);
 
-        assert_eq!(told(&fleet, 2).map(|told| told.0), Some(Outcome::Unknown));
+        assert_eq!(
+            told(&fleet, 2).map(|told| told.0),
+            Some(border::Outcome::Unknown)
+        );
     });
 }
 
@@ -339,8 +346,8 @@
     let first = give_and_carry(&mut keeper, later, end);
     let repeat = claim_at_itself(&mut keeper, later, common::keyed(2, KEY));
 
-    assert_eq!(common::failures(&first)[0].1, Outcome::Unknown);
-    assert_eq!(common::failures(&repeat)[0].1, Outcome::Unknown);
+    assert_eq!(common::failures(&first)[0].1, border::Outcome::Unknown);
+    assert_eq!(common::failures(&repeat)[0].1, border::Outcome::Unknown);
     assert_eq!(common::attempts(&repeat), []);
 }
 
@@ -365,7 +372,8 @@
 
     let outputs = common::give(&mut keeper, 1, call::Input::Arrived(common::keyed(3, KEY)));
 
-    let [(3, Outcome::Unknown, CallFailure::QueueFull, Some(_))] = common::failures(&outputs)[..]
+    let [(3, border::Outcome::Unknown, call::CallFailure::QueueFull, Some(_))] =
+        common::failures(&outputs)[..]
     else {
         panic!("{outputs:?}");
     };
@@ -382,7 +390,7 @@
 
         let outputs = common::give(&mut keeper, 2, call::Input::Arrived(common::keyed(1, KEY)));
 
-        let [(1, Outcome::Unknown, CallFailure::ViewStale, Some(_))] =
+        let [(1, border::Outcome::Unknown, call::CallFailure::ViewStale, Some(_))] =
             common::failures(&outputs)[..]
         else {
             panic!("{outputs:?}");
@@ -404,7 +412,8 @@
 
     let outputs = claim_at_itself(&mut keeper, later, other);
 
-    let [(2, Outcome::Unknown, CallFailure::KeyMismatch, None)] = common::failures(&outputs)[..]
+    let [(2, border::Outcome::Unknown, call::CallFailure::KeyMismatch, None)] =
+        common::failures(&outputs)[..]
     else {
         panic!("{outputs:?}");
     };
@@ -428,8 +437,11 @@
     let third = claim_at_itself(&mut keeper, 400_000, common::keyed(3, 3));
     let repeat = claim_at_itself(&mut keeper, 400_000, common::keyed(4, 1));
 
-    assert_eq!(common::failures(&third)[0].2, CallFailure::KeyUncertain);
-    assert_eq!(common::failures(&repeat)[0].2, CallFailure::KeyInUse);
+    assert_eq!(
+        common::failures(&third)[0].2,
+        call::CallFailure::KeyUncertain
+    );
+    assert_eq!(common::failures(&repeat)[0].2, call::CallFailure::KeyInUse);
 }
 
 /// Gives a call to a keeper that is the only witness and carries its messages to itself.
--- a/components/call/tests/routing.rs
+++ b/components/call/tests/routing.rs
@@ -2,7 +2,6 @@
 
 use std::time;
 
-use border::Outcome;
 use call::{AttemptResult, CallFailure, Input};
 use common::{attempts, failures, give, keeper, lookup, order, server};
 
@@ -49,7 +48,8 @@
     let outputs = give(&mut keeper, 2, Input::State(left));
     let later = give(&mut keeper, 3, ended(1, 0, AttemptResult::Replied(200)));
 
-    let [(2, Outcome::NotRun, CallFailure::NoServer, Some(_))] = failures(&outputs)[..] else {
+    let [(2, border::Outcome::NotRun, CallFailure::NoServer, Some(_))] = failures(&outputs)[..]
+    else {
         panic!("the queued call must be refused at once: {outputs:?}");
     };
     assert_eq!(attempts(&later), []);
@@ -89,7 +89,7 @@
     let outputs = give(&mut keeper, 5, ended(1, 0, common::lost()));
 
     assert_eq!(attempts(&outputs), []);
-    let [(1, Outcome::Unknown, CallFailure::ServerLost, _)] = failures(&outputs)[..] else {
+    let [(1, border::Outcome::Unknown, CallFailure::ServerLost, _)] = failures(&outputs)[..] else {
         panic!("{outputs:?}");
     };
 }
@@ -114,7 +114,7 @@
 
     let outputs = give(&mut keeper, 5, ended(1, 3, common::not_sent()));
 
-    let [(1, Outcome::Unknown, CallFailure::ServerLost, _)] = failures(&outputs)[..] else {
+    let [(1, border::Outcome::Unknown, CallFailure::ServerLost, _)] = failures(&outputs)[..] else {
         panic!("{outputs:?}");
     };
 }
@@ -144,7 +144,8 @@
     let outputs = give(&mut keeper, 1_001, Input::Wake);
 
     assert_eq!(wake, clock::Moment::from_millis(1_001));
-    let [(2, Outcome::NotRun, CallFailure::DeadlinePassed, Some(_))] = failures(&outputs)[..]
+    let [(2, border::Outcome::NotRun, CallFailure::DeadlinePassed, Some(_))] =
+        failures(&outputs)[..]
     else {
         panic!("{outputs:?}");
     };
@@ -159,7 +160,8 @@
     let outputs = give(&mut keeper, 2_001, Input::Wake);
 
     assert_eq!(wake, clock::Moment::from_millis(2_001));
-    let [(1, Outcome::Unknown, CallFailure::DeadlinePassed, Some(_))] = failures(&outputs)[..]
+    let [(1, border::Outcome::Unknown, CallFailure::DeadlinePassed, Some(_))] =
+        failures(&outputs)[..]
     else {
         panic!("{outputs:?}");
     };
@@ -181,7 +183,8 @@
     };
     let outputs = give(&mut keeper, 901, Input::Arrived(late));
 
-    let [(100, Outcome::NotRun, CallFailure::QueueFull, Some(after))] = failures(&outputs)[..]
+    let [(100, border::Outcome::NotRun, CallFailure::QueueFull, Some(after))] =
+        failures(&outputs)[..]
     else {
         panic!("{outputs:?}");
     };
