call: don't take the jitter of a fast server for overload

Cause: the limit of open calls was cut whenever the recent latency was twice its level; at a server that answers in half a millisecond jitter alone does that, so the limit fell to one and calls queued. Ruled out: delayed acknowledgements (TCP_NODELAY is set on every side) and load on the machine (idle). Change: latency counts as overload only 10 ms beyond its level. The new test of jitter fails before and passes after; the outage of half the servers still settles within its 10 s. Conclusion: ratios of latencies need an absolute floor.

--- a/components/call/src/concurrency_limit.rs
+++ b/components/call/src/concurrency_limit.rs
@@ -20,6 +20,10 @@
 /// Ratio of the recent latency to its level that is taken as overload.
 const SLOW_RATIO: f64 = 2.0;
 
+/// Latency beyond the level that is never taken as overload: a fast server's jitter is a multiple
+/// of its latency.
+const JITTER_ALLOWANCE: time::Duration = time::Duration::from_millis(10);
+
 /// Adapts the number of open calls: additive increase, multiplicative decrease.
 ///
 /// The limit grows while it is used and latencies stay level, and is cut when the recent latency
@@ -77,7 +81,8 @@
         };
         self.recent_seconds = Some(recent);
         self.level_seconds = level;
-        if recent > level * SLOW_RATIO {
+        let bound = (level * SLOW_RATIO).max(level + JITTER_ALLOWANCE.as_secs_f64());
+        if recent > bound {
             self.cut(now);
         } else if f64::from(open) * 2.0 >= self.limit {
             self.limit = (self.limit + 1.0 / self.limit).min(self.ceiling);
--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -19,6 +19,8 @@
 mod claim_state;
 mod claim_store;
 mod concurrency_limit;
+#[cfg(test)]
+mod concurrency_limit_tests;
 mod fair_queue;
 mod held_claim;
 mod input;
