platform: serve both kinds of calls and streams on the users' platform

Change: relay (decisions without I/O: routes, servers, places at engines, repeats, the view of the store), gateway (carries them out: calls, streams, news between instances by datagrams, decision log), platform (settings, store, workers and callers in the platform's protocol) and the subcommand node with deploy/system.toml. SystemClock moves from daemon to clock; ServerHealth is exported. Ruled out: the present owner of a cell as placer; it needs a round trip and is lost with its instance, while the uses of six instances told by datagrams are half a millisecond old.

--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -52,3 +52,4 @@
 pub use key_age::key_age;
 pub use message::Message;
 pub use output::Output;
+pub use server_health::ServerHealth;
--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod clock_source;
 mod moment;
+mod system_clock;
 
 pub use clock_source::ClockSource;
 pub use moment::Moment;
+pub use system_clock::SystemClock;
--- a/components/daemon/src/system_clock.rs
+++ b/components/clock/src/system_clock.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::{clock_source, moment};
+
 /// The clocks of the machine, monotonic since the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
@@ -18,9 +20,9 @@
     }
 }
 
-impl clock::ClockSource for SystemClock {
-    fn now(&self) -> clock::Moment {
-        clock::Moment::default() + self.start.elapsed()
+impl clock_source::ClockSource for SystemClock {
+    fn now(&self) -> moment::Moment {
+        moment::Moment::default() + self.start.elapsed()
     }
 
     fn wall_millis(&self) -> u64 {
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -7,7 +7,6 @@
 use crate::{
     action_runner, address_book, admin_source, border_set, control_loop, core_meter, core_port,
     daemon_error, daemon_handle, daemon_options, outage_log, peer_port, placement_spans,
-    system_clock,
 };
 
 /// Messages of peers that may wait for the control thread.
@@ -42,8 +41,7 @@
         settings: settings::InstanceSettings,
         options: &daemon_options::DaemonOptions,
     ) -> Result<daemon_handle::DaemonHandle, daemon_error::DaemonError> {
-        let clock: sync::Arc<dyn clock::ClockSource> =
-            sync::Arc::new(system_clock::SystemClock::start());
+        let clock: sync::Arc<dyn clock::ClockSource> = sync::Arc::new(clock::SystemClock::start());
         let callers = bind(settings.listen.callers)?;
         let traffic = traffic_runtime(options)?;
         let pool = client::ConnectionPool::new(pool_settings(&settings), sync::Arc::clone(&clock));
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -24,14 +24,13 @@
 mod outage_log;
 mod peer_port;
 mod placement_spans;
-mod system_clock;
 mod token_pump;
 
 pub use border_set::BorderSet;
+pub use clock::SystemClock;
 pub use daemon::Daemon;
 pub use daemon_error::DaemonError;
 pub use daemon_handle::DaemonHandle;
 pub use daemon_options::DaemonOptions;
 pub use engine_count::EngineCount;
 pub use instance_snapshot::InstanceSnapshot;
-pub use system_clock::SystemClock;
--- /dev/null
+++ b/components/gateway/src/gateway_metrics.rs
@@ -0,0 +1,165 @@
+//! Metrics of relayed requests.
+
+use std::{sync::atomic, time};
+
+use prometheus_client::{
+    encoding::text,
+    metrics::{counter, family, gauge, histogram},
+    registry,
+};
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, prometheus_client::encoding::EncodeLabelSet)]
+struct OutcomeLabels {
+    kind: String,
+    outcome: String,
+}
+
+/// A label with one value.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, prometheus_client::encoding::EncodeLabelSet)]
+struct NameLabel {
+    name: String,
+}
+
+type HistogramFamily =
+    family::Family<NameLabel, histogram::Histogram, fn() -> histogram::Histogram>;
+
+/// Metrics of relayed requests.
+pub struct GatewayMetrics {
+    registry: registry::Registry,
+    requests: family::Family<OutcomeLabels, counter::Counter>,
+    phases: HistogramFamily,
+    refusals: family::Family<NameLabel, counter::Counter>,
+    retries: family::Family<NameLabel, counter::Counter>,
+    store_reads: family::Family<NameLabel, counter::Counter>,
+    view_age: gauge::Gauge<f64, atomic::AtomicU64>,
+    config_version: gauge::Gauge,
+    log_lines_dropped: gauge::Gauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let mut registry = registry::Registry::with_prefix("plantainreach");
+        let requests = family::Family::default();
+        let phases: HistogramFamily = family::Family::new_with_constructor(phase_histogram);
+        let refusals = family::Family::default();
+        let retries = family::Family::default();
+        let store_reads = family::Family::default();
+        let view_age = gauge::Gauge::default();
+        let config_version = gauge::Gauge::default();
+        let log_lines_dropped = gauge::Gauge::default();
+        registry.register(
+            "relay_requests",
+            "Requests by kind and outcome",
+            requests.clone(),
+        );
+        registry.register("relay_phase_seconds", "Time of each phase", phases.clone());
+        registry.register("relay_refusals", "Refusals by reason", refusals.clone());
+        registry.register(
+            "relay_retries",
+            "Attempts that failed, by stage",
+            retries.clone(),
+        );
+        registry.register(
+            "relay_store_reads",
+            "Reads of the platform by outcome",
+            store_reads.clone(),
+        );
+        registry.register(
+            "relay_view_age_seconds",
+            "Age of the view of the platform",
+            view_age.clone(),
+        );
+        registry.register(
+            "relay_config_version",
+            "Version of the configuration in force",
+            config_version.clone(),
+        );
+        registry.register(
+            "relay_log_lines_dropped",
+            "Log lines dropped since the start",
+            log_lines_dropped.clone(),
+        );
+        Self {
+            registry,
+            requests,
+            phases,
+            refusals,
+            retries,
+            store_reads,
+            view_age,
+            config_version,
+            log_lines_dropped,
+        }
+    }
+}
+
+impl GatewayMetrics {
+    /// Counts a finished request.
+    pub fn ended(&self, kind: &str, outcome: &str, took: time::Duration) {
+        self.requests
+            .get_or_create(&OutcomeLabels {
+                kind: kind.to_owned(),
+                outcome: outcome.to_owned(),
+            })
+            .inc();
+        self.phase("whole", took);
+    }
+
+    /// Counts the time of a phase: `queue`, `prefill`, `first_event`, `pause` or `whole`.
+    pub fn phase(&self, name: &str, took: time::Duration) {
+        self.phases
+            .get_or_create(&label(name))
+            .observe(took.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: &str) {
+        self.refusals.get_or_create(&label(reason)).inc();
+    }
+
+    /// Counts a failed attempt.
+    pub fn attempt_failed(&self, stage: &str) {
+        self.retries.get_or_create(&label(stage)).inc();
+    }
+
+    /// Counts a read of the platform.
+    pub fn store_read(&self, outcome: &str) {
+        self.store_reads.get_or_create(&label(outcome)).inc();
+    }
+
+    /// Sets what is known of the view of the platform.
+    pub fn set_view(&self, age: Option<time::Duration>, config_version: u64) {
+        self.view_age
+            .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
+        self.config_version
+            .set(i64::try_from(config_version).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of log lines that were dropped.
+    pub fn set_lines_dropped(&self, lines: u64) {
+        self.log_lines_dropped
+            .set(i64::try_from(lines).unwrap_or(i64::MAX));
+    }
+
+    /// Returns the metrics in the OpenMetrics format.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a metric can't be formatted.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut page = String::new();
+        text::encode(&mut page, &self.registry)?;
+        Ok(page)
+    }
+}
+
+fn label(name: &str) -> NameLabel {
+    NameLabel {
+        name: name.to_owned(),
+    }
+}
+
+fn phase_histogram() -> histogram::Histogram {
+    histogram::Histogram::new(histogram::exponential_buckets(0.002, 2.0, 14))
+}
--- /dev/null
+++ b/components/gateway/src/peer_message.rs
@@ -0,0 +1,105 @@
+//! News between instances as bytes.
+
+use std::{net, time};
+
+/// Use of one backend server.
+#[derive(Clone, PartialEq, prost::Message)]
+struct UsageMessage {
+    /// Hash of the server's name.
+    #[prost(fixed64, tag = "1")]
+    server: u64,
+    #[prost(uint32, tag = "2")]
+    running: u32,
+    #[prost(uint32, tag = "3")]
+    kv_tokens: u32,
+    #[prost(uint32, tag = "4")]
+    prefill_tokens: u32,
+}
+
+/// News of one instance.
+#[derive(Clone, PartialEq, prost::Message)]
+struct NewsMessage {
+    #[prost(fixed32, tag = "1")]
+    address: u32,
+    #[prost(uint64, tag = "2")]
+    incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+    #[prost(bool, tag = "4")]
+    leaving: bool,
+    #[prost(uint64, tag = "5")]
+    revision: u64,
+    #[prost(fixed64, tag = "6")]
+    fingerprint: u64,
+    #[prost(uint32, tag = "7")]
+    view_age_ms: u32,
+    #[prost(message, repeated, tag = "8")]
+    usage: Vec<UsageMessage>,
+    #[prost(fixed32, repeated, tag = "9")]
+    known: Vec<u32>,
+}
+
+/// Encodes news.
+#[must_use]
+pub fn encode(news: &relay::InstanceNews) -> Vec<u8> {
+    let message = NewsMessage {
+        address: news.address.to_bits(),
+        incarnation: news.incarnation,
+        sequence: news.sequence,
+        leaving: news.leaving,
+        revision: news.revision,
+        fingerprint: news.fingerprint,
+        view_age_ms: u32::try_from(news.view_age.as_millis()).unwrap_or(u32::MAX),
+        usage: news
+            .usage
+            .iter()
+            .map(|(server, usage)| UsageMessage {
+                server: *server,
+                running: usage.running,
+                kv_tokens: usage.kv_tokens,
+                prefill_tokens: usage.prefill_tokens,
+            })
+            .collect(),
+        known: news.known.iter().map(|address| address.to_bits()).collect(),
+    };
+    prost::Message::encode_to_vec(&message)
+}
+
+/// Decodes news.
+///
+/// # Errors
+///
+/// Returns the codec's error when the bytes aren't news.
+pub fn decode(bytes: &[u8]) -> Result<relay::InstanceNews, prost::DecodeError> {
+    let message = <NewsMessage as prost::Message>::decode(bytes)?;
+    Ok(relay::InstanceNews::builder()
+        .address(net::Ipv4Addr::from_bits(message.address))
+        .incarnation(message.incarnation)
+        .sequence(message.sequence)
+        .leaving(message.leaving)
+        .revision(message.revision)
+        .fingerprint(message.fingerprint)
+        .view_age(time::Duration::from_millis(u64::from(message.view_age_ms)))
+        .usage(
+            message
+                .usage
+                .iter()
+                .map(|usage| {
+                    let used = relay::EngineUsage {
+                        running: usage.running,
+                        kv_tokens: usage.kv_tokens,
+                        prefill_tokens: usage.prefill_tokens,
+                    };
+                    (usage.server, used)
+                })
+                .collect(),
+        )
+        .known(
+            message
+                .known
+                .iter()
+                .map(|address| net::Ipv4Addr::from_bits(*address))
+                .collect(),
+        )
+        .build())
+}
--- /dev/null
+++ b/components/gateway/src/stream_opening.rs
@@ -0,0 +1,77 @@
+//! Waits for the first event of a decode engine.
+
+use futures_util::StreamExt as _;
+
+use crate::{event_splitter, relay_client, whole_reply};
+
+/// A stream whose first event has come.
+pub(crate) struct OpenedStream {
+    pub(crate) status: http::StatusCode,
+    pub(crate) headers: http::HeaderMap,
+    pub(crate) body: relay_client::ReplyBody,
+    /// Holds the first event.
+    pub(crate) splitter: event_splitter::EventSplitter,
+}
+
+/// Why a decode engine gave no first event.
+pub(crate) struct OpenFailure {
+    pub(crate) outcome: relay::BackendOutcome,
+    pub(crate) not_run: bool,
+    pub(crate) error: String,
+    /// What the engine answered, when its failure is an answer for the caller.
+    pub(crate) reply: Option<whole_reply::WholeReply>,
+}
+
+impl From<border::BorderError> for OpenFailure {
+    fn from(error: border::BorderError) -> Self {
+        Self {
+            outcome: whole_reply::outcome_of(&error),
+            not_run: error.proves_not_run(),
+            error: error.to_string(),
+            reply: None,
+        }
+    }
+}
+
+/// Waits for the first event of a reply.
+pub(crate) async fn first_event(
+    sending: impl Future<Output = Result<relay_client::RelayReply, border::BorderError>>,
+) -> Result<OpenedStream, OpenFailure> {
+    let reply = sending.await?;
+    if reply.not_run || !reply.status.is_success() {
+        return Err(refused(whole_reply::collect(reply).await?));
+    }
+    let mut body = reply.body;
+    let mut splitter = event_splitter::EventSplitter::default();
+    while !splitter.has_event() {
+        let piece = body.next().await.ok_or_else(|| border::BorderError::Lost {
+            detail: "the stream ended before its first event".to_owned(),
+        })?;
+        splitter.push(&piece?);
+    }
+    Ok(OpenedStream {
+        status: reply.status,
+        headers: reply.headers,
+        body,
+        splitter,
+    })
+}
+
+fn refused(reply: whole_reply::WholeReply) -> OpenFailure {
+    let body = String::from_utf8_lossy(&reply.body);
+    let error = format!("status {}: {}", reply.status, body.trim());
+    if reply.not_run {
+        return OpenFailure {
+            outcome: relay::BackendOutcome::Refused,
+            not_run: true,
+            error,
+            reply: None,
+        };
+    }
+    OpenFailure {
+        outcome: relay::BackendOutcome::Failed,
+        not_run: false,
+        error,
+        reply: Some(reply),
+    }
+}
--- /dev/null
+++ b/components/gateway/src/stream_trace.rs
@@ -0,0 +1,155 @@
+//! What the log and the metrics tell of one stream.
+
+use std::{sync, time};
+
+use crate::{decision_event, gateway};
+
+/// What the log and the metrics tell of one stream; a stream that is dropped ends because its
+/// caller left.
+pub(crate) struct StreamTrace {
+    gateway: sync::Arc<gateway::Gateway>,
+    id: String,
+    route: String,
+    config_version: u64,
+    arrived: clock::Moment,
+    server: Option<ids::ServerName>,
+    attempts: u32,
+    first_event: Option<time::Duration>,
+    last_event_at: Option<clock::Moment>,
+    longest_pause: time::Duration,
+    events: u64,
+    ended: bool,
+}
+
+impl StreamTrace {
+    pub(crate) fn new(
+        gateway: sync::Arc<gateway::Gateway>,
+        routed: &gateway::RoutedRequest,
+    ) -> Self {
+        Self {
+            gateway,
+            id: routed.request.id.clone(),
+            route: routed.route.name.clone(),
+            config_version: routed.config_version,
+            arrived: routed.arrived,
+            server: None,
+            attempts: 0,
+            first_event: None,
+            last_event_at: None,
+            longest_pause: time::Duration::ZERO,
+            events: 0,
+            ended: false,
+        }
+    }
+
+    /// Returns whether the caller has received an event.
+    pub(crate) const fn has_started(&self) -> bool {
+        self.events > 0
+    }
+
+    /// Returns the time since the last event.
+    pub(crate) fn since_last_event(&self) -> time::Duration {
+        let now = self.gateway.port.now();
+        self.last_event_at
+            .map_or(time::Duration::ZERO, |last| now.since(last))
+    }
+
+    pub(crate) fn placed(
+        &mut self,
+        place: &relay::StreamPlace,
+        attempt: u32,
+        waited: time::Duration,
+        size: &crate::GenerationSize,
+    ) {
+        self.attempts = attempt;
+        self.server = Some(place.decode.1.server.clone());
+        let prefill = place
+            .prefill
+            .as_ref()
+            .map(|(_, entry)| entry.server.as_str());
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::Placed {
+                id: &self.id,
+                route: &self.route,
+                config_version: self.config_version,
+                prefill,
+                decode: place.decode.1.server.as_str(),
+                prompt_tokens: size.prompt_tokens,
+                output_tokens: size.output_tokens,
+                fill: place.fill,
+                prefill_ms: gateway::millis(place.prefill_time),
+                waited_ms: gateway::millis(waited),
+                attempt,
+                view_age_ms: self.gateway.view_age_ms(),
+            });
+    }
+
+    pub(crate) fn prompt_read(&self, prefill: &ids::ServerName, took: time::Duration) {
+        self.gateway.metrics.phase("prefill", took);
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::PromptRead {
+                id: &self.id,
+                prefill: prefill.as_str(),
+                took_ms: gateway::millis(took),
+            });
+    }
+
+    /// Counts an event that goes to the caller.
+    pub(crate) fn event(&mut self) {
+        let now = self.gateway.port.now();
+        match self.last_event_at {
+            None => {
+                let took = now.since(self.arrived);
+                self.first_event = Some(took);
+                self.gateway.metrics.phase("first_event", took);
+            }
+            Some(last) => self.longest_pause = self.longest_pause.max(now.since(last)),
+        }
+        self.last_event_at = Some(now);
+        self.events += 1;
+    }
+
+    pub(crate) fn ended(
+        &mut self,
+        outcome: &str,
+        reason: Option<relay::RefusalReason>,
+        status: Option<u16>,
+        retry_after: Option<time::Duration>,
+    ) {
+        self.ended = true;
+        let took = self.gateway.port.now().since(self.arrived);
+        let kind: &'static str = relay::RequestKind::Streaming.into();
+        let reason: Option<&'static str> = reason.map(Into::into);
+        self.gateway.metrics.ended(kind, outcome, took);
+        self.gateway.metrics.phase("pause", self.longest_pause);
+        if let Some(reason) = reason {
+            self.gateway.metrics.refused(reason);
+        }
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::Ended {
+                id: &self.id,
+                route: Some(&self.route),
+                outcome,
+                reason,
+                status,
+                server: self.server.as_ref().map(ids::ServerName::as_str),
+                attempts: self.attempts,
+                took_ms: gateway::millis(took),
+                first_event_ms: self.first_event.map(gateway::millis),
+                longest_pause_ms: Some(gateway::millis(self.longest_pause)),
+                events: Some(self.events),
+                retry_after_ms: retry_after.map(gateway::millis),
+            });
+    }
+}
+
+impl Drop for StreamTrace {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.ended("caller_left", None, None, None);
+        }
+    }
+}
--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod event_fields;
 mod line_format;
+mod line_writer;
 mod log_error;
 mod log_guard;
 mod log_layer;
@@ -17,6 +18,7 @@
 #[cfg(test)]
 mod trace_join_tests;
 
+pub use line_writer::{LineWeight, LineWriter};
 pub use log_error::LogError;
 pub use log_guard::{LogGuard, start};
 pub use trace_join::{join_trace, own_trace};
--- /dev/null
+++ b/components/relay/src/backend.rs
@@ -0,0 +1,101 @@
+//! One backend server or engine as this instance knows it.
+
+use std::time;
+
+use crate::{backend_entry, backend_health, engine_usage};
+
+slotmap::new_key_type! {
+    /// Names a backend server of the book.
+    pub struct BackendKey;
+}
+
+/// Tokens that an engine reads in a millisecond until it has shown its own rate.
+const USUAL_PREFILL_RATE: f64 = 50.0;
+
+/// Weight of a new reading in the rate of an engine.
+const RATE_WEIGHT: f64 = 0.2;
+
+/// Time that an engine which refused for lack of room receives nothing.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// One backend server or engine as this instance knows it.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// Its entry in the platform's list.
+    pub entry: backend_entry::BackendEntry,
+    /// Whether the list still holds it.
+    pub listed: bool,
+    /// What this instance uses of it.
+    pub own: engine_usage::EngineUsage,
+    /// What the other instances use of it.
+    pub foreign: engine_usage::EngineUsage,
+    /// How well it answers.
+    pub health: backend_health::BackendHealth,
+    /// Prompt tokens read in a millisecond.
+    pub prefill_rate: f64,
+    full_until: clock::Moment,
+}
+
+impl Backend {
+    /// Makes a backend server that nothing uses.
+    #[must_use]
+    pub fn new(entry: backend_entry::BackendEntry) -> Self {
+        Self {
+            entry,
+            listed: true,
+            own: engine_usage::EngineUsage::default(),
+            foreign: engine_usage::EngineUsage::default(),
+            health: backend_health::BackendHealth::default(),
+            prefill_rate: USUAL_PREFILL_RATE,
+            full_until: clock::Moment::default(),
+        }
+    }
+
+    /// Returns whether it may receive new work.
+    #[must_use]
+    pub fn takes_work(&self, now: clock::Moment) -> bool {
+        self.is_current() && self.health.is_usable(now) && now >= self.full_until
+    }
+
+    /// Returns whether it is listed and isn't leaving.
+    #[must_use]
+    pub const fn is_current(&self) -> bool {
+        self.listed && !self.entry.leaving
+    }
+
+    /// Returns what all instances use of it.
+    #[must_use]
+    pub fn used(&self) -> engine_usage::EngineUsage {
+        let mut used = self.own;
+        used.add(self.foreign);
+        used
+    }
+
+    /// Returns the time until a prompt sent now begins to be read.
+    #[must_use]
+    pub fn prefill_wait(&self) -> time::Duration {
+        self.read_time(self.used().prefill_tokens)
+    }
+
+    /// Returns the time that reading a number of tokens takes.
+    #[must_use]
+    pub fn read_time(&self, tokens: u32) -> time::Duration {
+        time::Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate / 1_000.0)
+    }
+
+    /// Takes in that `tokens`, those waiting before it included, were read in `took`.
+    pub fn prompt_read(&mut self, tokens: u32, took: time::Duration) {
+        let millis = took.as_secs_f64() * 1_000.0;
+        if millis < 1.0 {
+            return;
+        }
+        let rate = f64::from(tokens) / millis;
+        self.prefill_rate += (rate - self.prefill_rate) * RATE_WEIGHT;
+        self.prefill_rate = self.prefill_rate.max(1.0);
+    }
+
+    /// Takes in that the engine had no room.
+    pub fn was_full(&mut self, now: clock::Moment) {
+        self.full_until = now + FULL_PAUSE;
+    }
+}
--- /dev/null
+++ b/components/relay/src/engine_choice.rs
@@ -0,0 +1,140 @@
+//! Chooses the engines of a request.
+
+use std::time;
+
+use crate::{backend, backend_book, backend_entry, service_rule, stream_ask};
+
+/// What a transfer between data centres costs, as time.
+const CENTRE_COST: time::Duration = time::Duration::from_millis(60);
+
+/// What an answer costs that comes from another data centre than the caller's, as time.
+const CALLER_COST: time::Duration = time::Duration::from_millis(10);
+
+/// What the fill of a decode engine costs, as time at a full engine.
+const FILL_COST: time::Duration = time::Duration::from_millis(80);
+
+/// The engines chosen for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineChoice {
+    /// Engine that reads the prompt; `None` when the decode engine reads it itself.
+    pub prefill: Option<backend::BackendKey>,
+    /// Engine that generates.
+    pub decode: backend::BackendKey,
+    /// Time until the prompt begins to be read.
+    pub prefill_wait: time::Duration,
+}
+
+/// Chooses engines among those of a service.
+#[derive(Clone, Copy)]
+pub struct EngineChooser<'a> {
+    /// All backend servers.
+    pub backends: &'a backend_book::BackendTable,
+    /// Sizes of the service's engines.
+    pub size: service_rule::EngineSize,
+    /// Data centre of this instance.
+    pub data_centre: &'a ids::DataCentreName,
+    /// Current time.
+    pub now: clock::Moment,
+}
+
+impl EngineChooser<'_> {
+    /// Returns the cheapest pair of engines with room for a request, or `None` without room.
+    #[must_use]
+    pub fn choose(&self, ask: &stream_ask::StreamAsk) -> Option<EngineChoice> {
+        let prefills: Vec<_> = self
+            .engines(ask, backend_entry::EngineStage::Prefill)
+            .collect();
+        self.engines(ask, backend_entry::EngineStage::Decode)
+            .filter(|(_, engine)| self.has_room(engine, ask))
+            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills))
+            .min_by(|(left, _), (right, _)| left.total_cmp(right))
+            .map(|(_, choice)| choice)
+    }
+
+    /// Returns whether any engine of a stage may receive work.
+    #[must_use]
+    pub fn has_engine(
+        &self,
+        service: &ids::ServiceName,
+        stage: backend_entry::EngineStage,
+    ) -> bool {
+        self.backends.iter().any(|(_, backend)| {
+            backend.takes_work(self.now)
+                && backend.entry.service == *service
+                && backend.entry.stage == Some(stage)
+        })
+    }
+
+    /// Returns the share of the memory of an engine that is used, between 0 and 1 or a little more.
+    #[must_use]
+    pub fn fill(&self, engine: &backend::Backend) -> f64 {
+        let used = engine.used();
+        let memory = f64::from(used.kv_tokens) / f64::from(self.size.kv_tokens.max(1));
+        let slots = f64::from(used.running) / f64::from(self.size.slots.max(1));
+        memory.max(slots)
+    }
+
+    fn engines<'b>(
+        &'b self,
+        ask: &'b stream_ask::StreamAsk,
+        stage: backend_entry::EngineStage,
+    ) -> impl Iterator<Item = (backend::BackendKey, &'b backend::Backend)> {
+        self.backends.iter().filter(move |(key, engine)| {
+            engine.entry.service == ask.service
+                && engine.entry.stage == Some(stage)
+                && engine.takes_work(self.now)
+                && !ask.avoid.contains(key)
+        })
+    }
+
+    fn has_room(&self, engine: &backend::Backend, ask: &stream_ask::StreamAsk) -> bool {
+        let used = engine.used();
+        used.running < self.size.slots && used.kv_tokens + ask.kv_tokens() <= self.size.kv_tokens
+    }
+
+    fn pairs<'b>(
+        &'b self,
+        decode: backend::BackendKey,
+        engine: &'b backend::Backend,
+        prefills: &'b [(backend::BackendKey, &'b backend::Backend)],
+    ) -> impl Iterator<Item = (f64, EngineChoice)> + 'b {
+        let base = self.decode_cost(engine);
+        let alone = prefills.is_empty().then_some((
+            base,
+            EngineChoice {
+                prefill: None,
+                decode,
+                prefill_wait: time::Duration::ZERO,
+            },
+        ));
+        let paired = prefills.iter().map(move |(prefill, reader)| {
+            let prefill_wait = reader.prefill_wait();
+            let crosses = reader.entry.data_centre != engine.entry.data_centre;
+            let transfer = if crosses {
+                CENTRE_COST
+            } else {
+                time::Duration::ZERO
+            };
+            let cost = base
+                + (prefill_wait + transfer).as_secs_f64() * reader.health.cost_factor(self.now);
+            let choice = EngineChoice {
+                prefill: Some(*prefill),
+                decode,
+                prefill_wait,
+            };
+            (cost, choice)
+        });
+        alone.into_iter().chain(paired)
+    }
+
+    fn decode_cost(&self, engine: &backend::Backend) -> f64 {
+        let far = if engine.entry.data_centre == *self.data_centre {
+            time::Duration::ZERO
+        } else {
+            CALLER_COST
+        };
+        let fill = FILL_COST.mul_f64(self.fill(engine));
+        let base = time::Duration::from_millis(5);
+        (far + fill + base).as_secs_f64() * engine.health.cost_factor(self.now)
+    }
+}
--- /dev/null
+++ b/components/relay/src/instance_book.rs
@@ -0,0 +1,156 @@
+//! The other instances, as far as their news tell.
+
+use std::{collections, net, time};
+
+use crate::{engine_usage, instance_news};
+
+/// Silence after which an instance's usage no longer counts: its connections are gone.
+const USAGE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Silence after which an instance no longer counts as alive.
+const ALIVE_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+
+/// Silence after which news of another incarnation are taken for those of a restarted process.
+const RESTART_SILENCE: time::Duration = time::Duration::from_millis(600);
+
+/// Silence after which an instance is no longer sent news.
+const FORGET_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+
+/// What is known of one other instance.
+#[derive(Clone, Debug)]
+struct InstanceState {
+    news: instance_news::InstanceNews,
+    heard_at: clock::Moment,
+}
+
+/// The other instances, as far as their news tell.
+#[derive(Debug)]
+pub struct InstanceBook {
+    own: net::Ipv4Addr,
+    seeds: Vec<net::Ipv4Addr>,
+    states: collections::BTreeMap<net::Ipv4Addr, InstanceState>,
+    /// Addresses that others have named and that weren't heard yet, with the time they were named.
+    named: collections::BTreeMap<net::Ipv4Addr, clock::Moment>,
+}
+
+impl InstanceBook {
+    /// Makes a book that knows the seeds alone.
+    #[must_use]
+    pub fn new(own: net::Ipv4Addr, seeds: Vec<net::Ipv4Addr>) -> Self {
+        Self {
+            own,
+            seeds,
+            states: collections::BTreeMap::new(),
+            named: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<net::Ipv4Addr>) {
+        self.seeds = seeds;
+    }
+
+    /// Takes in news; returns whether they are newer than what was known.
+    pub fn heard(&mut self, now: clock::Moment, news: instance_news::InstanceNews) -> bool {
+        if news.address == self.own {
+            return false;
+        }
+        let known = self.states.get(&news.address);
+        let newer = known.is_none_or(|known| {
+            // A process that restarts after its clock was set back has a smaller incarnation.
+            let restarted = news.incarnation != known.news.incarnation
+                && now.since(known.heard_at) > RESTART_SILENCE;
+            restarted
+                || (news.incarnation, news.sequence) > (known.news.incarnation, known.news.sequence)
+        });
+        if !newer {
+            return false;
+        }
+        for address in &news.known {
+            if *address != self.own {
+                self.named.insert(*address, now);
+            }
+        }
+        let state = InstanceState {
+            heard_at: now,
+            news,
+        };
+        self.states.insert(state.news.address, state);
+        true
+    }
+
+    /// Returns where news are sent to.
+    #[must_use]
+    pub fn targets(&self, now: clock::Moment) -> collections::BTreeSet<net::Ipv4Addr> {
+        let heard = self
+            .states
+            .iter()
+            .filter(|(_, state)| now.since(state.heard_at) < FORGET_TIMEOUT)
+            .map(|(address, _)| *address);
+        let named = self
+            .named
+            .iter()
+            .filter(|(_, at)| now.since(**at) < FORGET_TIMEOUT)
+            .map(|(address, _)| *address);
+        let mut targets: collections::BTreeSet<net::Ipv4Addr> = heard
+            .chain(named)
+            .chain(self.seeds.iter().copied())
+            .collect();
+        targets.remove(&self.own);
+        targets
+    }
+
+    /// Returns the instances that live and aren't leaving, without this one.
+    pub fn alive(&self, now: clock::Moment) -> impl Iterator<Item = net::Ipv4Addr> {
+        self.states
+            .iter()
+            .filter(move |(_, state)| {
+                !state.news.leaving && now.since(state.heard_at) < ALIVE_TIMEOUT
+            })
+            .map(|(address, _)| *address)
+    }
+
+    /// Returns how many instances share the load, this one included.
+    #[must_use]
+    pub fn live_count(&self, now: clock::Moment) -> usize {
+        self.alive(now).count() + 1
+    }
+
+    /// Returns the rank of this instance among those that live, 0 for the one that reads the
+    /// platform's store for all.
+    #[must_use]
+    pub fn rank(&self, now: clock::Moment) -> usize {
+        self.alive(now)
+            .filter(|address| *address < self.own)
+            .count()
+    }
+
+    /// Returns what the other instances use together, by backend server.
+    #[must_use]
+    pub fn usage(
+        &self,
+        now: clock::Moment,
+    ) -> collections::BTreeMap<u64, engine_usage::EngineUsage> {
+        let mut total: collections::BTreeMap<u64, engine_usage::EngineUsage> =
+            collections::BTreeMap::new();
+        let fresh = self
+            .states
+            .values()
+            .filter(|state| now.since(state.heard_at) < USAGE_TIMEOUT);
+        for (server, usage) in fresh.flat_map(|state| &state.news.usage) {
+            total.entry(*server).or_default().add(*usage);
+        }
+        total
+    }
+
+    /// Returns the instance whose view is the newest, for copying it.
+    #[must_use]
+    pub fn best_view(&self, now: clock::Moment) -> Option<net::Ipv4Addr> {
+        self.states
+            .values()
+            .filter(|state| now.since(state.heard_at) < ALIVE_TIMEOUT)
+            .filter(|state| state.news.fingerprint != 0)
+            .max_by_key(|state| state.heard_at.before(state.news.view_age))
+            .map(|state| state.news.address)
+    }
+}
--- /dev/null
+++ b/components/relay/src/lib.rs
@@ -0,0 +1,52 @@
+//! Decisions about requests that are relayed unchanged, without I/O.
+//!
+//! A relayed request carries its own bytes, and names its sizes beside them. [`RelayCore`] knows
+//! the platform's configuration and list, what each instance uses of each backend server, and
+//! how well these answer. It finds routes, chooses servers, places generations on prefill and
+//! decode engines, refuses what can't be served in time, and bounds repeats.
+
+mod backend;
+mod backend_book;
+mod backend_entry;
+mod backend_health;
+mod core_settings;
+mod engine_choice;
+mod engine_usage;
+mod instance_book;
+mod instance_news;
+mod refusal;
+mod relay_core;
+mod request_kind;
+mod retry_window;
+mod route_rule;
+mod service_rule;
+mod site_config;
+mod site_view;
+mod stream_ask;
+mod stream_lease;
+mod view_change;
+mod view_keeper;
+mod wait_line;
+
+pub use backend::{Backend, BackendKey};
+pub use backend_book::{BackendBook, BackendTable};
+pub use backend_entry::{BackendEntry, EngineStage};
+pub use backend_health::{BackendHealth, BackendOutcome};
+pub use core_settings::CoreSettings;
+pub use engine_choice::{EngineChoice, EngineChooser};
+pub use engine_usage::EngineUsage;
+pub use instance_book::InstanceBook;
+pub use instance_news::{InstanceNews, server_hash};
+pub use refusal::{Refusal, RefusalReason};
+pub use relay_core::{PlaceAnswer, RelayCore, RouteMatch, ServerPick, StreamEnd, StreamPlace};
+pub use request_kind::RequestKind;
+pub use retry_window::{RetryBound, RetryWindow};
+pub use route_rule::{RouteRule, ServiceShare};
+pub use service_rule::{EngineSize, ServiceRule};
+pub use site_config::{RequestBounds, SiteConfig};
+pub use site_view::{BackendMap, SiteView};
+pub use stream_ask::StreamAsk;
+pub use stream_lease::{StreamKey, StreamLease};
+pub use view_change::{ViewChange, ViewUpdate};
+pub use view_keeper::ViewKeeper;
+pub use wait_line::{WaitLine, WaitTicket, WaitingAsk};
--- /dev/null
+++ b/components/relay/src/relay_core.rs
@@ -0,0 +1,164 @@
+//! Every decision about relayed requests, without I/O: time and randomness are inputs.
+
+mod core_calls;
+mod core_streams;
+mod core_views;
+
+use std::{collections, sync, time};
+
+use rand::SeedableRng as _;
+
+use crate::{
+    backend, backend_book, core_settings, instance_book, retry_window, route_rule, site_config,
+    stream_lease, view_keeper, wait_line,
+};
+
+pub use core_calls::ServerPick;
+pub use core_streams::{PlaceAnswer, StreamEnd, StreamPlace};
+
+/// The route of a request.
+#[derive(Clone, Debug)]
+pub enum RouteMatch {
+    /// No configuration is known.
+    NoConfig,
+    /// No route of the configuration in force fits.
+    NoRoute {
+        /// Version of the configuration.
+        version: u64,
+    },
+    /// A route fits.
+    Found {
+        /// Version of the configuration.
+        version: u64,
+        /// The route.
+        route: route_rule::RouteRule,
+        /// Service that the request goes to.
+        service: ids::ServiceName,
+    },
+}
+
+/// Averages of the streams of one service.
+#[derive(Clone, Copy, Debug)]
+struct StreamAverage {
+    /// Time from the grant of a place to its end, in milliseconds.
+    held_millis: f64,
+}
+
+/// Decides about relayed requests.
+pub struct RelayCore {
+    settings: core_settings::CoreSettings,
+    keeper: view_keeper::ViewKeeper,
+    instances: instance_book::InstanceBook,
+    book: backend_book::BackendBook,
+    leases: slotmap::SlotMap<stream_lease::StreamKey, stream_lease::StreamLease>,
+    line: wait_line::WaitLine,
+    windows: collections::BTreeMap<ids::ServiceName, retry_window::RetryWindow>,
+    averages: collections::BTreeMap<ids::ServiceName, StreamAverage>,
+    random: rand_chacha::ChaCha8Rng,
+    news_sequence: u64,
+    leaving: bool,
+}
+
+impl RelayCore {
+    /// Makes a core that knows nothing of the platform yet.
+    #[must_use]
+    pub fn new(settings: core_settings::CoreSettings) -> Self {
+        let random = rand_chacha::ChaCha8Rng::seed_from_u64(settings.seed);
+        let instances = instance_book::InstanceBook::new(settings.address, settings.seeds.clone());
+        Self {
+            settings,
+            keeper: view_keeper::ViewKeeper::default(),
+            instances,
+            book: backend_book::BackendBook::default(),
+            leases: slotmap::SlotMap::with_key(),
+            line: wait_line::WaitLine::default(),
+            windows: collections::BTreeMap::new(),
+            averages: collections::BTreeMap::new(),
+            random,
+            news_sequence: 0,
+            leaving: false,
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<sync::Arc<site_config::SiteConfig>> {
+        self.keeper.view().config.clone()
+    }
+
+    /// Returns the backend servers.
+    #[must_use]
+    pub const fn book(&self) -> &backend_book::BackendBook {
+        &self.book
+    }
+
+    /// Returns the other instances.
+    #[must_use]
+    pub const fn instances(&self) -> &instance_book::InstanceBook {
+        &self.instances
+    }
+
+    /// Returns the view of the platform.
+    #[must_use]
+    pub const fn keeper(&self) -> &view_keeper::ViewKeeper {
+        &self.keeper
+    }
+
+    /// Returns whether callers may be sent here.
+    #[must_use]
+    pub const fn is_ready(&self) -> bool {
+        !self.leaving && self.keeper.is_known()
+    }
+
+    /// Marks the instance as shutting down.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Finds the route of a request and counts the request for its service.
+    pub fn route(&mut self, now: clock::Moment, host: &str, path: &str) -> RouteMatch {
+        let Some(config) = self.config() else {
+            return RouteMatch::NoConfig;
+        };
+        let version = config.version;
+        let draw = rand::RngExt::random::<f64>(&mut self.random);
+        let found = config
+            .route(host, path)
+            .and_then(|route| Some((route, route.service_for(draw)?)));
+        let Some((route, service)) = found else {
+            return RouteMatch::NoRoute { version };
+        };
+        let bound = self.settings.retry_bound;
+        self.window(service).count_request(now, &bound);
+        RouteMatch::Found {
+            version,
+            route: route.clone(),
+            service: service.clone(),
+        }
+    }
+
+    /// Takes one repeat out of a service's share; returns whether there was one.
+    pub fn take_repeat(&mut self, now: clock::Moment, service: &ids::ServiceName) -> bool {
+        let instances = self.instances.live_count(now);
+        let bound = self.settings.retry_bound;
+        let window = self.window(service);
+        let allowed = window.allows(now, &bound, instances);
+        if allowed {
+            window.count_repeat(now);
+        }
+        allowed
+    }
+
+    /// Returns a backend server's entry.
+    #[must_use]
+    pub fn entry(&self, key: backend::BackendKey) -> Option<crate::BackendEntry> {
+        self.book.get(key).map(|known| known.entry.clone())
+    }
+
+    fn window(&mut self, service: &ids::ServiceName) -> &mut retry_window::RetryWindow {
+        self.windows.entry(service.clone()).or_default()
+    }
+}
+
+/// Shortest time to come back that is told to a caller.
+const RETRY_FLOOR: time::Duration = time::Duration::from_millis(100);
--- /dev/null
+++ b/components/relay/src/relay_core/core_views.rs
@@ -0,0 +1,104 @@
+//! What the core knows of the platform and of the other instances.
+
+use std::{collections, net, time};
+
+use crate::{instance_news, site_view, view_change};
+
+use super::RelayCore;
+
+impl RelayCore {
+    /// Returns when the platform's store is to be read next.
+    #[must_use]
+    pub fn next_read(&self, now: clock::Moment) -> clock::Moment {
+        self.keeper.read_at(self.instances.rank(now))
+    }
+
+    /// Returns whether another instance has a newer view.
+    #[must_use]
+    pub const fn is_behind(&self) -> bool {
+        self.keeper.is_behind()
+    }
+
+    /// Takes in a read of the store that was sent at `asked`; returns whether the view changed.
+    pub fn view_read(
+        &mut self,
+        now: clock::Moment,
+        asked: clock::Moment,
+        update: view_change::ViewUpdate,
+    ) -> bool {
+        let changed = self.keeper.read(now, asked, update);
+        self.take_view();
+        changed
+    }
+
+    /// Takes in that a read of the store failed.
+    pub fn read_failed(&mut self, now: clock::Moment) {
+        self.keeper.read_failed(now);
+        self.keeper.expire(now);
+    }
+
+    /// Takes in the view of another instance; returns whether the view changed.
+    pub fn view_copied(
+        &mut self,
+        now: clock::Moment,
+        view: site_view::SiteView,
+        age: time::Duration,
+    ) -> bool {
+        let changed = self.keeper.copied(now, view, age);
+        self.take_view();
+        changed
+    }
+
+    /// Takes in news of another instance; returns whether its view is newer and differs.
+    pub fn heard(&mut self, now: clock::Moment, news: instance_news::InstanceNews) -> bool {
+        let (revision, fingerprint, age) = (news.revision, news.fingerprint, news.view_age);
+        if !self.instances.heard(now, news) {
+            return false;
+        }
+        let usage = self.instances.usage(now);
+        self.book.take_usage(&usage);
+        fingerprint != 0 && self.keeper.heard(now, revision, fingerprint, age)
+    }
+
+    /// Drops what silent instances used.
+    pub fn refresh_usage(&mut self, now: clock::Moment) {
+        let usage = self.instances.usage(now);
+        self.book.take_usage(&usage);
+    }
+
+    /// Replaces the addresses of instances that may be known to others.
+    pub fn set_seeds(&mut self, seeds: Vec<net::Ipv4Addr>) {
+        self.instances.set_seeds(seeds);
+    }
+
+    /// Returns the news of this instance.
+    pub fn news(&mut self, now: clock::Moment) -> instance_news::InstanceNews {
+        self.news_sequence += 1;
+        let age = self.keeper.age(now);
+        instance_news::InstanceNews::builder()
+            .address(self.settings.address)
+            .incarnation(self.settings.incarnation)
+            .sequence(self.news_sequence)
+            .leaving(self.leaving)
+            .revision(self.keeper.view().revision)
+            .fingerprint(if age.is_some() {
+                self.keeper.fingerprint()
+            } else {
+                0
+            })
+            .view_age(age.unwrap_or_default())
+            .usage(self.book.own_usage())
+            .known(self.instances.alive(now).collect())
+            .build()
+    }
+
+    /// Returns where news are sent to.
+    #[must_use]
+    pub fn news_targets(&self, now: clock::Moment) -> collections::BTreeSet<net::Ipv4Addr> {
+        self.instances.targets(now)
+    }
+
+    fn take_view(&mut self) {
+        self.book.take_view(&self.keeper.view().backends);
+    }
+}
--- /dev/null
+++ b/components/relay/src/view_keeper.rs
@@ -0,0 +1,226 @@
+//! Keeps the view of the platform and decides when it is read again.
+
+use std::{collections, sync, time};
+
+use crate::{site_view, view_change};
+
+/// Time between reads of the instance that reads for all.
+const READ_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
+/// Age of the view at which the next instance in rank reads for itself.
+const STANDBY_AGE: time::Duration = time::Duration::from_millis(900);
+
+/// Additional age for each further rank, so that not all instances read at once.
+const RANK_STEP: time::Duration = time::Duration::from_millis(100);
+
+/// Time between reads that fail.
+const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(300);
+
+/// Age of the view after which entries that vanished are kept for a while: servers that live write
+/// themselves back after an outage of the store.
+const OUTAGE_AGE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Time that entries are kept which vanished during an outage of the store.
+const RETURN_GRACE: time::Duration = time::Duration::from_millis(1_700);
+
+/// Keeps the view of the platform and decides when it is read again.
+#[derive(Debug, Default)]
+pub struct ViewKeeper {
+    view: site_view::SiteView,
+    fingerprint: u64,
+    /// Moment at which the view was known to be current.
+    as_of: Option<clock::Moment>,
+    /// Earliest next read.
+    next_read: clock::Moment,
+    /// Entries that vanished during an outage, with the end of their grace.
+    lapsed: collections::BTreeMap<ids::ServerName, clock::Moment>,
+    /// Newer view that a peer has announced.
+    behind: bool,
+}
+
+impl ViewKeeper {
+    /// Returns the view.
+    #[must_use]
+    pub const fn view(&self) -> &site_view::SiteView {
+        &self.view
+    }
+
+    /// Returns the hash of the view.
+    #[must_use]
+    pub const fn fingerprint(&self) -> u64 {
+        self.fingerprint
+    }
+
+    /// Returns the age of the view, when one is known.
+    #[must_use]
+    pub fn age(&self, now: clock::Moment) -> Option<time::Duration> {
+        self.as_of.map(|as_of| now.since(as_of))
+    }
+
+    /// Returns whether a configuration and a list of backend servers are known.
+    #[must_use]
+    pub const fn is_known(&self) -> bool {
+        self.as_of.is_some() && self.view.config.is_some()
+    }
+
+    /// Returns whether a peer has a newer view.
+    #[must_use]
+    pub const fn is_behind(&self) -> bool {
+        self.behind
+    }
+
+    /// Returns when the platform's store is to be read by an instance of this rank.
+    #[must_use]
+    pub fn read_at(&self, rank: usize) -> clock::Moment {
+        let Some(as_of) = self.as_of else {
+            return self.next_read;
+        };
+        if self.behind || !self.lapsed.is_empty() {
+            return self.next_read;
+        }
+        let wait = if rank == 0 {
+            READ_INTERVAL
+        } else {
+            STANDBY_AGE + RANK_STEP * u32::try_from(rank.min(16)).unwrap_or(0)
+        };
+        (as_of + wait).max(self.next_read)
+    }
+
+    /// Takes in a read that was sent at `asked`.
+    pub fn read(
+        &mut self,
+        now: clock::Moment,
+        asked: clock::Moment,
+        update: view_change::ViewUpdate,
+    ) -> bool {
+        let after_outage = self
+            .as_of
+            .is_some_and(|as_of| asked.since(as_of) > OUTAGE_AGE);
+        let known: Vec<ids::ServerName> = self.view.backends.keys().cloned().collect();
+        let mut written = collections::BTreeSet::new();
+        let mut gone = Vec::new();
+        for change in update.changes {
+            match change {
+                view_change::ViewChange::Config(config) => self.take_config(config),
+                view_change::ViewChange::Backend(entry) => {
+                    self.lapsed.remove(&entry.server);
+                    gone.retain(|server| *server != entry.server);
+                    written.insert(entry.server.clone());
+                    self.view.backends.insert(entry.server.clone(), entry);
+                }
+                view_change::ViewChange::BackendGone(server) => {
+                    written.remove(&server);
+                    gone.push(server);
+                }
+            }
+        }
+        if update.complete {
+            gone.extend(known.into_iter().filter(|server| !written.contains(server)));
+        }
+        for server in gone {
+            self.remove(now, server, after_outage);
+        }
+        self.drop_lapsed(now);
+        self.view.revision = if update.complete {
+            update.revision
+        } else {
+            self.view.revision.max(update.revision)
+        };
+        self.as_of = Some(asked);
+        self.behind = false;
+        self.next_read = now;
+        self.settle()
+    }
+
+    /// Takes in that a read failed.
+    pub fn read_failed(&mut self, now: clock::Moment) {
+        self.next_read = now + FAILURE_PAUSE;
+    }
+
+    /// Takes in what a peer says of its view; returns whether the peer's view differs and is
+    /// newer.
+    pub fn heard(
+        &mut self,
+        now: clock::Moment,
+        revision: u64,
+        fingerprint: u64,
+        age: time::Duration,
+    ) -> bool {
+        let as_of = now.before(age);
+        if fingerprint == self.fingerprint && self.as_of.is_some() {
+            self.as_of = self.as_of.max(Some(as_of));
+            self.view.revision = self.view.revision.max(revision);
+            return false;
+        }
+        let newer = self.as_of.is_none_or(|own| as_of > own) && revision > self.view.revision;
+        self.behind |= newer;
+        newer
+    }
+
+    /// Takes in the whole view of a peer that was current `age` ago.
+    pub fn copied(
+        &mut self,
+        now: clock::Moment,
+        view: site_view::SiteView,
+        age: time::Duration,
+    ) -> bool {
+        let as_of = now.before(age);
+        if let Some(config) = view.config {
+            self.take_config(config);
+        }
+        if self.as_of.is_none_or(|own| as_of > own) && view.revision >= self.view.revision {
+            self.view.backends = view.backends;
+            self.view.revision = view.revision;
+            self.as_of = Some(as_of);
+            self.behind = false;
+            self.lapsed.clear();
+        }
+        self.settle()
+    }
+
+    /// Removes entries whose grace has ended; returns whether the view changed.
+    pub fn expire(&mut self, now: clock::Moment) -> bool {
+        self.drop_lapsed(now);
+        self.settle()
+    }
+
+    fn take_config(&mut self, config: sync::Arc<crate::SiteConfig>) {
+        if config.version > self.view.config_version() {
+            self.view.config = Some(config);
+        }
+    }
+
+    fn remove(&mut self, now: clock::Moment, server: ids::ServerName, after_outage: bool) {
+        let leaving = self
+            .view
+            .backends
+            .get(&server)
+            .is_none_or(|entry| entry.leaving);
+        if leaving || !after_outage {
+            self.lapsed.remove(&server);
+            self.view.backends.remove(&server);
+            return;
+        }
+        self.lapsed.entry(server).or_insert(now + RETURN_GRACE);
+    }
+
+    fn drop_lapsed(&mut self, now: clock::Moment) {
+        let ended: Vec<ids::ServerName> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(server, _)| server.clone())
+            .collect();
+        for server in ended {
+            self.lapsed.remove(&server);
+            self.view.backends.remove(&server);
+        }
+    }
+
+    fn settle(&mut self) -> bool {
+        let fingerprint = self.view.fingerprint();
+        let changed = fingerprint != self.fingerprint;
+        self.fingerprint = fingerprint;
+        changed
+    }
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,6 +30,7 @@
 #[argh(subcommand)]
 pub(crate) enum Command {
     Serve(cmd::ServeCommand),
+    Node(cmd::NodeCommand),
     Check(cmd::CheckCommand),
     Status(cmd::StatusCommand),
     Demo(cmd::DemoCommand),
@@ -40,6 +41,7 @@
     pub(crate) fn run(self) -> Result<(), command_error::CommandError> {
         match self {
             Self::Serve(command) => command.run(),
+            Self::Node(command) => command.run(),
             Self::Check(command) => command.run(),
             Self::Status(command) => command.run(),
             Self::Demo(command) => command.run(),
--- a/src/command_error.rs
+++ b/src/command_error.rs
@@ -26,6 +26,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Admin(#[from] admin::AdminError),
+    /// The instance can't run on the platform.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Platform(#[from] platform::PlatformError),
     /// The demo can't be started.
     #[error(transparent)]
     #[diagnostic(transparent)]
@@ -74,6 +78,11 @@
     pub(crate) const fn exit_code(&self) -> u8 {
         match self {
             Self::Settings(_)
+            | Self::Platform(
+                platform::PlatformError::NoSettings { .. }
+                | platform::PlatformError::Unreadable { .. }
+                | platform::PlatformError::Invalid { .. },
+            )
             | Self::Unreadable { .. }
             | Self::FilesWrong { .. }
             | Self::NothingToCheck => cli::WRONG_INPUT,
