relay: foretell the memory of streams, and let late requests wait behind timely ones

Ruled out: prefill (a third used), slots (64 against about 12 streams). Requests that are late already wait behind those that can be on time, up to three targets.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -131,6 +131,8 @@
         prompt_tokens: u32,
         /// Tokens that the answer may have.
         output_tokens: u32,
+        /// Tokens that the caller expects.
+        expected_tokens: Option<u32>,
         /// Share of the decode engine's memory in use before.
         fill: f64,
         /// Expected time until the prompt is read.
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -11,9 +11,13 @@
     #[prost(uint32, tag = "2")]
     running: u32,
     #[prost(uint32, tag = "3")]
-    kv_tokens: u32,
-    #[prost(uint32, tag = "4")]
     prefill_tokens: u32,
+    /// Tokens in memory of each stream.
+    #[prost(uint32, repeated, tag = "4")]
+    held: Vec<u32>,
+    /// Tokens that are expected to follow, in the same order.
+    #[prost(uint32, repeated, tag = "5")]
+    remaining: Vec<u32>,
 }
 
 /// News of one instance.
@@ -56,8 +60,9 @@
             .map(|(server, usage)| UsageMessage {
                 server: *server,
                 running: usage.running,
-                kv_tokens: usage.kv_tokens,
                 prefill_tokens: usage.prefill_tokens,
+                held: usage.streams.iter().map(|load| load.held).collect(),
+                remaining: usage.streams.iter().map(|load| load.remaining).collect(),
             })
             .collect(),
         known: news.known.iter().map(|address| address.to_bits()).collect(),
@@ -84,14 +89,7 @@
             message
                 .usage
                 .iter()
-                .map(|usage| {
-                    let used = relay::EngineUsage {
-                        running: usage.running,
-                        kv_tokens: usage.kv_tokens,
-                        prefill_tokens: usage.prefill_tokens,
-                    };
-                    (usage.server, used)
-                })
+                .map(|usage| (usage.server, decode_usage(usage)))
                 .collect(),
         )
         .known(
@@ -103,3 +101,17 @@
         )
         .build())
 }
+
+fn decode_usage(message: &UsageMessage) -> relay::EngineUsage {
+    let streams = message.held.iter().zip(&message.remaining);
+    relay::EngineUsage {
+        running: message.running,
+        prefill_tokens: message.prefill_tokens,
+        streams: streams
+            .map(|(held, remaining)| relay::StreamLoad {
+                held: *held,
+                remaining: *remaining,
+            })
+            .collect(),
+    }
+}
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -9,6 +9,8 @@
     pub prompt_tokens: u32,
     /// Most tokens of the answer.
     pub output_tokens: u32,
+    /// Tokens of the answer as the caller expects them; often far off.
+    pub expected_tokens: Option<u32>,
 }
 
 /// A request that is passed on unchanged.
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -18,6 +18,10 @@
 /// Shortest time after which a prompt that isn't read is given up.
 const PREFILL_PATIENCE_FLOOR: time::Duration = time::Duration::from_millis(350);
 
+/// Times the target for the first token that a request waits for a place: callers leave after
+/// about four.
+const WAIT_TARGETS: u32 = 3;
+
 /// Silence after which a stream that can be resumed goes on elsewhere.
 const STALL_LIMIT: time::Duration = time::Duration::from_millis(800);
 
@@ -56,6 +60,8 @@
     /// Attempts that may have run.
     runs: u32,
     last_event: Option<u64>,
+    /// Tokens that one event stands for.
+    tokens_per_event: u32,
     trace: stream_trace::StreamTrace,
     open: Option<OpenStream>,
 }
@@ -66,8 +72,12 @@
         routed: gateway::RoutedRequest,
     ) -> Self {
         let trace = stream_trace::StreamTrace::new(sync::Arc::clone(&gateway), &routed);
+        let tokens_per_event = gateway
+            .port
+            .decide(|core, _| core.tokens_per_event(&routed.service));
         Self {
             gateway,
+            tokens_per_event,
             last_event: routed.request.resume_after,
             routed,
             avoid: Vec::new(),
@@ -129,8 +139,9 @@
             .priority(self.routed.route.priority)
             .prompt_tokens(size.prompt_tokens)
             .output_tokens(size.output_tokens)
+            .maybe_expected_tokens(size.expected_tokens)
             .first_token_due(self.routed.arrived + self.routed.route.latency_target)
-            .deadline(self.routed.deadline)
+            .wait_until(self.wait_until())
             .resumes(self.trace.has_started())
             .avoid(self.avoid.clone())
             .build();
@@ -152,6 +163,18 @@
         }
     }
 
+    /// Returns how long the request may wait for a place.
+    fn wait_until(&self) -> clock::Moment {
+        let target = self.routed.route.latency_target;
+        let patience = self.routed.arrived + target * WAIT_TARGETS;
+        let latest = self.routed.deadline.before(target);
+        if self.trace.has_started() {
+            latest
+        } else {
+            patience.min(latest)
+        }
+    }
+
     async fn try_engines(
         &mut self,
         guard: &mut place_guard::PlaceGuard,
@@ -352,6 +375,7 @@
             let Some(open) = self.open.as_mut() else {
                 return Ok(None);
             };
+            let key = open.guard.place.key;
             if let Some(event) = open.stream.splitter.next_event() {
                 if let Some(error) = self.check_number(&event) {
                     self.resume("stream", relay::BackendOutcome::Broken, error)
@@ -359,6 +383,10 @@
                     continue;
                 }
                 self.trace.event();
+                let tokens = self.tokens_per_event;
+                self.gateway
+                    .port
+                    .decide(|core, now| core.progressed(now, key, tokens));
                 return Ok(Some(event.bytes));
             }
             let time_left = self.routed.deadline.since(self.gateway.port.now());
--- a/components/gateway/src/stream_trace.rs
+++ b/components/gateway/src/stream_trace.rs
@@ -77,6 +77,7 @@
                 decode: place.decode.1.server.as_str(),
                 prompt_tokens: size.prompt_tokens,
                 output_tokens: size.output_tokens,
+                expected_tokens: size.expected_tokens,
                 fill: place.fill,
                 prefill_ms: gateway::millis(place.prefill_time),
                 waited_ms: gateway::millis(waited),
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -1,8 +1,8 @@
 //! One backend server or engine as this instance knows it.
 
-use std::time;
+use std::{collections, time};
 
-use crate::{backend_entry, backend_health, engine_usage};
+use crate::{backend_entry, backend_health, engine_usage, stream_lease};
 
 slotmap::new_key_type! {
     /// Names a backend server of the book.
@@ -25,8 +25,12 @@
     pub entry: backend_entry::BackendEntry,
     /// Whether the list still holds it.
     pub listed: bool,
-    /// What this instance uses of it.
-    pub own: engine_usage::EngineUsage,
+    /// Requests of this instance that are under way there.
+    pub own_running: u32,
+    /// Prompt tokens of this instance that aren't read yet.
+    pub own_prefill_tokens: u32,
+    /// Streams of this instance that hold memory there.
+    pub own_streams: collections::BTreeMap<stream_lease::StreamKey, engine_usage::StreamLoad>,
     /// What the other instances use of it.
     pub foreign: engine_usage::EngineUsage,
     /// How well it answers.
@@ -43,7 +47,9 @@
         Self {
             entry,
             listed: true,
-            own: engine_usage::EngineUsage::default(),
+            own_running: 0,
+            own_prefill_tokens: 0,
+            own_streams: collections::BTreeMap::new(),
             foreign: engine_usage::EngineUsage::default(),
             health: backend_health::BackendHealth::default(),
             prefill_rate: USUAL_PREFILL_RATE,
@@ -63,18 +69,44 @@
         self.listed && !self.entry.leaving
     }
 
-    /// Returns what all instances use of it.
+    /// Returns whether this instance uses nothing of it.
     #[must_use]
-    pub fn used(&self) -> engine_usage::EngineUsage {
-        let mut used = self.own;
-        used.add(self.foreign);
-        used
+    pub fn is_unused(&self) -> bool {
+        self.own_running == 0 && self.own_prefill_tokens == 0 && self.own_streams.is_empty()
+    }
+
+    /// Returns what this instance uses of it.
+    #[must_use]
+    pub fn own_usage(&self) -> engine_usage::EngineUsage {
+        engine_usage::EngineUsage {
+            running: self.own_running,
+            prefill_tokens: self.own_prefill_tokens,
+            streams: self.own_streams.values().copied().collect(),
+        }
+    }
+
+    /// Returns the requests of all instances that are under way there.
+    #[must_use]
+    pub const fn running(&self) -> u32 {
+        self.own_running + self.foreign.running
+    }
+
+    /// Returns the prompt tokens of all instances that aren't read yet.
+    #[must_use]
+    pub const fn prefill_tokens(&self) -> u32 {
+        self.own_prefill_tokens + self.foreign.prefill_tokens
+    }
+
+    /// Returns the streams of all instances that hold memory there.
+    pub fn streams(&self) -> impl Iterator<Item = engine_usage::StreamLoad> {
+        let own = self.own_streams.values();
+        own.chain(&self.foreign.streams).copied()
     }
 
     /// Returns the time until a prompt sent now begins to be read.
     #[must_use]
     pub fn prefill_wait(&self) -> time::Duration {
-        self.read_time(self.used().prefill_tokens)
+        self.read_time(self.prefill_tokens())
     }
 
     /// Returns the time that reading a number of tokens takes.
--- a/components/relay/src/backend_book.rs
+++ b/components/relay/src/backend_book.rs
@@ -61,7 +61,7 @@
     pub fn take_usage(&mut self, usage: &collections::BTreeMap<u64, engine_usage::EngineUsage>) {
         for (_, known) in &mut self.backends {
             let hash = instance_news::server_hash(&known.entry.server);
-            known.foreign = usage.get(&hash).copied().unwrap_or_default();
+            known.foreign = usage.get(&hash).cloned().unwrap_or_default();
         }
     }
 
@@ -70,15 +70,18 @@
     pub fn own_usage(&self) -> Vec<(u64, engine_usage::EngineUsage)> {
         self.backends
             .values()
-            .filter(|known| !known.own.is_idle())
-            .map(|known| (instance_news::server_hash(&known.entry.server), known.own))
+            .filter(|known| !known.is_unused())
+            .map(|known| {
+                let hash = instance_news::server_hash(&known.entry.server);
+                (hash, known.own_usage())
+            })
             .collect()
     }
 
     /// Drops servers that are neither listed nor used.
     pub fn forget_unused(&mut self) {
         self.backends
-            .retain(|_, known| known.listed || !known.own.is_idle());
+            .retain(|_, known| known.listed || !known.is_unused());
         let backends = &self.backends;
         self.by_name.retain(|_, key| backends.contains_key(*key));
     }
--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use crate::{backend, backend_book, backend_entry, service_rule, stream_ask};
+use crate::{
+    backend, backend_book, backend_entry, engine_usage, memory_forecast, service_rule, stream_ask,
+};
 
 /// What a transfer between data centres costs, as time.
 const CENTRE_COST: time::Duration = time::Duration::from_millis(60);
@@ -31,6 +33,8 @@
     pub backends: &'a backend_book::BackendTable,
     /// Sizes of the service's engines.
     pub size: service_rule::EngineSize,
+    /// Share of an engine's memory up to which it is filled.
+    pub fill_limit: f64,
     /// Data centre of this instance.
     pub data_centre: &'a ids::DataCentreName,
     /// Current time.
@@ -65,12 +69,19 @@
         })
     }
 
-    /// Returns the share of the memory of an engine that is used, between 0 and 1 or a little more.
+    /// Returns the share of an engine's memory that its streams will take at the most, or of its
+    /// slots if that is more.
     #[must_use]
     pub fn fill(&self, engine: &backend::Backend) -> f64 {
-        let used = engine.used();
-        let memory = f64::from(used.kv_tokens) / f64::from(self.size.kv_tokens.max(1));
-        let slots = f64::from(used.running) / f64::from(self.size.slots.max(1));
+        self.fill_with(engine, None)
+    }
+
+    fn fill_with(&self, engine: &backend::Backend, added: Option<engine_usage::StreamLoad>) -> f64 {
+        let running = engine.running() + u32::from(added.is_some());
+        let peak = memory_forecast::peak_tokens(engine.streams().chain(added));
+        let peak = f64::from(u32::try_from(peak).unwrap_or(u32::MAX));
+        let memory = peak / f64::from(self.size.kv_tokens.max(1));
+        let slots = f64::from(running) / f64::from(self.size.slots.max(1));
         memory.max(slots)
     }
 
@@ -88,8 +99,7 @@
     }
 
     fn has_room(&self, engine: &backend::Backend, ask: &stream_ask::StreamAsk) -> bool {
-        let used = engine.used();
-        used.running < self.size.slots && used.kv_tokens + ask.kv_tokens() <= self.size.kv_tokens
+        self.fill_with(engine, Some(ask.load())) <= self.fill_limit
     }
 
     fn pairs<'b>(
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -125,11 +125,13 @@
             .count()
     }
 
-    /// Returns what the other instances use together, by backend server.
+    /// Returns what the other instances use together, by backend server, when streams generate
+    /// `pace` tokens a millisecond.
     #[must_use]
     pub fn usage(
         &self,
         now: clock::Moment,
+        pace: f64,
     ) -> collections::BTreeMap<u64, engine_usage::EngineUsage> {
         let mut total: collections::BTreeMap<u64, engine_usage::EngineUsage> =
             collections::BTreeMap::new();
@@ -137,8 +139,17 @@
             .states
             .values()
             .filter(|state| now.since(state.heard_at) < USAGE_TIMEOUT);
-        for (server, usage) in fresh.flat_map(|state| &state.news.usage) {
-            total.entry(*server).or_default().add(*usage);
+        for state in fresh {
+            let age = now.since(state.heard_at).as_secs_f64() * 1_000.0;
+            let generated = (age * pace) as u32;
+            for (server, usage) in &state.news.usage {
+                let sum = total.entry(*server).or_default();
+                sum.running += usage.running;
+                sum.prefill_tokens += usage.prefill_tokens;
+                let streams = usage.streams.iter();
+                sum.streams
+                    .extend(streams.map(|load| load.after(generated)));
+            }
         }
         total
     }
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -9,8 +9,8 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_book, core_settings, instance_book, retry_window, route_rule, site_config,
-    stream_lease, view_keeper, wait_line,
+    backend, backend_book, core_settings, instance_book, length_guess, retry_window, route_rule,
+    site_config, stream_lease, view_keeper, wait_line,
 };
 
 pub use core_calls::ServerPick;
@@ -42,8 +42,12 @@
 struct StreamAverage {
     /// Time from the grant of a place to its end, in milliseconds.
     held_millis: f64,
+    lengths: length_guess::LengthGuess,
 }
 
+/// Tokens that a stream generates in a millisecond until streams have shown their own pace.
+const USUAL_PACE: f64 = 1.0;
+
 /// Decides about relayed requests.
 pub struct RelayCore {
     settings: core_settings::CoreSettings,
@@ -54,6 +58,8 @@
     line: wait_line::WaitLine,
     windows: collections::BTreeMap<ids::ServiceName, retry_window::RetryWindow>,
     averages: collections::BTreeMap<ids::ServiceName, StreamAverage>,
+    /// Tokens that a stream generates in a millisecond.
+    pace: f64,
     random: rand_chacha::ChaCha8Rng,
     news_sequence: u64,
     leaving: bool,
@@ -74,6 +80,7 @@
             line: wait_line::WaitLine::default(),
             windows: collections::BTreeMap::new(),
             averages: collections::BTreeMap::new(),
+            pace: USUAL_PACE,
             random,
             news_sequence: 0,
             leaving: false,
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -77,7 +77,7 @@
                 };
                 let turn = f64::from(u32::try_from(index).unwrap_or(0));
                 let jitter = ((jitters + turn * 0.618).fract()) * JITTER_SHARE;
-                let open = f64::from(known.used().running) + 1.0 + far + jitter;
+                let open = f64::from(known.running()) + 1.0 + far + jitter;
                 let latency = known.health.latency_millis(now, usual);
                 (key, open * latency * known.health.cost_factor(now))
             })
@@ -92,8 +92,8 @@
             reason: refusal::RefusalReason::NoServer,
             retry_after: NO_SERVER_RETRY,
         })?;
-        let running = known.used().running;
-        known.own.running += 1;
+        let running = known.running();
+        known.own_running += 1;
         Ok(ServerPick {
             key,
             entry: known.entry.clone(),
@@ -113,7 +113,7 @@
         let Some(known) = self.book.get_mut(key) else {
             return false;
         };
-        known.own.running = known.own.running.saturating_sub(1);
+        known.own_running = known.own_running.saturating_sub(1);
         // A call that takes long may be a long call: it counts, but doesn't eject by itself.
         let outcome = match outcome {
             backend_health::BackendOutcome::Silent => backend_health::BackendOutcome::Failed,
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -5,8 +5,8 @@
 use rand::RngExt as _;
 
 use crate::{
-    backend, backend_entry, backend_health, engine_choice, refusal, service_rule, stream_ask,
-    stream_lease, wait_line,
+    backend, backend_entry, backend_health, engine_choice, engine_usage, length_guess, refusal,
+    service_rule, stream_ask, stream_lease, wait_line,
 };
 
 use super::{RETRY_FLOOR, RelayCore, StreamAverage};
@@ -17,6 +17,13 @@
 /// Weight of a new stream in the averages.
 const HELD_WEIGHT: f64 = 0.05;
 
+/// Share of a decode engine's memory that streams may be expected to take; the rest answers
+/// lengths that were guessed too short.
+const FILL_LIMIT: f64 = 0.92;
+
+/// Share up to which requests that are late already are placed, so that room is left for others.
+const LATE_FILL_LIMIT: f64 = 0.8;
+
 /// Time between the end of prefill and the first token at the caller.
 const HAND_OVER: time::Duration = time::Duration::from_millis(80);
 
@@ -65,31 +72,34 @@
 }
 
 impl RelayCore {
-    /// Answers a request for a place at once, or lets it wait when it will be served on time.
-    pub fn place(&mut self, now: clock::Moment, ask: stream_ask::StreamAsk) -> PlaceAnswer {
+    /// Answers a request for a place at once, or lets it wait when it will be served.
+    pub fn place(&mut self, now: clock::Moment, mut ask: stream_ask::StreamAsk) -> PlaceAnswer {
         let Some(size) = self.engine_size(&ask.service) else {
             return PlaceAnswer::Refused(refuse(refusal::RefusalReason::NoServer, NO_ENGINE_RETRY));
         };
-        let may_pass = ask.resumes || self.line.is_empty_for(&ask.service);
-        if may_pass && let Some(place) = self.try_place(now, &ask, size) {
+        ask.guessed_tokens = self.guess(&ask);
+        let may_pass = ask.resumes || self.line.is_free_for(now, &ask.service);
+        if may_pass && let Some(place) = self.try_place(now, &ask, size, FILL_LIMIT) {
             return PlaceAnswer::Placed(Box::new(place));
         }
-        let chooser = self.chooser(now, size);
+        let chooser = self.chooser(now, size, FILL_LIMIT);
         if !chooser.has_engine(&ask.service, backend_entry::EngineStage::Decode) {
             return PlaceAnswer::Refused(refuse(refusal::RefusalReason::NoServer, NO_ENGINE_RETRY));
         }
-        let wait = self.expected_wait(now, &ask, size);
-        let margin = self.time_to_first_token(now, &ask);
-        let due = if ask.resumes {
-            ask.deadline
+        let timely_until = ask
+            .first_token_due
+            .before(self.time_to_first_token(now, &ask));
+        let timely_wait = self.expected_wait(now, &ask, size, true);
+        let wait = if now + timely_wait <= timely_until {
+            timely_wait
         } else {
-            ask.first_token_due.before(margin)
+            self.expected_wait(now, &ask, size, false)
         };
-        if now + wait >= due {
+        if now + wait >= ask.wait_until {
             let retry_after = self.overload_retry(wait);
             return PlaceAnswer::Refused(refuse(refusal::RefusalReason::Overload, retry_after));
         }
-        PlaceAnswer::Waiting(self.line.push(ask, due))
+        PlaceAnswer::Waiting(self.line.push(ask, timely_until))
     }
 
     /// Takes a request out of the line.
@@ -106,12 +116,17 @@
             answers.push((overdue.ticket, PlaceAnswer::Refused(refusal)));
         }
         loop {
-            let next = self.line.iter().next().cloned();
+            let next = self.line.next(now).cloned();
             let Some(waiting) = next else { break };
+            let limit = if waiting.is_timely(now) {
+                FILL_LIMIT
+            } else {
+                LATE_FILL_LIMIT
+            };
             let Some(size) = self.engine_size(&waiting.ask.service) else {
                 break;
             };
-            let Some(place) = self.try_place(now, &waiting.ask, size) else {
+            let Some(place) = self.try_place(now, &waiting.ask, size, limit) else {
                 break;
             };
             self.line.remove(waiting.ticket);
@@ -144,8 +159,8 @@
         let Some(engine) = engine.and_then(|engine| self.book.get_mut(engine)) else {
             return false;
         };
-        engine.own.prefill_tokens = engine.own.prefill_tokens.saturating_sub(tokens);
-        engine.own.running = engine.own.running.saturating_sub(1);
+        engine.own_prefill_tokens = engine.own_prefill_tokens.saturating_sub(tokens);
+        engine.own_running = engine.own_running.saturating_sub(1);
         if outcome == backend_health::BackendOutcome::Succeeded {
             engine.prompt_read(tokens_read, took);
         }
@@ -167,14 +182,13 @@
             return false;
         };
         if end.outcome == backend_health::BackendOutcome::Succeeded {
-            self.count_held(&lease.ask.service, now.since(lease.granted_at));
+            self.learn(now, &lease);
         }
         let Some(engine) = self.book.get_mut(lease.decode) else {
             return false;
         };
-        let tokens = lease.ask.kv_tokens();
-        engine.own.running = engine.own.running.saturating_sub(1);
-        engine.own.kv_tokens = engine.own.kv_tokens.saturating_sub(tokens);
+        engine.own_running = engine.own_running.saturating_sub(1);
+        engine.own_streams.remove(&key);
         if end.outcome == backend_health::BackendOutcome::Refused {
             engine.was_full(now);
         }
@@ -206,8 +220,9 @@
         now: clock::Moment,
         ask: &stream_ask::StreamAsk,
         size: service_rule::EngineSize,
+        fill_limit: f64,
     ) -> Option<StreamPlace> {
-        let chooser = self.chooser(now, size);
+        let chooser = self.chooser(now, size, fill_limit);
         let choice = chooser.choose(ask)?;
         let fill = chooser.fill(self.book.get(choice.decode)?);
         let mut prefill_time = time::Duration::ZERO;
@@ -216,23 +231,25 @@
         if let Some(key) = choice.prefill {
             let engine = self.book.get_mut(key)?;
             prefill_time = choice.prefill_wait + engine.read_time(ask.prompt_tokens);
-            tokens_ahead = engine.used().prefill_tokens;
-            engine.own.prefill_tokens += ask.prompt_tokens;
-            engine.own.running += 1;
+            tokens_ahead = engine.prefill_tokens();
+            engine.own_prefill_tokens += ask.prompt_tokens;
+            engine.own_running += 1;
             prefill = Some((key, engine.entry.clone()));
         }
-        let engine = self.book.get_mut(choice.decode)?;
-        engine.own.running += 1;
-        engine.own.kv_tokens += ask.kv_tokens();
-        let decode = (choice.decode, engine.entry.clone());
         let key = self.leases.insert(stream_lease::StreamLease {
             prefill: choice.prefill,
             decode: choice.decode,
             ask: ask.clone(),
             granted_at: now,
             tokens_ahead,
+            generated: 0,
+            first_token_at: None,
             prefilling: choice.prefill.is_some(),
         });
+        let engine = self.book.get_mut(choice.decode)?;
+        engine.own_running += 1;
+        engine.own_streams.insert(key, ask.load());
+        let decode = (choice.decode, engine.entry.clone());
         Some(StreamPlace {
             key,
             prefill,
@@ -242,12 +259,14 @@
         })
     }
 
-    /// Returns the time until the requests ahead have found places.
+    /// Returns the time until the requests that go before one that can be on time, or before one
+    /// that can't, have found places.
     fn expected_wait(
         &self,
         now: clock::Moment,
         ask: &stream_ask::StreamAsk,
         size: service_rule::EngineSize,
+        timely: bool,
     ) -> time::Duration {
         let engines = self
             .book
@@ -257,7 +276,8 @@
             .filter(|engine| engine.entry.stage == Some(backend_entry::EngineStage::Decode))
             .count();
         let instances = u64::try_from(self.instances.live_count(now)).unwrap_or(1);
-        let waiting = self.line.tokens(&ask.service) * instances + u64::from(ask.kv_tokens());
+        let ahead = self.line.tokens_ahead(now, &ask.service, timely);
+        let waiting = ahead * instances + u64::from(ask.mean_tokens());
         let total = f64::from(size.kv_tokens) * f64::from(u32::try_from(engines).unwrap_or(1));
         let held = self
             .averages
@@ -272,30 +292,81 @@
         (wait + OVERLOAD_RETRY + spread).max(RETRY_FLOOR)
     }
 
-    fn count_held(&mut self, service: &ids::ServiceName, held: time::Duration) {
-        let millis = held.as_secs_f64() * 1_000.0;
-        let average = self
-            .averages
-            .entry(service.clone())
-            .or_insert(StreamAverage {
+    /// Takes in that a stream has generated `tokens` more.
+    pub fn progressed(&mut self, now: clock::Moment, key: stream_lease::StreamKey, tokens: u32) {
+        let Some(lease) = self.leases.get_mut(key) else {
+            return;
+        };
+        lease.generated += tokens;
+        lease.first_token_at.get_or_insert(now);
+        let load = engine_usage::StreamLoad {
+            held: lease.ask.prompt_tokens + lease.generated,
+            remaining: length_guess::remaining_tokens(
+                lease.ask.guessed_tokens,
+                lease.generated,
+                lease.ask.output_tokens,
+            ),
+        };
+        if let Some(engine) = self.book.get_mut(lease.decode) {
+            engine.own_streams.insert(key, load);
+        }
+    }
+
+    /// Learns from a stream that has ended well.
+    fn learn(&mut self, now: clock::Moment, lease: &stream_lease::StreamLease) {
+        let average = self.average(&lease.ask);
+        let held_millis = now.since(lease.granted_at).as_secs_f64() * 1_000.0;
+        average.held_millis += (held_millis - average.held_millis) * HELD_WEIGHT;
+        if lease.ask.resumes || lease.generated == 0 {
+            return;
+        }
+        average.lengths.learn(lease.generated);
+        let Some(first) = lease.first_token_at else {
+            return;
+        };
+        let millis = now.since(first).as_secs_f64() * 1_000.0;
+        if millis > 1.0 {
+            let pace = f64::from(lease.generated) / millis;
+            self.pace += (pace - self.pace) * HELD_WEIGHT;
+        }
+    }
+
+    fn guess(&mut self, ask: &stream_ask::StreamAsk) -> u32 {
+        let lengths = self.average(ask).lengths;
+        lengths.expected(ask.expected_tokens, ask.output_tokens)
+    }
+
+    fn average(&mut self, ask: &stream_ask::StreamAsk) -> &mut StreamAverage {
+        self.averages
+            .entry(ask.service.clone())
+            .or_insert_with(|| StreamAverage {
                 held_millis: USUAL_HELD_MILLIS,
-            });
-        average.held_millis += (millis - average.held_millis) * HELD_WEIGHT;
+                lengths: length_guess::LengthGuess::new(ask.output_tokens),
+            })
     }
 
     fn chooser(
         &self,
         now: clock::Moment,
         size: service_rule::EngineSize,
+        fill_limit: f64,
     ) -> engine_choice::EngineChooser<'_> {
         engine_choice::EngineChooser {
             backends: self.book.table(),
             size,
+            fill_limit,
             data_centre: &self.settings.data_centre,
             now,
         }
     }
 
+    /// Returns the tokens that one event of a service's streams stands for.
+    #[must_use]
+    pub fn tokens_per_event(&self, service: &ids::ServiceName) -> u32 {
+        self.engine_size(service)
+            .map_or(1, |size| size.tokens_per_event)
+    }
+
     fn engine_size(&self, service: &ids::ServiceName) -> Option<service_rule::EngineSize> {
         self.keeper
             .view()
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -55,14 +55,14 @@
         if !self.instances.heard(now, news) {
             return false;
         }
-        let usage = self.instances.usage(now);
+        let usage = self.instances.usage(now, self.pace);
         self.book.take_usage(&usage);
         fingerprint != 0 && self.keeper.heard(now, revision, fingerprint, age)
     }
 
     /// Drops what silent instances used.
     pub fn refresh_usage(&mut self, now: clock::Moment) {
-        let usage = self.instances.usage(now);
+        let usage = self.instances.usage(now, self.pace);
         self.book.take_usage(&usage);
     }
 
--- a/components/relay/src/stream_ask.rs
+++ b/components/relay/src/stream_ask.rs
@@ -1,8 +1,6 @@
 //! A request for places at engines.
 
-use std::time;
-
-use crate::backend;
+use crate::{backend, engine_usage};
 
 /// A request for a place at a prefill and a decode engine.
 #[derive(Clone, Debug, bon::Builder)]
@@ -16,10 +14,15 @@
     pub prompt_tokens: u32,
     /// Tokens that the answer may have.
     pub output_tokens: u32,
+    /// Tokens that the caller expects.
+    pub expected_tokens: Option<u32>,
+    /// Tokens that the answer is taken to have; set by the core.
+    #[builder(default)]
+    pub guessed_tokens: u32,
     /// Latest moment for a first token that is on time.
     pub first_token_due: clock::Moment,
-    /// Latest moment at which the caller waits.
-    pub deadline: clock::Moment,
+    /// Latest moment at which the request may wait for a place.
+    pub wait_until: clock::Moment,
     /// Whether the caller has already received a part of the answer.
     #[builder(default)]
     pub resumes: bool,
@@ -29,15 +32,18 @@
 }
 
 impl StreamAsk {
-    /// Returns the memory that the request takes at a decode engine, in tokens.
+    /// Returns what the request takes of a decode engine's memory when it starts there.
     #[must_use]
-    pub const fn kv_tokens(&self) -> u32 {
-        self.prompt_tokens + self.output_tokens
+    pub const fn load(&self) -> engine_usage::StreamLoad {
+        engine_usage::StreamLoad {
+            held: self.prompt_tokens,
+            remaining: self.guessed_tokens,
+        }
     }
 
-    /// Returns the time left until the first token is late.
+    /// Returns the memory that the request takes on average, in tokens.
     #[must_use]
-    pub fn slack(&self, now: clock::Moment) -> time::Duration {
-        self.first_token_due.since(now)
+    pub const fn mean_tokens(&self) -> u32 {
+        self.prompt_tokens + self.guessed_tokens / 2
     }
 }
--- a/components/relay/src/stream_lease.rs
+++ b/components/relay/src/stream_lease.rs
@@ -20,6 +20,10 @@
     pub granted_at: clock::Moment,
     /// Prompt tokens that were waiting at the prefill engine when the place was granted.
     pub tokens_ahead: u32,
+    /// Tokens generated so far.
+    pub generated: u32,
+    /// Moment of the first token.
+    pub first_token_at: Option<clock::Moment>,
     /// Whether the prompt is still to be read by the prefill engine.
     pub prefilling: bool,
 }
--- a/components/relay/src/wait_line.rs
+++ b/components/relay/src/wait_line.rs
@@ -13,11 +13,30 @@
     pub ticket: WaitTicket,
     /// What it asks for.
     pub ask: stream_ask::StreamAsk,
-    /// Latest moment at which it may still be placed.
-    pub start_by: clock::Moment,
+    /// Latest moment at which a place still leads to a first token on time.
+    pub timely_until: clock::Moment,
 }
 
-/// Requests that wait for a place: those that resume first, then by priority and due time.
+impl WaitingAsk {
+    /// Returns whether a place found now still leads to a first token on time.
+    #[must_use]
+    pub fn is_timely(&self, now: clock::Moment) -> bool {
+        self.ask.resumes || now <= self.timely_until
+    }
+
+    /// Returns the order in which requests are served: broken streams that go on, then those that
+    /// can be on time, by priority and due time, then those that are late.
+    fn rank(&self, now: clock::Moment) -> (bool, bool, u8, clock::Moment) {
+        let ask = &self.ask;
+        let late = !self.is_timely(now);
+        (!ask.resumes, late, ask.priority, ask.first_token_due)
+    }
+}
+
+/// Requests that wait for a place.
+///
+/// It answers bursts: a request that can be on time goes before one that can't any more, which is
+/// served from what is left rather than sent away.
 #[derive(Debug, Default)]
 pub struct WaitLine {
     waiting: Vec<WaitingAsk>,
@@ -26,18 +45,14 @@
 
 impl WaitLine {
     /// Adds a request and returns its name.
-    pub fn push(&mut self, ask: stream_ask::StreamAsk, start_by: clock::Moment) -> WaitTicket {
+    pub fn push(&mut self, ask: stream_ask::StreamAsk, timely_until: clock::Moment) -> WaitTicket {
         let ticket = WaitTicket(self.next_ticket);
         self.next_ticket += 1;
-        let entry = WaitingAsk {
+        self.waiting.push(WaitingAsk {
             ticket,
             ask,
-            start_by,
-        };
-        let place = self
-            .waiting
-            .partition_point(|other| rank(&other.ask) <= rank(&entry.ask));
-        self.waiting.insert(place, entry);
+            timely_until,
+        });
         ticket
     }
 
@@ -46,44 +61,51 @@
         self.waiting.retain(|waiting| waiting.ticket != ticket);
     }
 
-    /// Returns the tokens of memory for which a service's requests wait.
+    /// Returns the mean memory in tokens of a service's requests that go before one that can be on
+    /// time, or before one that can't.
     #[must_use]
-    pub fn tokens(&self, service: &ids::ServiceName) -> u64 {
+    pub fn tokens_ahead(
+        &self,
+        now: clock::Moment,
+        service: &ids::ServiceName,
+        timely: bool,
+    ) -> u64 {
         self.waiting
             .iter()
             .filter(|waiting| waiting.ask.service == *service)
-            .map(|waiting| u64::from(waiting.ask.kv_tokens()))
+            .filter(|waiting| !timely || waiting.is_timely(now))
+            .map(|waiting| u64::from(waiting.ask.mean_tokens()))
             .sum()
     }
 
-    /// Takes the requests out that can't be placed any more.
+    /// Takes the requests out that have waited as long as they may.
     pub fn take_overdue(&mut self, now: clock::Moment) -> Vec<WaitingAsk> {
         self.waiting
-            .extract_if(.., |waiting| waiting.start_by <= now)
+            .extract_if(.., |waiting| waiting.ask.wait_until <= now)
             .collect()
     }
 
-    /// Returns the waiting requests, the next one first.
-    pub fn iter(&self) -> impl Iterator<Item = &WaitingAsk> {
-        self.waiting.iter()
+    /// Returns the request that is served next.
+    #[must_use]
+    pub fn next(&self, now: clock::Moment) -> Option<&WaitingAsk> {
+        self.waiting.iter().min_by_key(|waiting| waiting.rank(now))
     }
 
-    /// Returns the earliest moment at which a request can't be placed any more.
+    /// Returns the earliest moment at which a request has waited as long as it may.
     #[must_use]
     pub fn next_overdue(&self) -> Option<clock::Moment> {
-        self.waiting.iter().map(|waiting| waiting.start_by).min()
+        self.waiting
+            .iter()
+            .map(|waiting| waiting.ask.wait_until)
+            .min()
     }
 
-    /// Returns whether nothing waits for a service.
+    /// Returns whether no request of a service that can be on time waits.
     #[must_use]
-    pub fn is_empty_for(&self, service: &ids::ServiceName) -> bool {
+    pub fn is_free_for(&self, now: clock::Moment, service: &ids::ServiceName) -> bool {
         !self
             .waiting
             .iter()
-            .any(|waiting| waiting.ask.service == *service)
+            .any(|waiting| waiting.ask.service == *service && waiting.is_timely(now))
     }
 }
-
-fn rank(ask: &stream_ask::StreamAsk) -> (bool, u8, clock::Moment) {
-    (!ask.resumes, ask.priority, ask.first_token_due)
-}
