--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -210,7 +210,7 @@
             || self
                 .gateway
                 .port
-                .decide(|core, now| core.take_repeat(now, &self.routed.service))
+                .decide(|core, now| core.take_repeats(now, &self.routed.service, 1))
     }
 
     fn answer(&self, reply: whole_reply::WholeReply) -> relay_answer::RelayAnswer {
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -96,6 +96,25 @@
         /// What became of that request.
         outcome: &'a str,
     },
+    /// An engine was ordered to take another stage.
+    Ordered {
+        /// Engine.
+        server: &'a str,
+        /// Stage that it is to take.
+        stage: &'a str,
+        /// Fencing number.
+        fence: u64,
+        /// Engines that read prompts before.
+        prefill_engines: u32,
+        /// Engines that generated before.
+        decode_engines: u32,
+        /// Engine time that a request takes at prefill.
+        prefill_cost_ms: f64,
+        /// Engine time that a request takes at decode.
+        decode_cost_ms: f64,
+        /// What the engine answered.
+        outcome: &'a str,
+    },
     /// A call was sent to a server.
     CallSent {
         /// Name of the request.
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -98,14 +98,18 @@
         routed: RoutedRequest,
     ) -> relay_answer::RelayAnswer {
         let streams = routed.route.kind == relay::RequestKind::Streaming;
-        if streams && routed.request.size.is_some() {
-            stream_session::StreamSession::new(sync::Arc::clone(self), routed)
-                .serve()
-                .await
-        } else {
-            call_session::CallSession::new(sync::Arc::clone(self), routed)
-                .serve()
-                .await
+        let gateway = sync::Arc::clone(self);
+        match routed.request.size.clone().filter(|_| streams) {
+            Some(size) => {
+                stream_session::StreamSession::new(gateway, routed, size)
+                    .serve()
+                    .await
+            }
+            None => {
+                call_session::CallSession::new(gateway, routed)
+                    .serve()
+                    .await
+            }
         }
     }
 
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -41,6 +41,24 @@
     usage: Vec<UsageMessage>,
     #[prost(fixed32, repeated, tag = "9")]
     known: Vec<u32>,
+    #[prost(message, repeated, tag = "10")]
+    retries: Vec<RetryMessage>,
+    #[prost(uint64, tag = "11")]
+    last_fence: u64,
+    #[prost(uint32, tag = "12")]
+    last_order_age_ms: u32,
+}
+
+/// Requests and repeats of one service.
+#[derive(Clone, PartialEq, prost::Message)]
+struct RetryMessage {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    service: u64,
+    #[prost(uint32, tag = "2")]
+    requests: u32,
+    #[prost(uint32, tag = "3")]
+    repeats: u32,
 }
 
 /// Encodes news.
@@ -53,7 +71,7 @@
         leaving: news.leaving,
         revision: news.revision,
         fingerprint: news.fingerprint,
-        view_age_ms: u32::try_from(news.view_age.as_millis()).unwrap_or(u32::MAX),
+        view_age_ms: whole_millis(news.view_age),
         usage: news
             .usage
             .iter()
@@ -65,6 +83,17 @@
                 remaining: usage.streams.iter().map(|load| load.remaining).collect(),
             })
             .collect(),
+        retries: news
+            .retries
+            .iter()
+            .map(|(service, count)| RetryMessage {
+                service: *service,
+                requests: count.requests,
+                repeats: count.repeats,
+            })
+            .collect(),
+        last_fence: news.last_fence,
+        last_order_age_ms: whole_millis(news.last_order_age),
         known: news.known.iter().map(|address| address.to_bits()).collect(),
     };
     prost::Message::encode_to_vec(&message)
@@ -92,6 +121,23 @@
                 .map(|usage| (usage.server, decode_usage(usage)))
                 .collect(),
         )
+        .last_fence(message.last_fence)
+        .last_order_age(time::Duration::from_millis(u64::from(
+            message.last_order_age_ms,
+        )))
+        .retries(
+            message
+                .retries
+                .iter()
+                .map(|retry| {
+                    let count = relay::RetryCount {
+                        requests: retry.requests,
+                        repeats: retry.repeats,
+                    };
+                    (retry.service, count)
+                })
+                .collect(),
+        )
         .known(
             message
                 .known
@@ -115,3 +161,7 @@
             .collect(),
     }
 }
+
+fn whole_millis(time: time::Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/components/gateway/src/place_guard.rs
+++ b/components/gateway/src/place_guard.rs
@@ -49,6 +49,21 @@
         }
     }
 
+    /// Moves the place to another decode engine; returns whether one has room.
+    pub(crate) fn move_decode(&mut self, outcome: relay::BackendOutcome) -> bool {
+        let key = self.place.key;
+        let moved = self
+            .gateway
+            .port
+            .decide_and_grant(|core, now| core.move_decode(now, key, outcome));
+        self.gateway.port.usage_changed.notify_one();
+        let is_moved = moved.is_some();
+        if let Some(decode) = moved {
+            self.place.decode = decode;
+        }
+        is_moved
+    }
+
     /// Marks that the request was sent to the decode engine.
     pub(crate) fn sent(&mut self) {
         self.sent_at = Some(self.gateway.port.now());
--- a/components/gateway/src/relay_client.rs
+++ b/components/gateway/src/relay_client.rs
@@ -27,6 +27,8 @@
     Decode {
         /// Where the KV cache is; the engine reads the prompt itself when there is none.
         source: Option<KvSource>,
+        /// Engine that may have the prompt in its cache, when there is no source.
+        cache: Option<net::SocketAddr>,
         /// Last event that the caller has received.
         resume_after: Option<u64>,
     },
@@ -59,6 +61,18 @@
     pub body: ReplyBody,
 }
 
+/// An engine's answer to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum OrderReply {
+    /// The engine carries it out, or has done so before.
+    Accepted,
+    /// Another order is under way, or the engine knows no such order.
+    Refused,
+    /// The engine has seen a larger fencing number.
+    Fenced,
+}
+
 /// Sends relayed requests to backend servers and engines.
 #[async_trait::async_trait]
 pub trait RelayClient: Send + Sync {
@@ -85,6 +99,13 @@
         send: RelaySend,
     ) -> Result<KvSource, border::BorderError>;
 
+    /// Orders an engine to take another stage.
+    ///
+    /// # Errors
+    ///
+    /// As [`RelayClient::send`].
+    async fn order(&self, order: &relay::StageOrder) -> Result<OrderReply, border::BorderError>;
+
     /// Frees a KV cache that nobody takes.
     ///
     /// # Errors
--- a/components/gateway/src/stream_opening.rs
+++ b/components/gateway/src/stream_opening.rs
@@ -17,6 +17,8 @@
 pub(crate) struct OpenFailure {
     pub(crate) outcome: relay::BackendOutcome,
     pub(crate) not_run: bool,
+    /// Whether the request may have reached the engine.
+    pub(crate) has_arrived: bool,
     pub(crate) error: String,
     /// What the engine answered, when its failure is an answer for the caller.
     pub(crate) reply: Option<whole_reply::WholeReply>,
@@ -27,6 +29,7 @@
         Self {
             outcome: whole_reply::outcome_of(&error),
             not_run: error.proves_not_run(),
+            has_arrived: !matches!(error, border::BorderError::NotSent { .. }),
             error: error.to_string(),
             reply: None,
         }
@@ -61,9 +64,16 @@
     let body = String::from_utf8_lossy(&reply.body);
     let error = format!("status {}: {}", reply.status, body.trim());
     if reply.not_run {
+        // Another engine at the address means that the one meant is gone.
+        let outcome = if reply.status == http::StatusCode::MISDIRECTED_REQUEST {
+            relay::BackendOutcome::Unreachable
+        } else {
+            relay::BackendOutcome::Refused
+        };
         return OpenFailure {
-            outcome: relay::BackendOutcome::Refused,
+            outcome,
             not_run: true,
+            has_arrived: true,
             error,
             reply: None,
         };
@@ -71,6 +81,7 @@
     OpenFailure {
         outcome: relay::BackendOutcome::Failed,
         not_run: false,
+        has_arrived: true,
         error,
         reply: Some(reply),
     }
--- a/components/gateway/src/stream_trace.rs
+++ b/components/gateway/src/stream_trace.rs
@@ -47,11 +47,9 @@
         self.events > 0
     }
 
-    /// Returns the time since the last event.
-    pub(crate) fn since_last_event(&self) -> time::Duration {
-        let now = self.gateway.port.now();
-        self.last_event_at
-            .map_or(time::Duration::ZERO, |last| now.since(last))
+    /// Returns the moment of the last event, or of the arrival before the first one.
+    pub(crate) fn last_event_at(&self) -> clock::Moment {
+        self.last_event_at.unwrap_or(self.arrived)
     }
 
     pub(crate) fn placed(
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -18,6 +18,12 @@
 /// Time that an engine which refused for lack of room receives nothing.
 const FULL_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// Time that a prefill engine which refused receives nothing.
+const PREFILL_PAUSE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Longest time that an engine takes to go over to another stage.
+const CHANGE_PAUSE: time::Duration = time::Duration::from_secs(8);
+
 /// One backend server or engine as this instance knows it.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -127,7 +133,27 @@
     }
 
     /// Takes in that the engine had no room.
+    ///
+    /// A prefill engine refuses while it goes over to another stage, which takes seconds.
     pub fn was_full(&mut self, now: clock::Moment) {
-        self.full_until = now + FULL_PAUSE;
+        let pause = match self.entry.stage {
+            Some(backend_entry::EngineStage::Prefill) => PREFILL_PAUSE,
+            _ => FULL_PAUSE,
+        };
+        self.full_until = self.full_until.max(now + pause);
+    }
+
+    /// Sends the engine nothing while it goes over to another stage.
+    pub fn changes_stage(&mut self, now: clock::Moment) {
+        self.full_until = now + CHANGE_PAUSE;
+    }
+
+    /// Takes over a newer entry.
+    pub fn take_entry(&mut self, entry: &backend_entry::BackendEntry) {
+        if entry.stage != self.entry.stage {
+            self.full_until = clock::Moment::default();
+        }
+        self.entry = entry.clone();
+        self.listed = true;
     }
 }
--- a/components/relay/src/backend_book.rs
+++ b/components/relay/src/backend_book.rs
@@ -41,10 +41,7 @@
                 .and_then(|key| self.backends.get_mut(*key))
                 .filter(|known| known.entry.born_millis == entry.born_millis);
             match known {
-                Some(known) => {
-                    known.entry = entry.clone();
-                    known.listed = true;
-                }
+                Some(known) => known.take_entry(entry),
                 None => self.add(entry),
             }
         }
--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -50,11 +50,21 @@
             .collect();
         self.engines(ask, backend_entry::EngineStage::Decode)
             .filter(|(_, engine)| self.has_room(engine, ask))
-            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills))
+            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills, ask))
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
             .map(|(_, choice)| choice)
     }
 
+    /// Returns the cheapest decode engine with room for a request whose prompt was read.
+    #[must_use]
+    pub fn choose_decode(&self, ask: &stream_ask::StreamAsk) -> Option<backend::BackendKey> {
+        self.engines(ask, backend_entry::EngineStage::Decode)
+            .filter(|(_, engine)| self.has_room(engine, ask))
+            .map(|(decode, engine)| (decode, self.decode_cost(engine)))
+            .min_by(|(_, left), (_, right)| left.total_cmp(right))
+            .map(|(decode, _)| decode)
+    }
+
     /// Returns whether any engine of a stage may receive work.
     #[must_use]
     pub fn has_engine(
@@ -107,6 +117,7 @@
         decode: backend::BackendKey,
         engine: &'b backend::Backend,
         prefills: &'b [(backend::BackendKey, &'b backend::Backend)],
+        ask: &'b stream_ask::StreamAsk,
     ) -> impl Iterator<Item = (f64, EngineChoice)> + 'b {
         let base = self.decode_cost(engine);
         let alone = prefills.is_empty().then_some((
@@ -125,8 +136,13 @@
             } else {
                 time::Duration::ZERO
             };
-            let cost = base
-                + (prefill_wait + transfer).as_secs_f64() * reader.health.cost_factor(self.now);
+            let reading = if ask.warm_prefill == Some(*prefill) {
+                time::Duration::ZERO
+            } else {
+                reader.read_time(ask.prompt_tokens)
+            };
+            let time = prefill_wait + reading + transfer;
+            let cost = base + time.as_secs_f64() * reader.health.cost_factor(self.now);
             let choice = EngineChoice {
                 prefill: Some(*prefill),
                 decode,
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::{engine_usage, instance_news};
+use crate::{engine_usage, instance_news, retry_window};
 
 /// Silence after which an instance's usage no longer counts: its connections are gone.
 const USAGE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -13,6 +13,9 @@
 /// Silence after which news of another incarnation are taken for those of a restarted process.
 const RESTART_SILENCE: time::Duration = time::Duration::from_millis(600);
 
+/// Silence after which an instance no longer counts as known.
+const KNOWN_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+
 /// Silence after which an instance is no longer sent news.
 const FORGET_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
@@ -71,6 +74,8 @@
                 self.named.insert(*address, now);
             }
         }
+        self.states
+            .retain(|_, state| now.since(state.heard_at) < KNOWN_TIMEOUT);
         let state = InstanceState {
             heard_at: now,
             news,
@@ -154,6 +159,78 @@
         total
     }
 
+    /// Returns what the other instances have counted of a service's requests and repeats.
+    #[must_use]
+    pub fn fleet_count(
+        &self,
+        now: clock::Moment,
+        service: &ids::ServiceName,
+        bound: &retry_window::RetryBound,
+    ) -> retry_window::FleetCount {
+        let hash = instance_news::service_hash(service);
+        let mut count = retry_window::RetryCount::default();
+        let recent = self
+            .states
+            .values()
+            .filter(|state| now.since(state.heard_at) < bound.window);
+        for (_, other) in recent
+            .flat_map(|state| &state.news.retries)
+            .filter(|(other, _)| *other == hash)
+        {
+            count.requests += other.requests;
+            count.repeats += other.repeats;
+        }
+        let heard = self.states.len().max(self.seeds.len());
+        retry_window::FleetCount {
+            count,
+            live: u32::try_from(self.live_count(now)).unwrap_or(u32::MAX),
+            known: u32::try_from(heard + 1).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Returns how many instances live, and how many are known, this one included in both.
+    #[must_use]
+    pub fn counts(&self, now: clock::Moment) -> (u32, u32) {
+        let known = self
+            .states
+            .values()
+            .filter(|state| !state.news.leaving)
+            .count();
+        let whole = |count: usize| u32::try_from(count + 1).unwrap_or(u32::MAX);
+        (whole(self.alive(now).count()), whole(known))
+    }
+
+    /// Returns the time since the last instance fell silent that neither left nor came back.
+    #[must_use]
+    pub fn silent_for(&self, now: clock::Moment) -> Option<time::Duration> {
+        self.states
+            .values()
+            .filter(|state| !state.news.leaving)
+            .map(|state| now.since(state.heard_at))
+            .filter(|silent| *silent >= ALIVE_TIMEOUT)
+            .min()
+    }
+
+    /// Returns the time since another instance gave an order to an engine.
+    #[must_use]
+    pub fn last_order_age(&self, now: clock::Moment) -> Option<time::Duration> {
+        self.states
+            .values()
+            .filter(|state| state.news.last_fence > 0)
+            .map(|state| state.news.last_order_age + now.since(state.heard_at))
+            .min()
+    }
+
+    /// Returns the largest fencing number that another instance has used, 0 without any.
+    #[must_use]
+    pub fn largest_fence(&self) -> u64 {
+        self.states
+            .values()
+            .map(|state| state.news.last_fence)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Returns the instance whose view is the newest, for copying it.
     #[must_use]
     pub fn best_view(&self, now: clock::Moment) -> Option<net::Ipv4Addr> {
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::engine_usage;
+use crate::{engine_usage, retry_window};
 
 /// What one instance tells the others, in one datagram.
 #[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
@@ -28,6 +28,15 @@
     /// What it uses, by [`server_hash`] of the backend server.
     #[builder(default)]
     pub usage: Vec<(u64, engine_usage::EngineUsage)>,
+    /// Its requests and repeats in the window of the bound, by [`service_hash`].
+    #[builder(default)]
+    pub retries: Vec<(u64, retry_window::RetryCount)>,
+    /// Fencing number of its last order to an engine, 0 when it has given none.
+    #[builder(default)]
+    pub last_fence: u64,
+    /// Time since that order.
+    #[builder(default)]
+    pub last_order_age: time::Duration,
     /// Addresses of the other instances that it has heard of lately.
     #[builder(default)]
     pub known: Vec<net::Ipv4Addr>,
@@ -38,3 +47,9 @@
 pub fn server_hash(server: &ids::ServerName) -> u64 {
     xxhash_rust::xxh3::xxh3_64(server.as_str().as_bytes())
 }
+
+/// Returns the short form of a service's name in news.
+#[must_use]
+pub fn service_hash(service: &ids::ServiceName) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(service.as_str().as_bytes())
+}
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -1,6 +1,7 @@
 //! Every decision about relayed requests, without I/O: time and randomness are inputs.
 
 mod core_calls;
+mod core_orders;
 mod core_streams;
 mod core_views;
 
@@ -9,11 +10,12 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_book, core_settings, instance_book, length_guess, retry_window, route_rule,
-    site_config, stream_lease, view_keeper, wait_line,
+    backend, backend_book, core_settings, instance_book, length_guess, order_gate, retry_window,
+    route_rule, site_config, stage_planner, stream_lease, view_keeper, wait_line,
 };
 
 pub use core_calls::ServerPick;
+pub use core_orders::StageOrder;
 pub use core_streams::{PlaceAnswer, StreamEnd, StreamPlace};
 
 /// The route of a request.
@@ -42,6 +44,10 @@
 struct StreamAverage {
     /// Time from the grant of a place to its end, in milliseconds.
     held_millis: f64,
+    /// Prompt tokens of a request.
+    prompt_tokens: f64,
+    /// Memory that a stream holds on average, in tokens.
+    mean_tokens: f64,
     lengths: length_guess::LengthGuess,
 }
 
@@ -60,6 +66,12 @@
     averages: collections::BTreeMap<ids::ServiceName, StreamAverage>,
     /// Tokens that a stream generates in a millisecond.
     pace: f64,
+    order_gate: order_gate::OrderGate,
+    planners: collections::BTreeMap<ids::ServiceName, stage_planner::StagePlanner>,
+    /// Moment and fencing number of this instance's last order.
+    last_order: Option<(clock::Moment, u64)>,
+    /// Number that fencing numbers must exceed.
+    fence_floor: u64,
     random: rand_chacha::ChaCha8Rng,
     news_sequence: u64,
     leaving: bool,
@@ -81,6 +93,10 @@
             windows: collections::BTreeMap::new(),
             averages: collections::BTreeMap::new(),
             pace: USUAL_PACE,
+            order_gate: order_gate::OrderGate::default(),
+            planners: collections::BTreeMap::new(),
+            last_order: None,
+            fence_floor: 0,
             random,
             news_sequence: 0,
             leaving: false,
@@ -144,18 +160,28 @@
         }
     }
 
-    /// Takes one repeat out of a service's share; returns whether there was one.
-    pub fn take_repeat(&mut self, now: clock::Moment, service: &ids::ServiceName) -> bool {
-        let instances = self.instances.live_count(now);
+    /// Takes repeats out of what is allowed for a service; returns whether there were enough.
+    pub fn take_repeats(
+        &mut self,
+        now: clock::Moment,
+        service: &ids::ServiceName,
+        repeats: u32,
+    ) -> bool {
         let bound = self.settings.retry_bound;
+        let fleet = self.instances.fleet_count(now, service, &bound);
         let window = self.window(service);
-        let allowed = window.allows(now, &bound, instances);
+        let allowed = repeats == 0 || window.allows(now, &bound, fleet, repeats);
         if allowed {
-            window.count_repeat(now);
+            window.count_repeats(now, repeats);
         }
         allowed
     }
 
+    /// Counts a repeat that wasn't asked for, such as a first prompt that was refused.
+    pub fn count_repeat(&mut self, now: clock::Moment, service: &ids::ServiceName) {
+        self.window(service).count_repeats(now, 1);
+    }
+
     /// Returns a backend server's entry.
     #[must_use]
     pub fn entry(&self, key: backend::BackendKey) -> Option<crate::BackendEntry> {
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -22,7 +22,7 @@
 const FILL_LIMIT: f64 = 0.92;
 
 /// Share up to which requests that are late already are placed, so that room is left for others.
-const LATE_FILL_LIMIT: f64 = 0.8;
+const LATE_FILL_LIMIT: f64 = 0.6;
 
 /// Time between the end of prefill and the first token at the caller.
 const HAND_OVER: time::Duration = time::Duration::from_millis(80);
@@ -197,6 +197,37 @@
         ejected
     }
 
+    /// Moves the place of a stream whose prompt was read to another decode engine; returns that
+    /// one, or `None` when no other has room.
+    pub fn move_decode(
+        &mut self,
+        now: clock::Moment,
+        key: stream_lease::StreamKey,
+        outcome: backend_health::BackendOutcome,
+    ) -> Option<(backend::BackendKey, backend_entry::BackendEntry)> {
+        let lease = self.leases.get_mut(key)?;
+        let left = lease.decode;
+        lease.ask.avoid.push(left);
+        let ask = lease.ask.clone();
+        if let Some(engine) = self.book.get_mut(left) {
+            engine.own_running = engine.own_running.saturating_sub(1);
+            engine.own_streams.remove(&key);
+            engine.health.ended(now, outcome, time::Duration::ZERO);
+        }
+        let size = self.engine_size(&ask.service)?;
+        let chosen = self.chooser(now, size, FILL_LIMIT).choose_decode(&ask);
+        // Without another engine the lease stays on the first one until it is released.
+        let decode = chosen.unwrap_or(left);
+        let engine = self.book.get_mut(decode)?;
+        engine.own_running += 1;
+        engine.own_streams.insert(key, ask.load());
+        let entry = engine.entry.clone();
+        if let Some(lease) = self.leases.get_mut(key) {
+            lease.decode = decode;
+        }
+        chosen.map(|decode| (decode, entry))
+    }
+
     /// Returns the expected time from a place to the first token.
     #[must_use]
     pub fn time_to_first_token(
@@ -317,6 +348,10 @@
         let average = self.average(&lease.ask);
         let held_millis = now.since(lease.granted_at).as_secs_f64() * 1_000.0;
         average.held_millis += (held_millis - average.held_millis) * HELD_WEIGHT;
+        let prompt_tokens = f64::from(lease.ask.prompt_tokens);
+        average.prompt_tokens += (prompt_tokens - average.prompt_tokens) * HELD_WEIGHT;
+        let mean_tokens = f64::from(lease.ask.mean_tokens());
+        average.mean_tokens += (mean_tokens - average.mean_tokens) * HELD_WEIGHT;
         if lease.ask.resumes || lease.generated == 0 {
             return;
         }
@@ -341,6 +376,8 @@
             .entry(ask.service.clone())
             .or_insert_with(|| StreamAverage {
                 held_millis: USUAL_HELD_MILLIS,
+                prompt_tokens: f64::from(ask.prompt_tokens),
+                mean_tokens: f64::from(ask.prompt_tokens + ask.output_tokens / 4),
                 lengths: length_guess::LengthGuess::new(ask.output_tokens),
             })
     }
@@ -367,7 +404,17 @@
             .map_or(1, |size| size.tokens_per_event)
     }
 
-    fn engine_size(&self, service: &ids::ServiceName) -> Option<service_rule::EngineSize> {
+    /// Returns the time that a prefill result of a service is kept before it is taken.
+    #[must_use]
+    pub fn result_retention(&self, service: &ids::ServiceName) -> time::Duration {
+        self.engine_size(service)
+            .map_or(time::Duration::ZERO, |size| size.retention)
+    }
+
+    pub(super) fn engine_size(
+        &self,
+        service: &ids::ServiceName,
+    ) -> Option<service_rule::EngineSize> {
         self.keeper
             .view()
             .config
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -75,6 +75,15 @@
     pub fn news(&mut self, now: clock::Moment) -> instance_news::InstanceNews {
         self.news_sequence += 1;
         let age = self.keeper.age(now);
+        let bound = self.settings.retry_bound;
+        let retries = self
+            .windows
+            .iter_mut()
+            .map(|(service, window)| {
+                let count = window.count(now, &bound);
+                (instance_news::service_hash(service), count)
+            })
+            .collect();
         instance_news::InstanceNews::builder()
             .address(self.settings.address)
             .incarnation(self.settings.incarnation)
@@ -88,6 +97,12 @@
             })
             .view_age(age.unwrap_or_default())
             .usage(self.book.own_usage())
+            .retries(retries)
+            .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
+            .last_order_age(
+                self.last_order
+                    .map_or(time::Duration::ZERO, |(at, _)| now.since(at)),
+            )
             .known(self.instances.alive(now).collect())
             .build()
     }
--- a/components/relay/src/retry_window.rs
+++ b/components/relay/src/retry_window.rs
@@ -1,9 +1,13 @@
-//! The share of the fleet's repeats that this instance may send.
+//! The share of a service's requests that may be repeats.
 
 use std::{collections, time};
 
-/// Part of the allowed repeats that is used: counts of the instances differ from the platform's.
-const USED_SHARE: f64 = 0.75;
+/// Part of the allowed repeats that is used: what other instances tell is a little late.
+const USED_SHARE: f64 = 0.8;
+
+/// Part of its even share that an instance uses while its own counts don't reach back over a whole
+/// window.
+const START_SHARE: f64 = 0.5;
 
 /// Bound on repeats in a sliding window.
 #[derive(Clone, Copy, Debug, PartialEq, bon::Builder)]
@@ -16,6 +20,26 @@
     pub window: time::Duration,
 }
 
+/// Requests and repeats of one service in a window.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RetryCount {
+    /// Requests of callers.
+    pub requests: u32,
+    /// Arrivals at servers beyond the first of each request.
+    pub repeats: u32,
+}
+
+/// What the other instances have counted, and how many there are.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct FleetCount {
+    /// Their counts together.
+    pub count: RetryCount,
+    /// Instances that live, this one included.
+    pub live: u32,
+    /// Instances known, this one included; those that don't live may be cut off and go on.
+    pub known: u32,
+}
+
 /// Counts requests and repeats of one service in a sliding window.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
@@ -30,18 +54,39 @@
         self.requests.push_back(now);
     }
 
-    /// Counts a repeat that was sent or refused, whether or not the bound allows it.
-    pub fn count_repeat(&mut self, now: clock::Moment) {
-        self.repeats.push_back(now);
+    /// Counts repeats that were sent, whether or not the bound allowed them.
+    pub fn count_repeats(&mut self, now: clock::Moment, repeats: u32) {
+        for _ in 0..repeats {
+            self.repeats.push_back(now);
+        }
     }
 
-    /// Returns whether one more repeat stays within this instance's share.
-    pub fn allows(&mut self, now: clock::Moment, bound: &RetryBound, instances: usize) -> bool {
+    /// Returns this instance's counts.
+    pub fn count(&mut self, now: clock::Moment, bound: &RetryBound) -> RetryCount {
         self.forget(now, bound);
-        let requests = count_as_f64(self.requests.len());
-        let share = bound.slack / count_as_f64(instances.max(1));
-        let allowed = (bound.ratio * requests + share) * USED_SHARE;
-        count_as_f64(self.repeats.len()) + 1.0 <= allowed
+        RetryCount {
+            requests: whole(self.requests.len()),
+            repeats: whole(self.repeats.len()),
+        }
+    }
+
+    /// Returns whether `wanted` more repeats stay within the bound of all instances together.
+    pub fn allows(
+        &mut self,
+        now: clock::Moment,
+        bound: &RetryBound,
+        fleet: FleetCount,
+        wanted: u32,
+    ) -> bool {
+        let own = self.count(now, bound);
+        let known = f64::from(fleet.known.max(1));
+        let live_share = f64::from(fleet.live.max(1)) / known;
+        let requests = f64::from(own.requests + fleet.count.requests);
+        let allowed = (bound.ratio * requests + bound.slack * live_share) * USED_SHARE;
+        let used = f64::from(own.repeats + fleet.count.repeats + wanted);
+        let is_young = now.since(clock::Moment::default()) < bound.window;
+        let own_used = f64::from(own.repeats + wanted);
+        used <= allowed && (!is_young || own_used <= allowed / known * START_SHARE)
     }
 
     fn forget(&mut self, now: clock::Moment, bound: &RetryBound) {
@@ -54,6 +99,6 @@
     }
 }
 
-fn count_as_f64(count: usize) -> f64 {
-    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+fn whole(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/components/relay/src/stream_ask.rs
+++ b/components/relay/src/stream_ask.rs
@@ -26,6 +26,8 @@
     /// Whether the caller has already received a part of the answer.
     #[builder(default)]
     pub resumes: bool,
+    /// Prefill engine that has read the prompt already and may still have it in its cache.
+    pub warm_prefill: Option<backend::BackendKey>,
     /// Engines that have failed this request.
     #[builder(default)]
     pub avoid: Vec<backend::BackendKey>,
