--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -15,6 +15,10 @@
 /// What the fill of a decode engine costs, as time at a full engine.
 const FILL_COST: time::Duration = time::Duration::from_millis(80);
 
+/// Longest time that a prompt waits at a prefill engine. Beyond it a request keeps its place in the
+/// line, where it holds no memory of a decode engine.
+const PREFILL_WAIT_LIMIT: time::Duration = time::Duration::from_millis(300);
+
 /// The engines chosen for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EngineChoice {
@@ -128,7 +132,10 @@
                 prefill_wait: time::Duration::ZERO,
             },
         ));
-        let paired = prefills.iter().map(move |(prefill, reader)| {
+        let free = prefills
+            .iter()
+            .filter(|(_, reader)| reader.prefill_wait() <= PREFILL_WAIT_LIMIT);
+        let paired = free.map(move |(prefill, reader)| {
             let prefill_wait = reader.prefill_wait();
             let crosses = reader.entry.data_centre != engine.entry.data_centre;
             let transfer = if crosses {
