--- /dev/null
+++ b/components/relay/tests/common/mod.rs
@@ -0,0 +1,224 @@
+//! Fixtures of the relay core's tests.
+#![allow(dead_code, reason = "each test file uses a part of the fixtures")]
+
+use std::{collections, net, sync, time};
+
+/// Name of the service with engines.
+pub const LLM: &str = "drafts";
+
+/// Name of the plain service.
+pub const SHOP: &str = "orders";
+
+/// Memory of one engine, in tokens.
+pub const KV_TOKENS: u32 = 96_000;
+
+/// Returns a moment in milliseconds after the start.
+pub const fn at(millis: u64) -> clock::Moment {
+    clock::Moment::from_millis(millis)
+}
+
+/// Returns a time in milliseconds.
+pub const fn ms(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
+
+/// Returns the address of an instance.
+pub const fn instance(number: u8) -> net::Ipv4Addr {
+    net::Ipv4Addr::new(10, 0, 0, number)
+}
+
+/// Returns the bound on repeats of a small site.
+pub fn bound() -> relay::RetryBound {
+    relay::RetryBound::builder()
+        .ratio(0.2)
+        .slack(52.0)
+        .window(time::Duration::from_secs(10))
+        .build()
+}
+
+/// Returns a core of the first instance that knows nothing.
+pub fn empty_core() -> relay::RelayCore {
+    core_of(1)
+}
+
+/// Returns a core of an instance that knows nothing.
+pub fn core_of(number: u8) -> relay::RelayCore {
+    relay::RelayCore::new(
+        relay::CoreSettings::builder()
+            .address(instance(number))
+            .incarnation(1_000 + u64::from(number))
+            .data_centre("a".into())
+            .retry_bound(bound())
+            .seed(7)
+            .build(),
+    )
+}
+
+/// Returns a stream's route.
+pub fn draft_route() -> relay::RouteRule {
+    relay::RouteRule::builder()
+        .name("draft")
+        .host("site.example")
+        .prefix("/draft/")
+        .kind(relay::RequestKind::Streaming)
+        .timeout(ms(14_000))
+        .latency_target(ms(900))
+        .shares(vec![share(LLM, 1)])
+        .attempt_limit(2)
+        .resumable(true)
+        .build()
+}
+
+/// Returns a call's route.
+pub fn order_route() -> relay::RouteRule {
+    relay::RouteRule::builder()
+        .name("order")
+        .host("site.example")
+        .prefix("/order/")
+        .kind(relay::RequestKind::NonIdempotent)
+        .timeout(ms(800))
+        .latency_target(ms(100))
+        .shares(vec![share(SHOP, 1)])
+        .build()
+}
+
+/// Returns a share of a route.
+pub fn share(service: &str, weight: u32) -> relay::ServiceShare {
+    relay::ServiceShare {
+        service: service.into(),
+        weight,
+    }
+}
+
+/// Returns a configuration of a version.
+pub fn config(version: u64, routes: Vec<relay::RouteRule>) -> sync::Arc<relay::SiteConfig> {
+    let engine = relay::EngineSize::builder()
+        .slots(64)
+        .kv_tokens(KV_TOKENS)
+        .tokens_per_event(50)
+        .retention(ms(500))
+        .build();
+    let rule = |engine| relay::ServiceRule {
+        health_path: "/health".to_owned(),
+        connection_limit: 100,
+        engine,
+    };
+    sync::Arc::new(relay::SiteConfig {
+        version,
+        routes,
+        services: collections::BTreeMap::from([
+            (LLM.into(), rule(Some(engine))),
+            (SHOP.into(), rule(None)),
+        ]),
+        bounds: relay::RequestBounds::default(),
+    })
+}
+
+/// Returns the entry of an engine.
+pub fn engine(name: &str, stage: relay::EngineStage, data_centre: &str) -> relay::BackendEntry {
+    relay::BackendEntry::builder()
+        .server(name.into())
+        .service(LLM.into())
+        .address(address(name))
+        .data_centre(data_centre.into())
+        .slots(64)
+        .stage(stage)
+        .born_millis(1)
+        .build()
+}
+
+/// Returns the entry of a plain server.
+pub fn server(name: &str, data_centre: &str) -> relay::BackendEntry {
+    relay::BackendEntry::builder()
+        .server(name.into())
+        .service(SHOP.into())
+        .address(address(name))
+        .data_centre(data_centre.into())
+        .slots(6)
+        .born_millis(1)
+        .build()
+}
+
+fn address(name: &str) -> net::SocketAddr {
+    let host = name.bytes().fold(1_u8, u8::wrapping_add);
+    net::SocketAddr::from(([10, 1, 0, host], 8_080))
+}
+
+/// Returns an update with everything that the platform publishes.
+pub fn full_update(
+    revision: u64,
+    config: &sync::Arc<relay::SiteConfig>,
+    entries: &[relay::BackendEntry],
+) -> relay::ViewUpdate {
+    let mut changes = vec![relay::ViewChange::Config(sync::Arc::clone(config))];
+    changes.extend(entries.iter().cloned().map(relay::ViewChange::Backend));
+    relay::ViewUpdate {
+        revision,
+        complete: true,
+        changes,
+    }
+}
+
+/// Returns an update with changes.
+pub fn changes(revision: u64, changes: Vec<relay::ViewChange>) -> relay::ViewUpdate {
+    relay::ViewUpdate {
+        revision,
+        complete: false,
+        changes,
+    }
+}
+
+/// Returns a core that knows both routes and some entries.
+pub fn core_with(entries: &[relay::BackendEntry]) -> relay::RelayCore {
+    let mut core = empty_core();
+    let config = config(1, vec![draft_route(), order_route()]);
+    core.view_read(at(0), at(0), full_update(10, &config, entries));
+    core
+}
+
+/// Returns two prefill and two decode engines.
+pub fn four_engines() -> Vec<relay::BackendEntry> {
+    vec![
+        engine("p1", relay::EngineStage::Prefill, "a"),
+        engine("p2", relay::EngineStage::Prefill, "b"),
+        engine("d1", relay::EngineStage::Decode, "a"),
+        engine("d2", relay::EngineStage::Decode, "b"),
+    ]
+}
+
+/// Returns a request for a place that arrived at `arrived`.
+pub fn ask(arrived: clock::Moment, prompt_tokens: u32) -> relay::StreamAsk {
+    relay::StreamAsk::builder()
+        .service(LLM.into())
+        .prompt_tokens(prompt_tokens)
+        .output_tokens(6_500)
+        .expected_tokens(3_000)
+        .first_token_due(arrived + ms(900))
+        .wait_until(arrived + ms(2_700))
+        .build()
+}
+
+/// Returns the place of an answer.
+pub fn placed(answer: relay::PlaceAnswer) -> relay::StreamPlace {
+    match answer {
+        relay::PlaceAnswer::Placed(place) => *place,
+        other => panic!("not placed: {other:?}"),
+    }
+}
+
+/// Returns the end of a stream.
+pub const fn ended(outcome: relay::BackendOutcome) -> relay::StreamEnd {
+    relay::StreamEnd {
+        outcome,
+        first_token: ms(20),
+    }
+}
+
+/// Returns news of another instance.
+pub fn news(number: u8, sequence: u64) -> relay::InstanceNews {
+    relay::InstanceNews::builder()
+        .address(instance(number))
+        .incarnation(1_000 + u64::from(number))
+        .sequence(sequence)
+        .build()
+}
