--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -65,10 +65,19 @@
     /// Attempts that may have run.
     runs: u32,
     server: Option<ids::ServerName>,
+    ended: bool,
+}
+
+impl Drop for CallSession {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log_ended("caller_left", None, None, None);
+        }
+    }
 }
 
 impl CallSession {
-    pub(crate) const fn new(
+    pub(crate) fn new(
         gateway: sync::Arc<gateway::Gateway>,
         routed: gateway::RoutedRequest,
     ) -> Self {
@@ -79,6 +88,7 @@
             tries: 0,
             runs: 0,
             server: None,
+            ended: false,
         }
     }
 
@@ -213,8 +223,8 @@
                 .decide(|core, now| core.take_repeats(now, &self.routed.service, 1))
     }
 
-    fn answer(&self, reply: whole_reply::WholeReply) -> relay_answer::RelayAnswer {
-        self.log_ended("relayed", None, reply.status.as_u16(), None);
+    fn answer(&mut self, reply: whole_reply::WholeReply) -> relay_answer::RelayAnswer {
+        self.log_ended("relayed", None, Some(reply.status.as_u16()), None);
         relay_answer::RelayAnswer::Whole {
             status: reply.status,
             headers: reply.headers,
@@ -223,7 +233,7 @@
     }
 
     fn give_up(
-        &self,
+        &mut self,
         refusal: Option<relay::Refusal>,
         reply: Option<whole_reply::WholeReply>,
     ) -> relay_answer::RelayAnswer {
@@ -244,7 +254,12 @@
         if let Some(reason) = reason {
             self.gateway.metrics.refused(reason);
         }
-        self.log_ended(answer.into(), reason, answer.status().as_u16(), retry_after);
+        self.log_ended(
+            answer.into(),
+            reason,
+            Some(answer.status().as_u16()),
+            retry_after,
+        );
         relay_answer::RelayAnswer::Own {
             answer,
             retry_after,
@@ -291,12 +306,13 @@
     }
 
     fn log_ended(
-        &self,
+        &mut self,
         outcome: &str,
         reason: Option<&str>,
-        status: u16,
+        status: Option<u16>,
         retry_after: Option<time::Duration>,
     ) {
+        self.ended = true;
         let took = self.gateway.port.now().since(self.routed.arrived);
         let kind: &'static str = self.routed.route.kind.into();
         self.gateway.metrics.ended(kind, outcome, took);
@@ -307,7 +323,7 @@
                 route: Some(&self.routed.route.name),
                 outcome,
                 reason,
-                status: Some(status),
+                status,
                 server: self.server.as_ref().map(ids::ServerName::as_str),
                 attempts: self.tries,
                 took_ms: gateway::millis(took),
