--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -25,6 +25,7 @@
     peer_port: u16,
     lost_at: Option<clock::Moment>,
     needs_all: bool,
+    was_ready: bool,
 }
 
 impl ViewReader {
@@ -47,6 +48,7 @@
             peer_port,
             lost_at: None,
             needs_all: false,
+            was_ready: false,
         }
     }
 
@@ -101,7 +103,7 @@
     }
 
     /// Takes over the view of another instance, when that one is newer.
-    async fn copy_view(&self, fingerprint: u64) {
+    async fn copy_view(&mut self, fingerprint: u64) {
         let target = self.port.decide(|core, now| {
             let known = core.keeper().is_known();
             core.instances()
@@ -141,12 +143,13 @@
         })
     }
 
-    fn note_change(&self, source: &str, before: u64) {
+    fn note_change(&mut self, source: &str, before: u64) {
         let (view, fingerprint, age) = self.port.decide(|core, now| {
             let keeper = core.keeper();
             (keeper.view().clone(), keeper.fingerprint(), keeper.age(now))
         });
         self.metrics.set_view(age, view.config_version());
+        self.note_readiness();
         self.metrics.set_lines_dropped(self.log.dropped());
         if fingerprint == before {
             return;
@@ -161,6 +164,15 @@
         });
     }
 
+    fn note_readiness(&mut self) {
+        let ready = self.port.decide(|core, _| core.is_ready());
+        if ready != self.was_ready {
+            self.was_ready = ready;
+            self.log
+                .write(&decision_event::DecisionEvent::ReadinessChanged { ready });
+        }
+    }
+
     fn lost(&mut self, error: &site_source::SourceError) {
         if self.lost_at.is_some() {
             return;
--- /dev/null
+++ b/components/gateway/tests/events.rs
@@ -0,0 +1,175 @@
+//! Events of streams, news between instances, and the page about the log.
+
+use std::{collections, fs, net, path, time};
+
+use proptest::prelude::*;
+
+fn event(number: u64, data: &str) -> String {
+    format!("id: {number}\ndata: {data}\n\n")
+}
+
+fn split(pieces: &[&[u8]]) -> (Vec<gateway::StreamEvent>, bool) {
+    let mut splitter = gateway::EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece);
+        events.extend(std::iter::from_fn(|| splitter.next_event()));
+    }
+    (events, splitter.is_empty())
+}
+
+#[test]
+fn an_event_in_part_is_not_passed_on() {
+    let (events, empty) = split(&[b"id: 1\ndata: a\n\nid: 2\nda"]);
+
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].number, Some(1));
+    assert!(!empty);
+}
+
+#[test]
+fn lines_that_end_in_two_characters_are_understood() {
+    let (events, empty) = split(&[b"id: 7\r\ndata: a\r\n\r\n"]);
+
+    assert_eq!(events[0].number, Some(7));
+    assert!(empty);
+}
+
+#[test]
+fn an_event_without_a_number_is_passed_on() {
+    let (events, _) = split(&[b": comment\n\n"]);
+
+    assert_eq!(events[0].number, None);
+}
+
+proptest! {
+    #[test]
+    fn however_a_stream_is_cut_its_events_stay_whole(
+        data in prop::collection::vec("[a-z]{0,30}", 1..20),
+        cuts in prop::collection::vec(1_usize..40, 1..60),
+    ) {
+        let text: String = (0..).zip(&data).map(|(number, data)| event(number, data)).collect();
+        let mut rest = text.as_bytes();
+        let mut pieces = Vec::new();
+        for cut in cuts {
+            let (piece, left) = rest.split_at(cut.min(rest.len()));
+            pieces.push(piece);
+            rest = left;
+        }
+        pieces.push(rest);
+
+        let (events, empty) = split(&pieces);
+
+        let joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        prop_assert_eq!(joined, text.as_bytes());
+        prop_assert!(empty);
+        let numbers: Vec<Option<u64>> = events.iter().map(|event| event.number).collect();
+        let expected: Vec<Option<u64>> = (0..data.len() as u64).map(Some).collect();
+        prop_assert_eq!(numbers, expected);
+    }
+
+    #[test]
+    fn news_are_read_as_they_were_written(
+        host in any::<u32>(),
+        numbers in any::<[u64; 6]>(),
+        loads in prop::collection::vec(any::<(u32, u32)>(), 0..5),
+        leaving in any::<bool>(),
+    ) {
+        let usage = relay::EngineUsage {
+            running: 3,
+            prefill_tokens: 9,
+            streams: loads
+                .iter()
+                .map(|(held, remaining)| relay::StreamLoad { held: *held, remaining: *remaining })
+                .collect(),
+        };
+        let count = relay::RetryCount { requests: 4, repeats: 5 };
+        let news = relay::InstanceNews::builder()
+            .address(net::Ipv4Addr::from_bits(host))
+            .incarnation(numbers[0])
+            .sequence(numbers[1])
+            .leaving(leaving)
+            .revision(numbers[2])
+            .fingerprint(numbers[3])
+            .view_age(time::Duration::from_millis(250))
+            .usage(vec![(numbers[4], usage)])
+            .retries(vec![(numbers[5], count)])
+            .last_fence(numbers[0])
+            .last_order_age(time::Duration::from_millis(40))
+            .known(vec![net::Ipv4Addr::from_bits(host)])
+            .build();
+
+        let read = gateway::decode_news(&gateway::encode_news(&news));
+
+        prop_assert_eq!(read.ok(), Some(news));
+    }
+
+    #[test]
+    fn bytes_that_are_no_news_are_refused_or_read_without_a_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..200),
+    ) {
+        let _read = gateway::decode_news(&bytes);
+    }
+}
+
+/// Returns the variants of the log's events with their fields, from the source.
+fn documented_names() -> collections::BTreeMap<String, Vec<String>> {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let source = fs::read_to_string(root.join("src/decision_event.rs")).expect("it is there");
+    let body = source
+        .split("pub enum DecisionEvent<'a> {")
+        .nth(1)
+        .and_then(|rest| rest.split("\n}\n").next())
+        .expect("the events are listed");
+    let mut names: collections::BTreeMap<String, Vec<String>> = collections::BTreeMap::new();
+    let mut current = String::new();
+    for line in body.lines() {
+        if let Some(name) = line
+            .strip_prefix("    ")
+            .and_then(|line| line.strip_suffix(" {"))
+        {
+            current = snake_case(name);
+            names.insert(current.clone(), Vec::new());
+        } else if let Some((field, _)) = line.trim().split_once(": ")
+            && line.starts_with("        ")
+            && !line.trim().starts_with("//")
+        {
+            names
+                .entry(current.clone())
+                .or_default()
+                .push(field.to_owned());
+        }
+    }
+    names
+}
+
+fn snake_case(name: &str) -> String {
+    name.chars()
+        .enumerate()
+        .flat_map(|(index, letter)| {
+            let gap = (letter.is_uppercase() && index > 0).then_some('_');
+            gap.into_iter().chain(letter.to_lowercase())
+        })
+        .collect()
+}
+
+#[test]
+fn the_page_on_the_log_names_every_event_and_field() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = fs::read_to_string(root.join("../../docs/operators/logs.md")).expect("it is there");
+    let names = documented_names();
+    assert!(names.len() > 12, "{names:?}");
+
+    for (event, fields) in names {
+        let row = page
+            .lines()
+            .find(|line| line.starts_with(&format!("| `{event}` |")))
+            .unwrap_or_else(|| panic!("the page lacks `{event}`"));
+        for field in fields {
+            assert!(
+                row.contains(&format!("`{field}`")),
+                "`{event}` lacks `{field}`"
+            );
+        }
+    }
+}
