gateway: wait for slow calls when no repeat is left; let streams that break early stay on their engine

Change: the repeat is taken before the attempt is cut; an early break stays on the engine, which has the prompt; engines that may have run are counted once each.

--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -51,6 +51,8 @@
         outcome: relay::BackendOutcome,
         not_run: bool,
         error: String,
+        /// Whether a repeat was granted when the attempt was given up.
+        granted: bool,
         /// What the server answered, when its failure is an answer for the caller.
         reply: Option<whole_reply::WholeReply>,
     },
@@ -106,20 +108,21 @@
             let key = pick.key;
             let started = self.gateway.port.now();
             let (end, server) = self.attempt(pick).await;
-            let (outcome, not_run, error, reply) = match end {
+            let (outcome, not_run, error, granted, reply) = match end {
                 AttemptEnd::Reply(reply) => return self.answer(reply),
                 AttemptEnd::Failed {
                     outcome,
                     not_run,
                     error,
+                    granted,
                     reply,
-                } => (outcome, not_run, error, reply),
+                } => (outcome, not_run, error, granted, reply),
             };
             self.avoid.push(key);
             if !not_run {
                 self.runs += 1;
             }
-            let retries = self.may_retry(outcome, not_run);
+            let retries = granted || self.may_retry(outcome, not_run);
             let took = self.gateway.port.now().since(started);
             self.log_failure(&server, outcome, not_run, &error, took, retries);
             if !retries {
@@ -149,16 +152,7 @@
             .time_left(time_left)
             .start_by(self.routed.deadline)
             .build();
-        let exchange = self.exchange(send);
-        let end = match tokio::time::timeout(patience, exchange).await {
-            Ok(end) => end,
-            Err(_) => AttemptEnd::Failed {
-                outcome: relay::BackendOutcome::Silent,
-                not_run: false,
-                error: "no answer in time".to_owned(),
-                reply: None,
-            },
-        };
+        let end = self.exchange_within(send, patience, time_left).await;
         let outcome = match &end {
             AttemptEnd::Reply(_) => relay::BackendOutcome::Succeeded,
             AttemptEnd::Failed { outcome, .. } => *outcome,
@@ -167,6 +161,31 @@
         (end, server)
     }
 
+    /// Waits for an answer for `patience`, and on up to `time_left` unless a repeat is granted.
+    async fn exchange_within(
+        &self,
+        send: relay_client::RelaySend,
+        patience: time::Duration,
+        time_left: time::Duration,
+    ) -> AttemptEnd {
+        let exchange = self.exchange(send);
+        tokio::pin!(exchange);
+        if let Ok(end) = tokio::time::timeout(patience, exchange.as_mut()).await {
+            return end;
+        }
+        let granted = patience < time_left && self.take_repeat();
+        if !granted && let Ok(end) = tokio::time::timeout(time_left - patience, exchange).await {
+            return end;
+        }
+        AttemptEnd::Failed {
+            outcome: relay::BackendOutcome::Silent,
+            not_run: false,
+            error: "no answer in time".to_owned(),
+            granted,
+            reply: None,
+        }
+    }
+
     async fn exchange(&self, send: relay_client::RelaySend) -> AttemptEnd {
         let reply = match self.gateway.client.send(&self.routed.request, send).await {
             Ok(reply) => reply,
@@ -178,12 +197,14 @@
                 outcome: relay::BackendOutcome::Refused,
                 not_run: true,
                 error: format!("refused with status {}", reply.status),
+                granted: false,
                 reply: None,
             },
             Ok(reply) if reply.status.is_server_error() => AttemptEnd::Failed {
                 outcome: relay::BackendOutcome::Failed,
                 not_run: false,
                 error: format!("status {}", reply.status),
+                granted: false,
                 reply: Some(reply),
             },
             Ok(reply) => AttemptEnd::Reply(reply),
@@ -216,11 +237,13 @@
             }
         }
         // A server that was never reached received nothing, so another one is no repeat.
-        outcome == relay::BackendOutcome::Unreachable
-            || self
-                .gateway
-                .port
-                .decide(|core, now| core.take_repeats(now, &self.routed.service, 1))
+        outcome == relay::BackendOutcome::Unreachable || self.take_repeat()
+    }
+
+    fn take_repeat(&self) -> bool {
+        self.gateway
+            .port
+            .decide(|core, now| core.take_repeats(now, &self.routed.service, 1))
     }
 
     fn answer(&mut self, reply: whole_reply::WholeReply) -> relay_answer::RelayAnswer {
@@ -340,6 +363,7 @@
         outcome: whole_reply::outcome_of(error),
         not_run: error.proves_not_run(),
         error: error.to_string(),
+        granted: false,
         reply: None,
     }
 }
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -70,8 +70,8 @@
     pub(crate) trace: stream_trace::StreamTrace,
     /// Last event that the caller has received.
     pub(crate) last_event: Option<u64>,
-    /// Attempts that may have run.
-    pub(crate) runs: u32,
+    /// Decode engines that may have run it.
+    ran_on: Vec<relay::BackendKey>,
     size: relay_request::GenerationSize,
     avoid: Vec<relay::BackendKey>,
     tries: u32,
@@ -93,7 +93,7 @@
             trace,
             last_event: routed.request.resume_after,
             routed,
-            runs: 0,
+            ran_on: Vec::new(),
             size,
             avoid: Vec::new(),
             tries: 0,
@@ -120,6 +120,7 @@
                 relay::NextStep::MoveOn if guard.move_decode(failed.failure.outcome) => {}
                 relay::NextStep::StayOn => {
                     self.stayed = true;
+                    self.tries += 1;
                     prompt = None;
                 }
                 relay::NextStep::MoveOn | relay::NextStep::Restart => {
@@ -168,7 +169,10 @@
 
     fn allowed(&self, failure: &relay::StepFailure, wish: relay::NextStep) -> relay::NextStep {
         let route = &self.routed.route;
-        let may_run = failure.not_run || (route.may_run_again() && self.runs < route.attempt_limit);
+        // An engine that may have run it already may go on with it; another one is one more.
+        let within_limit =
+            wish == relay::NextStep::StayOn || self.ran_on_count() < route.attempt_limit;
+        let may_run = failure.not_run || (route.may_run_again() && within_limit);
         let now = self.gateway.port.now();
         if self.routed.time_left(now).is_zero() {
             return relay::NextStep::OutOfTime;
@@ -344,7 +348,7 @@
             Ok(Ok(opened)) => {
                 guard.first_token();
                 self.counts.decodes += 1;
-                self.runs += 1;
+                self.note_run(key);
                 return Ok(opened);
             }
             Ok(Err(failed)) => failed,
@@ -360,7 +364,7 @@
             self.counts.decodes += 1;
         }
         if !failed.not_run {
-            self.runs += 1;
+            self.note_run(key);
         }
         let now = self.gateway.port.now();
         let has_result = prompt.as_ref().is_some_and(|prompt| now < prompt.taken_by);
@@ -380,6 +384,21 @@
         })
     }
 
+    /// Returns whether the request may have run.
+    pub(crate) const fn may_have_run(&self) -> bool {
+        !self.ran_on.is_empty()
+    }
+
+    fn ran_on_count(&self) -> u32 {
+        u32::try_from(self.ran_on.len()).unwrap_or(u32::MAX)
+    }
+
+    fn note_run(&mut self, engine: relay::BackendKey) {
+        if !self.ran_on.contains(&engine) {
+            self.ran_on.push(engine);
+        }
+    }
+
     fn send_to(
         &self,
         entry: &relay::BackendEntry,
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -67,7 +67,7 @@
 
     fn refuse(mut self, refusal: Option<relay::Refusal>) -> relay_answer::RelayAnswer {
         let now = self.opener.gateway.port.now();
-        let answer = if self.opener.runs == 0 {
+        let answer = if !self.opener.may_have_run() {
             relay_answer::OwnAnswer::NotRun
         } else if self.opener.routed.time_left(now).is_zero() {
             relay_answer::OwnAnswer::TimedOut
--- a/components/relay/src/next_step.rs
+++ b/components/relay/src/next_step.rs
@@ -81,6 +81,7 @@
             }
             (StreamStep::Decode, Outcome::Refused) if self.has_result => NextStep::MoveOn,
             // The engine that broke a stream off still has the prompt in its cache.
+            (StreamStep::Decode, Outcome::Broken) if !self.stayed => NextStep::StayOn,
             (StreamStep::Generate, Outcome::Broken) => NextStep::StayOn,
             _ => NextStep::Restart,
         }
