--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -2,15 +2,24 @@
 
 use crate::command_error;
 
-/// Run an instance on the users' platform, which names the settings file in the environment, until
-/// SIGTERM or SIGINT; SIGHUP reads the settings again.
+/// Run an instance on the users' platform until SIGTERM or SIGINT; PLANTAINREACH_CONFIG names the
+/// settings file, and SIGHUP reads it again.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "node")]
-pub(crate) struct NodeCommand {}
+pub(crate) struct NodeCommand {
+    /// read the settings, tell what is wrong with them and exit
+    #[argh(switch)]
+    check: bool,
+}
 
 impl NodeCommand {
     /// Runs the subcommand.
     pub(crate) fn run(self) -> Result<(), command_error::CommandError> {
-        Ok(platform::run()?)
+        if self.check {
+            platform::read_settings()?;
+        } else {
+            platform::run()?;
+        }
+        Ok(())
     }
 }
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -45,7 +45,7 @@
     let install = page("docs/operators/install.md");
     let commands = names_below(&output_text(&run(&["--help"])), "Commands:");
 
-    assert_eq!(commands, ["serve", "check", "status", "demo"]);
+    assert_eq!(commands, ["serve", "node", "check", "status", "demo"]);
     for command in commands {
         assert!(
             install.contains(&format!("`plantainreach {command}")),
@@ -149,3 +149,31 @@
         assert!(schema["properties"].is_object(), "{kind}");
     }
 }
+
+/// Runs `node --check` on a settings file in the platform's format.
+fn check_platform_settings(name: &str, text: &str) -> process::Output {
+    let file = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&file, text).expect("the directory of tests is writable");
+    process::Command::new(env!("CARGO_BIN_EXE_plantainreach"))
+        .args(["node", "--check"])
+        .env("PLANTAINREACH_CONFIG", file)
+        .output()
+        .expect("the binary runs")
+}
+
+#[test]
+fn settings_of_the_platform_are_checked_without_starting() {
+    let whole = fs::read_to_string("test_data/settings/platform.toml").expect("it is there");
+    let wrong = whole.replace("internalPorts = [", "internalPorts = [\"a\", ");
+
+    let unset = run(&["node"]);
+    let valid = check_platform_settings("platform_valid.toml", &whole);
+    let invalid = check_platform_settings("platform_wrong.toml", &wrong);
+
+    assert_eq!(unset.status.code(), Some(WRONG_INPUT));
+    assert!(output_text(&unset).contains("PLANTAINREACH_CONFIG"));
+    assert_eq!(valid.status.code(), Some(0), "{}", output_text(&valid));
+    assert_eq!(invalid.status.code(), Some(WRONG_INPUT));
+    let text = output_text(&invalid);
+    assert!(text.contains("internalPorts"), "{text}");
+}
