--- a/components/gateway/src/order_giver.rs
+++ b/components/gateway/src/order_giver.rs
@@ -20,27 +20,37 @@
     loop {
         tokio::time::sleep(LOOK_INTERVAL).await;
         let wall_millis = clock.wall_millis();
-        let due = port.decide(|core, now| core.due_order(now, wall_millis));
-        let Some(order) = due else { continue };
-        port.usage_changed.notify_one();
-        let answered = tokio::time::timeout(ORDER_TIMEOUT, client.order(&order)).await;
-        let outcome: &str = match &answered {
-            Ok(Ok(reply)) => reply.into(),
-            Ok(Err(error)) => error.into(),
-            Err(_) => "no_answer",
-        };
-        if matches!(answered, Ok(Ok(relay_client::OrderReply::Fenced))) {
-            port.decide(|core, _| core.order_fenced(order.fence));
+        let due = port.decide(|core, now| core.due_orders(now, wall_millis));
+        for order in due {
+            port.usage_changed.notify_one();
+            give(&port, &*client, &log, &order).await;
         }
-        log.write(&decision_event::DecisionEvent::Ordered {
-            server: order.entry.server.as_str(),
-            stage: order.stage.into(),
-            fence: order.fence,
-            prefill_engines: order.share.prefill,
-            decode_engines: order.share.decode,
-            prefill_cost_ms: order.cost.prefill_millis,
-            decode_cost_ms: order.cost.decode_millis,
-            outcome,
-        });
     }
 }
+
+async fn give(
+    port: &core_port::CorePort,
+    client: &dyn relay_client::RelayClient,
+    log: &decision_log::DecisionLog,
+    order: &relay::StageOrder,
+) {
+    let answered = tokio::time::timeout(ORDER_TIMEOUT, client.order(order)).await;
+    let outcome: &str = match &answered {
+        Ok(Ok(reply)) => reply.into(),
+        Ok(Err(error)) => error.into(),
+        Err(_) => "no_answer",
+    };
+    if matches!(answered, Ok(Ok(relay_client::OrderReply::Fenced))) {
+        port.decide(|core, _| core.order_fenced(order.fence));
+    }
+    log.write(&decision_event::DecisionEvent::Ordered {
+        server: order.entry.server.as_str(),
+        stage: order.stage.into(),
+        fence: order.fence,
+        prefill_engines: order.share.prefill,
+        decode_engines: order.share.decode,
+        prefill_cost_ms: order.cost.prefill_millis,
+        decode_cost_ms: order.cost.decode_millis,
+        outcome,
+    });
+}
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -12,6 +12,9 @@
 /// Header field with the age of a view, in milliseconds.
 pub const AGE_HEADER: &str = "view-age-ms";
 
+/// Time that the store is given to answer before another instance is asked.
+const COPY_PAUSE: time::Duration = time::Duration::from_millis(150);
+
 /// Time that another instance is given to send its view.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 
@@ -79,7 +82,7 @@
             (now, after, keeper.fingerprint())
         });
         let after = after.filter(|_| !self.needs_all);
-        match self.source.read(after).await {
+        match self.read_or_copy(after, fingerprint).await {
             Ok(update) => {
                 self.needs_all = false;
                 self.metrics.store_read("read");
@@ -102,6 +105,30 @@
         }
     }
 
+    /// Reads the store; as long as it doesn't answer, newer views of other instances are taken over.
+    async fn read_or_copy(
+        &mut self,
+        after: Option<u64>,
+        fingerprint: u64,
+    ) -> Result<relay::ViewUpdate, site_source::SourceError> {
+        let source = sync::Arc::clone(&self.source);
+        let port = sync::Arc::clone(&self.port);
+        let reading = source.read(after);
+        tokio::pin!(reading);
+        loop {
+            let behind = async {
+                if !port.decide(|core, _| core.is_behind()) {
+                    port.view_behind.notified().await;
+                }
+                tokio::time::sleep(COPY_PAUSE).await;
+            };
+            tokio::select! {
+                result = reading.as_mut() => return result,
+                () = behind => self.copy_view(fingerprint).await,
+            }
+        }
+    }
+
     /// Takes over the view of another instance, when that one is newer.
     async fn copy_view(&mut self, fingerprint: u64) {
         let target = self.port.decide(|core, now| {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -56,7 +56,7 @@
 pub use service_rule::{EngineSize, ServiceRule};
 pub use site_config::{RequestBounds, SiteConfig};
 pub use site_view::{BackendMap, SiteView};
-pub use stage_planner::{EngineCost, EngineShare, StagePlanner};
+pub use stage_planner::{EngineCost, EngineShare, StageChange, StagePlanner};
 pub use stream_ask::StreamAsk;
 pub use stream_lease::{StreamKey, StreamLease};
 pub use view_change::{ViewChange, ViewUpdate};
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -28,16 +28,17 @@
 }
 
 impl RelayCore {
-    /// Returns an order that is due, if this instance may give one.
-    pub fn due_order(&mut self, now: clock::Moment, wall_millis: u64) -> Option<StageOrder> {
+    /// Returns the orders that are due, if this instance may give any.
+    pub fn due_orders(&mut self, now: clock::Moment, wall_millis: u64) -> Vec<StageOrder> {
         let view = self.order_view(now, wall_millis);
         if !self.order_gate.allows(now, &view) || self.leaving {
-            return None;
+            return Vec::new();
         }
         let services: Vec<ids::ServiceName> = self.averages.keys().cloned().collect();
         services
             .iter()
-            .find_map(|service| self.service_order(now, wall_millis, service))
+            .flat_map(|service| self.service_orders(now, wall_millis, service))
+            .collect()
     }
 
     /// Takes in that an order was refused because another one had a larger fencing number.
@@ -45,21 +46,36 @@
         self.fence_floor = self.fence_floor.max(fence).saturating_mul(2);
     }
 
-    fn service_order(
+    fn service_orders(
         &mut self,
         now: clock::Moment,
         wall_millis: u64,
         service: &ids::ServiceName,
-    ) -> Option<StageOrder> {
+    ) -> Vec<StageOrder> {
         let share = self.engine_share(service);
-        let cost = self.engine_cost(service)?;
+        let Some(cost) = self.engine_cost(service) else {
+            return Vec::new();
+        };
         let planner = self.planners.entry(service.clone()).or_default();
-        let stage = planner.plan(now, share, &cost)?;
+        let Some(change) = planner.plan(now, share, &cost) else {
+            return Vec::new();
+        };
+        planner.note_change(now);
+        (0..change.engines)
+            .map_while(|_| self.stage_order(now, wall_millis, service, change.stage, share, cost))
+            .collect()
+    }
+
+    fn stage_order(
+        &mut self,
+        now: clock::Moment,
+        wall_millis: u64,
+        service: &ids::ServiceName,
+        stage: backend_entry::EngineStage,
+        share: stage_planner::EngineShare,
+        cost: stage_planner::EngineCost,
+    ) -> Option<StageOrder> {
         let (key, entry) = self.idlest_engine(now, service, stage)?;
-        self.planners
-            .entry(service.clone())
-            .or_default()
-            .note_change(now);
         let fence = self.next_fence(wall_millis);
         self.last_order = Some((now, fence));
         if let Some(engine) = self.book.get_mut(key) {
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -6,6 +6,12 @@
 
 use super::RelayCore;
 
+/// Instances up to which all news name all others.
+const SMALL_FLEET: usize = 16;
+
+/// News of a large fleet of which one names the other instances.
+const TELLING_INTERVAL: u64 = 8;
+
 impl RelayCore {
     /// Returns when the platform's store is to be read next.
     #[must_use]
@@ -103,10 +109,21 @@
                 self.last_order
                     .map_or(time::Duration::ZERO, |(at, _)| now.since(at)),
             )
-            .known(self.instances.alive(now).collect())
+            .known(self.told_instances(now))
             .build()
     }
 
+    /// Returns the addresses of other instances that this one tells: all in a small fleet, all in one
+    /// of several news in a large one.
+    fn told_instances(&self, now: clock::Moment) -> Vec<net::Ipv4Addr> {
+        let alive: Vec<net::Ipv4Addr> = self.instances.alive(now).collect();
+        if alive.len() <= SMALL_FLEET || self.news_sequence % TELLING_INTERVAL == 1 {
+            alive
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Returns where news are sent to.
     #[must_use]
     pub fn news_targets(&self, now: clock::Moment) -> collections::BTreeSet<net::Ipv4Addr> {
--- a/components/relay/src/stage_planner.rs
+++ b/components/relay/src/stage_planner.rs
@@ -7,11 +7,14 @@
 /// Time for which another share must look better before an engine is changed.
 const LASTING: time::Duration = time::Duration::from_millis(1_500);
 
-/// Time between two changes of a service's engines, beyond the time that a change takes.
+/// Time between two changes of a service's engines; a change itself takes seconds.
 const REST: time::Duration = time::Duration::from_secs(8);
 
 /// Ratio of requests served by which another share must be better.
-const GAIN: f64 = 1.12;
+const GAIN: f64 = 1.08;
+
+/// Engines of a service of which one may change at a time.
+const ENGINES_FOR_ONE: u32 = 10;
 
 /// Room that prefill engines need beyond what they read, so that prompts don't wait long.
 const PREFILL_ROOM: f64 = 1.2;
@@ -43,23 +46,22 @@
         prefill.min(decode) * 1_000.0
     }
 
-    /// Returns the share with one engine changed to a stage.
-    #[must_use]
-    pub const fn with_one_more(self, stage: backend_entry::EngineStage) -> Self {
-        match stage {
-            backend_entry::EngineStage::Prefill => Self {
-                prefill: self.prefill + 1,
-                decode: self.decode.saturating_sub(1),
-            },
-            backend_entry::EngineStage::Decode => Self {
-                prefill: self.prefill.saturating_sub(1),
-                decode: self.decode + 1,
-            },
-        }
+    /// Returns the engines of both stages.
+    const fn total(self) -> u32 {
+        self.prefill + self.decode
     }
 }
 
-/// Decides when one more engine goes over to another stage.
+/// Engines that are to go over to a stage.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StageChange {
+    /// The stage.
+    pub stage: backend_entry::EngineStage,
+    /// How many.
+    pub engines: u32,
+}
+
+/// Decides when engines go over to another stage.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StagePlanner {
     wanted: Option<(backend_entry::EngineStage, clock::Moment)>,
@@ -67,41 +69,51 @@
 }
 
 impl StagePlanner {
-    /// Returns the stage that one more engine should take, once that has looked better for long
-    /// enough.
+    /// Returns the engines that should go over to another stage, once that has looked better for
+    /// long enough.
     pub fn plan(
         &mut self,
         now: clock::Moment,
         share: EngineShare,
         cost: &EngineCost,
-    ) -> Option<backend_entry::EngineStage> {
-        let better = better_stage(share, cost);
+    ) -> Option<StageChange> {
+        let better = better_share(share, cost);
         let since = match (better, self.wanted) {
-            (Some(stage), Some((wanted, since))) if wanted == stage => since,
+            (Some(change), Some((wanted, since))) if wanted == change.stage => since,
             _ => now,
         };
-        self.wanted = better.map(|stage| (stage, since));
+        self.wanted = better.map(|change| (change.stage, since));
         let rested = self.changed_at.is_none_or(|at| now.since(at) >= REST);
         better.filter(|_| rested && now.since(since) >= LASTING)
     }
 
-    /// Notes that an engine was told to change.
+    /// Notes that engines were told to change.
     pub const fn note_change(&mut self, now: clock::Moment) {
         self.changed_at = Some(now);
     }
 }
 
-fn better_stage(share: EngineShare, cost: &EngineCost) -> Option<backend_entry::EngineStage> {
-    let present = share.throughput(cost);
-    [
-        (backend_entry::EngineStage::Decode, share.prefill),
-        (backend_entry::EngineStage::Prefill, share.decode),
-    ]
-    .into_iter()
+/// Returns the change towards the share that serves most, when that one serves clearly more.
+fn better_share(share: EngineShare, cost: &EngineCost) -> Option<StageChange> {
+    let total = share.total();
     // The last engine of a stage stays.
-    .filter(|(_, given)| *given > 1)
-    .map(|(stage, _)| (stage, share.with_one_more(stage).throughput(cost)))
-    .filter(|(_, served)| *served >= present * GAIN)
-    .max_by(|(_, left), (_, right)| left.total_cmp(right))
-    .map(|(stage, _)| stage)
+    let best = (1..total)
+        .map(|prefill| EngineShare {
+            prefill,
+            decode: total - prefill,
+        })
+        .max_by(|left, right| left.throughput(cost).total_cmp(&right.throughput(cost)))?;
+    if best.throughput(cost) < share.throughput(cost) * GAIN {
+        return None;
+    }
+    let stage = if best.prefill > share.prefill {
+        backend_entry::EngineStage::Prefill
+    } else {
+        backend_entry::EngineStage::Decode
+    };
+    let engines = best.prefill.abs_diff(share.prefill);
+    Some(StageChange {
+        stage,
+        engines: engines.min((total / ENGINES_FOR_ONE).max(1)),
+    })
 }
--- a/components/relay/src/view_keeper.rs
+++ b/components/relay/src/view_keeper.rs
@@ -13,6 +13,9 @@
 /// Additional age for each further rank, so that not all instances read at once.
 const RANK_STEP: time::Duration = time::Duration::from_millis(100);
 
+/// Ranks that are told apart; those behind them read at once when all before them are gone.
+const RANKS: u32 = 5;
+
 /// Time between reads that fail.
 const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(300);
 
@@ -81,7 +84,7 @@
         let wait = if rank == 0 {
             READ_INTERVAL
         } else {
-            STANDBY_AGE + RANK_STEP * u32::try_from(rank.min(16)).unwrap_or(0)
+            STANDBY_AGE + RANK_STEP * u32::try_from(rank).unwrap_or(RANKS).min(RANKS)
         };
         (as_of + wait).max(self.next_read)
     }
--- a/components/relay/tests/decisions.rs
+++ b/components/relay/tests/decisions.rs
@@ -162,23 +162,31 @@
     decode_millis: 270.0,
 };
 
-fn planned(share: (u32, u32), millis: u64) -> Option<EngineStage> {
+fn planned(share: (u32, u32), millis: u64) -> Option<(EngineStage, u32)> {
     let share = relay::EngineShare {
         prefill: share.0,
         decode: share.1,
     };
     let mut planner = relay::StagePlanner::default();
     planner.plan(at(0), share, &COST);
-    planner.plan(at(millis), share, &COST)
+    let change = planner.plan(at(millis), share, &COST)?;
+    Some((change.stage, change.engines))
 }
 
 #[test]
 fn an_engine_changes_stage_when_another_share_serves_more() {
-    assert_eq!(planned((4, 4), 2_000), Some(EngineStage::Decode));
-    assert_eq!(planned((1, 8), 2_000), Some(EngineStage::Prefill));
+    assert_eq!(planned((4, 4), 2_000), Some((EngineStage::Decode, 1)));
+    assert_eq!(planned((1, 8), 2_000), Some((EngineStage::Prefill, 1)));
     assert_eq!(planned((2, 6), 2_000), None);
 }
 
+#[test]
+fn a_large_pool_changes_several_engines_at_a_time() {
+    assert_eq!(planned((24, 32), 2_000), Some((EngineStage::Decode, 5)));
+    assert_eq!(planned((20, 36), 2_000), Some((EngineStage::Decode, 4)));
+    assert_eq!(planned((17, 39), 2_000), None);
+}
+
 #[test]
 fn a_share_that_looks_better_for_a_moment_changes_nothing() {
     assert_eq!(planned((4, 4), 1_000), None);
@@ -290,7 +298,7 @@
         news.sequence = sequence as u64 + 2;
         news.last_order_age += ms(millis);
         core.heard(at(millis), news);
-        if let Some(order) = core.due_order(at(millis), 1_000_000 + millis) {
+        for order in core.due_orders(at(millis), 1_000_000 + millis) {
             assert_eq!(order.stage, EngineStage::Decode);
             fences.push(order.fence);
             core.order_fenced(order.fence);
