relay: tell others the age of own reads alone, so that views grow old

Cause: each news told the age of the view as heard from others, without the time of the hop. Instances that only told each other kept their views young: after 2 s without a read three cores believed 5 ms (test). Change: news carry the time since the sender's own read; a newer revision is followed whoever tells of it. Figures: two tests fail before and pass after (5 ms against at least 1,950 ms).

--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -238,7 +238,10 @@
             .values()
             .filter(|state| now.since(state.heard_at) < ALIVE_TIMEOUT)
             .filter(|state| state.news.fingerprint != 0)
-            .max_by_key(|state| state.heard_at.before(state.news.view_age))
+            .max_by_key(|state| {
+                let read_at = state.heard_at.before(state.news.view_age);
+                (state.news.revision, read_at)
+            })
             .map(|state| state.news.address)
     }
 }
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -22,7 +22,7 @@
     /// Hash of its view, 0 when it has none.
     #[builder(default)]
     pub fingerprint: u64,
-    /// Age of its view.
+    /// Time since it read the platform's store itself.
     #[builder(default)]
     pub view_age: time::Duration,
     /// What it uses, by [`server_hash`] of the backend server.
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -101,7 +101,7 @@
             } else {
                 0
             })
-            .view_age(age.unwrap_or_default())
+            .view_age(self.keeper.read_age(now))
             .usage(self.book.own_usage())
             .retries(retries)
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
--- a/components/relay/src/view_keeper.rs
+++ b/components/relay/src/view_keeper.rs
@@ -33,6 +33,8 @@
     fingerprint: u64,
     /// Moment at which the view was known to be current.
     as_of: Option<clock::Moment>,
+    /// Moment at which this instance itself last asked the store and was answered.
+    read_at: Option<clock::Moment>,
     /// Earliest next read.
     next_read: clock::Moment,
     /// Entries that vanished during an outage, with the end of their grace.
@@ -60,6 +62,16 @@
         self.as_of.map(|as_of| now.since(as_of))
     }
 
+    /// Returns the age of what this instance itself has read, for its news.
+    ///
+    /// What others told of the view's age isn't passed on: each hop takes time that nobody counts,
+    /// and instances that only tell each other would never find their views old.
+    #[must_use]
+    pub fn read_age(&self, now: clock::Moment) -> time::Duration {
+        self.read_at
+            .map_or(time::Duration::MAX, |read_at| now.since(read_at))
+    }
+
     /// Returns whether a configuration and a list of backend servers are known.
     #[must_use]
     pub const fn is_known(&self) -> bool {
@@ -130,6 +142,7 @@
             self.view.revision.max(update.revision)
         };
         self.as_of = Some(asked);
+        self.read_at = Some(asked);
         self.behind = false;
         self.next_read = now;
         self.settle()
@@ -140,8 +153,8 @@
         self.next_read = now + FAILURE_PAUSE;
     }
 
-    /// Takes in what a peer says of its view; returns whether the peer's view differs and is
-    /// newer.
+    /// Takes in what a peer says of its view, which it read itself `age` ago; returns whether the
+    /// peer's view differs and is newer.
     pub fn heard(
         &mut self,
         now: clock::Moment,
@@ -155,7 +168,7 @@
             self.view.revision = self.view.revision.max(revision);
             return false;
         }
-        let newer = self.as_of.is_none_or(|own| as_of > own) && revision > self.view.revision;
+        let newer = revision > self.view.revision;
         self.behind |= newer;
         newer
     }
@@ -171,7 +184,9 @@
         if let Some(config) = view.config {
             self.take_config(config);
         }
-        if self.as_of.is_none_or(|own| as_of > own) && view.revision >= self.view.revision {
+        let is_fresher = self.as_of.is_none_or(|own| as_of > own);
+        let is_newer = view.revision > self.view.revision;
+        if is_newer || (is_fresher && view.revision == self.view.revision) {
             self.view.backends = view.backends;
             self.view.revision = view.revision;
             self.as_of = Some(as_of);
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time;
+
 use common::{at, ms};
 
 fn known_servers(keeper: &relay::ViewKeeper) -> Vec<String> {
@@ -199,3 +201,36 @@
 
     assert_eq!(one.fingerprint(), two.fingerprint());
 }
+
+#[test]
+fn a_view_grows_old_while_instances_only_tell_each_other_of_it() {
+    let config = common::config(1, vec![common::draft_route()]);
+    let mut cores: Vec<_> = (1..=3).map(common::core_of).collect();
+    for core in &mut cores {
+        core.view_read(at(0), at(0), common::full_update(10, &config, &[]));
+    }
+
+    // Each news takes 5 ms, and leads to news of the one that hears it.
+    for hop in 0..400_usize {
+        let now = at(5 * hop as u64);
+        let news = cores[hop % 3].news(now);
+        for listener in [(hop + 1) % 3, (hop + 2) % 3] {
+            cores[listener].heard(now + ms(5), news.clone());
+        }
+    }
+
+    for core in &cores {
+        let age = core.keeper().age(at(2_000)).expect("a view is known");
+        assert!(age >= ms(1_950), "{age:?}");
+        assert!(core.next_read(at(2_000)) <= at(2_000));
+    }
+}
+
+#[test]
+fn a_newer_revision_is_followed_whoever_tells_of_it() {
+    let mut keeper = keeper_with(&[]);
+
+    let behind = keeper.heard(at(100), 11, keeper.fingerprint() ^ 1, time::Duration::MAX);
+
+    assert!(behind);
+}
