--- a/components/call/src/lib.rs
+++ b/components/call/src/lib.rs
@@ -31,7 +31,6 @@
 mod message;
 mod output;
 mod recall_task;
-mod retry_budget;
 mod server_gate;
 mod server_health;
 mod service_lane;
--- a/components/call/src/service_lane.rs
+++ b/components/call/src/service_lane.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{concurrency_limit, fair_queue, retry_budget, server_gate, server_health};
+use crate::{concurrency_limit, fair_queue, server_gate, server_health};
 
 /// Load, in shares of a limit, that a server in another data centre is held to carry besides.
 const OTHER_CENTRE_COST: f64 = 0.5;
@@ -33,7 +33,7 @@
     /// Calls that wait for a server.
     pub queue: fair_queue::FairQueue,
     /// Retries that the service's traffic allows.
-    pub budget: retry_budget::RetryBudget,
+    pub budget: retry::RetryBudget,
     /// When to look for room again while calls wait.
     pub retry_at: clock::Moment,
     gates: indexmap::IndexMap<ids::ServerName, server_gate::ServerGate>,
@@ -47,7 +47,7 @@
     pub fn new(queue_limit: usize) -> Self {
         Self {
             queue: fair_queue::FairQueue::new(queue_limit),
-            budget: retry_budget::RetryBudget::default(),
+            budget: retry::RetryBudget::default(),
             retry_at: clock::Moment::MAX,
             gates: indexmap::IndexMap::new(),
             latency_seconds: 0.0,
--- a/components/place/src/cell_planner.rs
+++ b/components/place/src/cell_planner.rs
@@ -5,7 +5,7 @@
 use crate::{
     ask_queue, cell, cell_book, held_lease, lease_phase, message, output, owner_context,
     pending_ask, place_ask, placement, placement_policy, policy_choice, prefix_hints, refusal,
-    refusal_reason, retry_budget, role_demand, takeover, timed_reads, work_key, workspace_shares,
+    refusal_reason, role_demand, takeover, timed_reads, work_key, workspace_shares,
 };
 
 /// Time a lease holds without news.
@@ -38,7 +38,7 @@
     /// Demand for the roles.
     pub demand: role_demand::RoleDemand,
     pub(crate) policy: Box<dyn placement_policy::PlacementPolicy>,
-    budget: retry_budget::RetryBudget,
+    budget: retry::RetryBudget,
     shares: workspace_shares::WorkspaceShares,
     term: u64,
     granted: u64,
@@ -65,7 +65,7 @@
             reads: timed_reads::TimedReads::new(now),
             demand: role_demand::RoleDemand::default(),
             policy: context.policy.make(seed),
-            budget: retry_budget::RetryBudget::default(),
+            budget: retry::RetryBudget::default(),
             shares: workspace_shares::WorkspaceShares::default(),
             term: context.draw(),
             granted: 0,
--- a/components/place/src/lib.rs
+++ b/components/place/src/lib.rs
@@ -43,7 +43,6 @@
 mod region_members;
 mod report_choice;
 mod retarget_ask;
-mod retry_budget;
 mod role_demand;
 mod round_robin_policy;
 mod spare_advert;
--- a/components/place/src/placement_policy.rs
+++ b/components/place/src/placement_policy.rs
@@ -6,14 +6,17 @@
 
 /// Chooses engines for requests.
 pub trait PlacementPolicy: Send {
-    /// Decides whether an ask may wait for a placement behind the work `ahead`.
+    /// Decides whether an ask may wait for a placement behind the work `ahead`; every ask may,
+    /// unless the policy says otherwise.
     fn admit(
         &mut self,
-        now: clock::Moment,
-        book: &cell_book::CellBook,
-        ahead: ask_queue::QueueAhead,
-        ask: &pending_ask::PendingAsk,
-    ) -> policy_choice::PolicyVerdict;
+        _now: clock::Moment,
+        _book: &cell_book::CellBook,
+        _ahead: ask_queue::QueueAhead,
+        _ask: &pending_ask::PendingAsk,
+    ) -> policy_choice::PolicyVerdict {
+        policy_choice::PolicyVerdict::Admit
+    }
 
     /// Decides about the ask that goes first.
     fn choose(
--- a/components/place/src/round_robin_policy.rs
+++ b/components/place/src/round_robin_policy.rs
@@ -2,9 +2,7 @@
 
 use std::time;
 
-use crate::{
-    ask_queue, cell_book, keys, pending_ask, placement_policy, policy_choice, report_choice,
-};
+use crate::{cell_book, keys, pending_ask, placement_policy, policy_choice, report_choice};
 
 /// Takes the engines in turn, whatever their load.
 #[derive(Clone, Copy, Debug, Default)]
@@ -20,16 +18,6 @@
 }
 
 impl placement_policy::PlacementPolicy for RoundRobinPolicy {
-    fn admit(
-        &mut self,
-        _now: clock::Moment,
-        _book: &cell_book::CellBook,
-        _ahead: ask_queue::QueueAhead,
-        _ask: &pending_ask::PendingAsk,
-    ) -> policy_choice::PolicyVerdict {
-        policy_choice::PolicyVerdict::Admit
-    }
-
     fn choose(
         &mut self,
         now: clock::Moment,
--- a/components/place/src/two_choices_policy.rs
+++ b/components/place/src/two_choices_policy.rs
@@ -4,9 +4,7 @@
 
 use rand::{SeedableRng as _, seq::IndexedRandom as _};
 
-use crate::{
-    ask_queue, cell_book, keys, pending_ask, placement_policy, policy_choice, report_choice,
-};
+use crate::{cell_book, keys, pending_ask, placement_policy, policy_choice, report_choice};
 
 /// Takes the less loaded of two random engines by the lagging reports.
 #[derive(Clone, Debug)]
@@ -36,16 +34,6 @@
 }
 
 impl placement_policy::PlacementPolicy for TwoChoicesPolicy {
-    fn admit(
-        &mut self,
-        _now: clock::Moment,
-        _book: &cell_book::CellBook,
-        _ahead: ask_queue::QueueAhead,
-        _ask: &pending_ask::PendingAsk,
-    ) -> policy_choice::PolicyVerdict {
-        policy_choice::PolicyVerdict::Admit
-    }
-
     fn choose(
         &mut self,
         now: clock::Moment,
--- a/components/relay/src/core_settings.rs
+++ b/components/relay/src/core_settings.rs
@@ -2,8 +2,6 @@
 
 use std::net;
 
-use crate::retry_window;
-
 /// Settings of the relay core.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct CoreSettings {
@@ -17,7 +15,7 @@
     #[builder(default)]
     pub seeds: Vec<net::Ipv4Addr>,
     /// Bound on repeats of each service.
-    pub retry_bound: retry_window::RetryBound,
+    pub retry_bound: retry::RetryBound,
     /// Seed of random choices.
     #[builder(default)]
     pub seed: u64,
--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -39,6 +39,10 @@
     pub size: service_rule::EngineSize,
     /// Share of an engine's memory up to which it is filled.
     pub fill_limit: f64,
+    /// How much costs are varied, between 0 and 1, so that many instances don't choose alike.
+    pub variation: f64,
+    /// Seed of the variation.
+    pub seed: u64,
     /// Data centre of this instance.
     pub data_centre: &'a ids::DataCentreName,
     /// Current time.
@@ -160,6 +164,13 @@
         alone.into_iter().chain(paired)
     }
 
+    /// Returns a number in `0..1` that differs by engine and request.
+    fn draw(&self, engine: &backend::Backend) -> f64 {
+        let name = engine.entry.server.as_str().as_bytes();
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(name, self.seed);
+        f64::from(u16::try_from(hash & 0xffff).unwrap_or(0)) / f64::from(u16::MAX)
+    }
+
     fn decode_cost(&self, engine: &backend::Backend) -> f64 {
         let far = if engine.entry.data_centre == *self.data_centre {
             time::Duration::ZERO
@@ -168,6 +179,7 @@
         };
         let fill = FILL_COST.mul_f64(self.fill(engine));
         let base = time::Duration::from_millis(5);
-        (far + fill + base).as_secs_f64() * engine.health.cost_factor(self.now)
+        let varied = FILL_COST.mul_f64(self.variation * self.draw(engine));
+        (far + fill + varied + base).as_secs_f64() * engine.health.cost_factor(self.now)
     }
 }
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::{engine_usage, instance_news, retry_window};
+use crate::{engine_usage, instance_news};
 
 /// Silence after which an instance's usage no longer counts: its connections are gone.
 const USAGE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -165,10 +165,10 @@
         &self,
         now: clock::Moment,
         service: &ids::ServiceName,
-        bound: &retry_window::RetryBound,
-    ) -> retry_window::FleetCount {
+        bound: &retry::RetryBound,
+    ) -> retry::FleetCount {
         let hash = instance_news::service_hash(service);
-        let mut count = retry_window::RetryCount::default();
+        let mut count = retry::RetryCount::default();
         let recent = self
             .states
             .values()
@@ -181,7 +181,7 @@
             count.repeats += other.repeats;
         }
         let heard = self.states.len().max(self.seeds.len());
-        retry_window::FleetCount {
+        retry::FleetCount {
             count,
             live: u32::try_from(self.live_count(now)).unwrap_or(u32::MAX),
             known: u32::try_from(heard + 1).unwrap_or(u32::MAX),
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{engine_usage, retry_window};
+use crate::engine_usage;
 
 /// What one instance tells the others, in one datagram.
 #[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
@@ -30,7 +30,7 @@
     pub usage: Vec<(u64, engine_usage::EngineUsage)>,
     /// Its requests and repeats in the window of the bound, by [`service_hash`].
     #[builder(default)]
-    pub retries: Vec<(u64, retry_window::RetryCount)>,
+    pub retries: Vec<(u64, retry::RetryCount)>,
     /// Fencing number of its last order to an engine, 0 when it has given none.
     #[builder(default)]
     pub last_fence: u64,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -21,7 +21,6 @@
 mod refusal;
 mod relay_core;
 mod request_kind;
-mod retry_window;
 mod route_rule;
 mod service_rule;
 mod site_config;
@@ -51,7 +50,7 @@
     PlaceAnswer, RelayCore, RouteMatch, ServerPick, StageOrder, StreamEnd, StreamPlace,
 };
 pub use request_kind::RequestKind;
-pub use retry_window::{FleetCount, RetryBound, RetryCount, RetryWindow};
+pub use retry::{FleetCount, RetryBound, RetryCount, RetryWindow};
 pub use route_rule::{RouteRule, ServiceShare};
 pub use service_rule::{EngineSize, ServiceRule};
 pub use site_config::{RequestBounds, SiteConfig};
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -1,6 +1,7 @@
 //! Every decision about relayed requests, without I/O: time and randomness are inputs.
 
 mod core_calls;
+mod core_learning;
 mod core_orders;
 mod core_streams;
 mod core_views;
@@ -10,8 +11,8 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_book, core_settings, instance_book, length_guess, order_gate, retry_window,
-    route_rule, site_config, stage_planner, stream_lease, view_keeper, wait_line,
+    backend, backend_book, core_settings, instance_book, length_guess, order_gate, route_rule,
+    site_config, stage_planner, stream_lease, view_keeper, wait_line,
 };
 
 pub use core_calls::ServerPick;
@@ -62,7 +63,7 @@
     book: backend_book::BackendBook,
     leases: slotmap::SlotMap<stream_lease::StreamKey, stream_lease::StreamLease>,
     line: wait_line::WaitLine,
-    windows: collections::BTreeMap<ids::ServiceName, retry_window::RetryWindow>,
+    windows: collections::BTreeMap<ids::ServiceName, retry::RetryWindow>,
     averages: collections::BTreeMap<ids::ServiceName, StreamAverage>,
     /// Tokens that a stream generates in a millisecond.
     pace: f64,
@@ -72,6 +73,8 @@
     last_order: Option<(clock::Moment, u64)>,
     /// Number that fencing numbers must exceed.
     fence_floor: u64,
+    /// Seed of the next choice of engines.
+    choice_seed: u64,
     random: rand_chacha::ChaCha8Rng,
     news_sequence: u64,
     leaving: bool,
@@ -82,6 +85,7 @@
     #[must_use]
     pub fn new(settings: core_settings::CoreSettings) -> Self {
         let random = rand_chacha::ChaCha8Rng::seed_from_u64(settings.seed);
+        let choice_seed = settings.seed;
         let instances = instance_book::InstanceBook::new(settings.address, settings.seeds.clone());
         Self {
             settings,
@@ -97,6 +101,7 @@
             planners: collections::BTreeMap::new(),
             last_order: None,
             fence_floor: 0,
+            choice_seed,
             random,
             news_sequence: 0,
             leaving: false,
@@ -188,7 +193,7 @@
         self.book.get(key).map(|known| known.entry.clone())
     }
 
-    fn window(&mut self, service: &ids::ServiceName) -> &mut retry_window::RetryWindow {
+    fn window(&mut self, service: &ids::ServiceName) -> &mut retry::RetryWindow {
         self.windows.entry(service.clone()).or_default()
     }
 }
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -5,17 +5,11 @@
 use rand::RngExt as _;
 
 use crate::{
-    backend, backend_entry, backend_health, engine_choice, engine_usage, length_guess, refusal,
-    service_rule, stream_ask, stream_lease, wait_line,
+    backend, backend_entry, backend_health, engine_choice, refusal, service_rule, stream_ask,
+    stream_lease, wait_line,
 };
 
-use super::{RETRY_FLOOR, RelayCore, StreamAverage};
-
-/// Time that a stream holds its place until streams have shown their own, in milliseconds.
-const USUAL_HELD_MILLIS: f64 = 3_000.0;
-
-/// Weight of a new stream in the averages.
-const HELD_WEIGHT: f64 = 0.05;
+use super::{RETRY_FLOOR, RelayCore};
 
 /// Share of a decode engine's memory that streams may be expected to take; the rest answers
 /// lengths that were guessed too short.
@@ -24,6 +18,9 @@
 /// Share up to which requests that are late already are placed, so that room is left for others.
 const LATE_FILL_LIMIT: f64 = 0.6;
 
+/// Instances at which costs are varied most.
+const VARIED_FLEET: f64 = 90.0;
+
 /// Time between the end of prefill and the first token at the caller.
 const HAND_OVER: time::Duration = time::Duration::from_millis(80);
 
@@ -253,6 +250,7 @@
         size: service_rule::EngineSize,
         fill_limit: f64,
     ) -> Option<StreamPlace> {
+        self.choice_seed = self.choice_seed.wrapping_add(1);
         let chooser = self.chooser(now, size, fill_limit);
         let choice = chooser.choose(ask)?;
         let fill = chooser.fill(self.book.get(choice.decode)?);
@@ -310,10 +308,7 @@
         let ahead = self.line.tokens_ahead(now, &ask.service, timely);
         let waiting = ahead * instances + u64::from(ask.mean_tokens());
         let total = f64::from(size.kv_tokens) * f64::from(u32::try_from(engines).unwrap_or(1));
-        let held = self
-            .averages
-            .get(&ask.service)
-            .map_or(USUAL_HELD_MILLIS, |average| average.held_millis);
+        let held = self.held_millis(&ask.service);
         let waiting = f64::from(u32::try_from(waiting).unwrap_or(u32::MAX));
         time::Duration::from_secs_f64(waiting / total.max(1.0) * held / 1_000.0)
     }
@@ -323,65 +318,6 @@
         (wait + OVERLOAD_RETRY + spread).max(RETRY_FLOOR)
     }
 
-    /// Takes in that a stream has generated `tokens` more.
-    pub fn progressed(&mut self, now: clock::Moment, key: stream_lease::StreamKey, tokens: u32) {
-        let Some(lease) = self.leases.get_mut(key) else {
-            return;
-        };
-        lease.generated += tokens;
-        lease.first_token_at.get_or_insert(now);
-        let load = engine_usage::StreamLoad {
-            held: lease.ask.prompt_tokens + lease.generated,
-            remaining: length_guess::remaining_tokens(
-                lease.ask.guessed_tokens,
-                lease.generated,
-                lease.ask.output_tokens,
-            ),
-        };
-        if let Some(engine) = self.book.get_mut(lease.decode) {
-            engine.own_streams.insert(key, load);
-        }
-    }
-
-    /// Learns from a stream that has ended well.
-    fn learn(&mut self, now: clock::Moment, lease: &stream_lease::StreamLease) {
-        let average = self.average(&lease.ask);
-        let held_millis = now.since(lease.granted_at).as_secs_f64() * 1_000.0;
-        average.held_millis += (held_millis - average.held_millis) * HELD_WEIGHT;
-        let prompt_tokens = f64::from(lease.ask.prompt_tokens);
-        average.prompt_tokens += (prompt_tokens - average.prompt_tokens) * HELD_WEIGHT;
-        let mean_tokens = f64::from(lease.ask.mean_tokens());
-        average.mean_tokens += (mean_tokens - average.mean_tokens) * HELD_WEIGHT;
-        if lease.ask.resumes || lease.generated == 0 {
-            return;
-        }
-        average.lengths.learn(lease.generated);
-        let Some(first) = lease.first_token_at else {
-            return;
-        };
-        let millis = now.since(first).as_secs_f64() * 1_000.0;
-        if millis > 1.0 {
-            let pace = f64::from(lease.generated) / millis;
-            self.pace += (pace - self.pace) * HELD_WEIGHT;
-        }
-    }
-
-    fn guess(&mut self, ask: &stream_ask::StreamAsk) -> u32 {
-        let lengths = self.average(ask).lengths;
-        lengths.expected(ask.expected_tokens, ask.output_tokens)
-    }
-
-    fn average(&mut self, ask: &stream_ask::StreamAsk) -> &mut StreamAverage {
-        self.averages
-            .entry(ask.service.clone())
-            .or_insert_with(|| StreamAverage {
-                held_millis: USUAL_HELD_MILLIS,
-                prompt_tokens: f64::from(ask.prompt_tokens),
-                mean_tokens: f64::from(ask.prompt_tokens + ask.output_tokens / 4),
-                lengths: length_guess::LengthGuess::new(ask.output_tokens),
-            })
-    }
-
     fn chooser(
         &self,
         now: clock::Moment,
@@ -392,11 +328,20 @@
             backends: self.book.table(),
             size,
             fill_limit,
+            variation: self.variation(now),
+            seed: self.choice_seed,
             data_centre: &self.settings.data_centre,
             now,
         }
     }
 
+    /// Returns how much costs are varied: instances learn of each other's choices a little late, and
+    /// the more there are, the more choose within that time.
+    fn variation(&self, now: clock::Moment) -> f64 {
+        let instances = u32::try_from(self.instances.live_count(now)).unwrap_or(u32::MAX);
+        (f64::from(instances) / VARIED_FLEET).min(1.0)
+    }
+
     /// Returns the tokens that one event of a service's streams stands for.
     #[must_use]
     pub fn tokens_per_event(&self, service: &ids::ServiceName) -> u32 {
