relay: keep prefill engines, don't overestimate reading rates, share what is known of lost results

Without a prefill engine no cost was known, so none was ordered; decode engines read any number of prompts at once, streams stalled over 0.8 s, and 399 restarts followed. Change: a pool of six or more keeps two prefill engines and orders some at once when it has none; a rate seen behind others only lowers the estimate; decode engines that read themselves are given prompts within 300 ms of reading; streams are given 1.5 s before they go on elsewhere. Prefill engines whose results were gone when a decode engine with room came for them read nothing for 1.5 s, on all instances.

--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -47,6 +47,8 @@
     last_fence: u64,
     #[prost(uint32, tag = "12")]
     last_order_age_ms: u32,
+    #[prost(fixed64, repeated, tag = "13")]
+    lost_results: Vec<u64>,
 }
 
 /// Requests and repeats of one service.
@@ -93,6 +95,7 @@
             })
             .collect(),
         last_fence: news.last_fence,
+        lost_results: news.lost_results.clone(),
         last_order_age_ms: whole_millis(news.last_order_age),
         known: news.known.iter().map(|address| address.to_bits()).collect(),
     };
@@ -122,6 +125,7 @@
                 .collect(),
         )
         .last_fence(message.last_fence)
+        .lost_results(message.lost_results)
         .last_order_age(time::Duration::from_millis(u64::from(
             message.last_order_age_ms,
         )))
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -79,6 +79,8 @@
     /// Prefill engine that has read the prompt, and its address.
     warm: Option<(relay::BackendKey, std::net::SocketAddr)>,
     stayed: bool,
+    /// Prefill engine whose result seems to be gone.
+    lost_result: Option<relay::BackendKey>,
 }
 
 impl StreamOpener {
@@ -100,6 +102,7 @@
             counts: relay::AttemptCount::default(),
             warm: None,
             stayed: false,
+            lost_result: None,
         }
     }
 
@@ -349,6 +352,9 @@
                 guard.first_token();
                 self.counts.decodes += 1;
                 self.note_run(key);
+                if prompt.is_none() {
+                    self.note_lost_result();
+                }
                 return Ok(opened);
             }
             Ok(Err(failed)) => failed,
@@ -367,6 +373,12 @@
             self.note_run(key);
         }
         let now = self.gateway.port.now();
+        let was_refused = failed.outcome == relay::BackendOutcome::Refused;
+        self.lost_result = prompt
+            .as_ref()
+            .and(self.warm)
+            .map(|(engine, _)| engine)
+            .filter(|_| was_refused);
         let has_result = prompt.as_ref().is_some_and(|prompt| now < prompt.taken_by);
         Err(StepError {
             failure: relay::StepFailure::builder()
@@ -384,6 +396,16 @@
         })
     }
 
+    /// Tells the core of a result that was gone: the engine that was refused it has room.
+    fn note_lost_result(&mut self) {
+        if let Some(engine) = self.lost_result.take() {
+            self.gateway
+                .port
+                .decide(|core, now| core.result_lost(now, engine));
+            self.gateway.port.usage_changed.notify_one();
+        }
+    }
+
     /// Returns whether the request may have run.
     pub(crate) const fn may_have_run(&self) -> bool {
         !self.ran_on.is_empty()
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -7,7 +7,7 @@
 use crate::{event_splitter, gateway, relay_answer, relay_request, stream_opener, whole_reply};
 
 /// Silence after which a stream that can be resumed goes on elsewhere.
-const STALL_LIMIT: time::Duration = time::Duration::from_millis(800);
+const STALL_LIMIT: time::Duration = time::Duration::from_millis(1_500);
 
 /// Time after which a caller may come back when every engine that was tried refused.
 const REFUSED_RETRY: time::Duration = time::Duration::from_millis(500);
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -10,7 +10,7 @@
 }
 
 /// Tokens that an engine reads in a millisecond until it has shown its own rate.
-const USUAL_PREFILL_RATE: f64 = 50.0;
+pub const USUAL_PREFILL_RATE: f64 = 50.0;
 
 /// Weight of a new reading in the rate of an engine.
 const RATE_WEIGHT: f64 = 0.2;
@@ -21,6 +21,9 @@
 /// Time that a prefill engine which refused receives nothing.
 const PREFILL_PAUSE: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time that a prefill engine whose results were gone reads nothing.
+const LOST_PAUSE: time::Duration = time::Duration::from_millis(1_500);
+
 /// Longest time that an engine takes to go over to another stage.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_secs(8);
 
@@ -44,6 +47,10 @@
     /// Prompt tokens read in a millisecond.
     pub prefill_rate: f64,
     full_until: clock::Moment,
+    /// Moment until which its prefill results aren't relied on.
+    lost_until: clock::Moment,
+    /// Whether another instance doesn't rely on its prefill results.
+    pub told_lost: bool,
 }
 
 impl Backend {
@@ -60,6 +67,8 @@
             health: backend_health::BackendHealth::default(),
             prefill_rate: USUAL_PREFILL_RATE,
             full_until: clock::Moment::default(),
+            lost_until: clock::Moment::default(),
+            told_lost: false,
         }
     }
 
@@ -69,6 +78,23 @@
         self.is_current() && self.health.is_usable(now) && now >= self.full_until
     }
 
+    /// Returns whether this instance has found its prefill results gone lately.
+    #[must_use]
+    pub fn loses_results(&self, now: clock::Moment) -> bool {
+        now < self.lost_until
+    }
+
+    /// Returns whether it may read prompts for decode engines.
+    #[must_use]
+    pub fn takes_prompts(&self, now: clock::Moment) -> bool {
+        self.takes_work(now) && !self.told_lost && !self.loses_results(now)
+    }
+
+    /// Takes in that a prefill result was gone before it was taken.
+    pub fn result_lost(&mut self, now: clock::Moment) {
+        self.lost_until = now + LOST_PAUSE;
+    }
+
     /// Returns whether it is listed and isn't leaving.
     #[must_use]
     pub const fn is_current(&self) -> bool {
@@ -121,13 +147,18 @@
         time::Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate / 1_000.0)
     }
 
-    /// Takes in that `tokens`, those waiting before it included, were read in `took`.
-    pub fn prompt_read(&mut self, tokens: u32, took: time::Duration) {
+    /// Takes in that a prompt of `tokens` behind `ahead` others was read in `took`.
+    ///
+    /// Some of those ahead may have been read before, so that the rate is at most what this gives.
+    pub fn prompt_read(&mut self, tokens: u32, ahead: u32, took: time::Duration) {
         let millis = took.as_secs_f64() * 1_000.0;
         if millis < 1.0 {
             return;
         }
-        let rate = f64::from(tokens) / millis;
+        let rate = f64::from(tokens + ahead) / millis;
+        if ahead > 0 && rate > self.prefill_rate {
+            return;
+        }
         self.prefill_rate += (rate - self.prefill_rate) * RATE_WEIGHT;
         self.prefill_rate = self.prefill_rate.max(1.0);
     }
--- a/components/relay/src/backend_book.rs
+++ b/components/relay/src/backend_book.rs
@@ -62,6 +62,23 @@
         }
     }
 
+    /// Takes over which prefill engines the other instances don't rely on.
+    pub fn take_lost(&mut self, lost: &collections::BTreeSet<u64>) {
+        for (_, known) in &mut self.backends {
+            known.told_lost = lost.contains(&instance_news::server_hash(&known.entry.server));
+        }
+    }
+
+    /// Returns the prefill engines whose results this instance has found gone, for its news.
+    #[must_use]
+    pub fn own_lost(&self, now: clock::Moment) -> Vec<u64> {
+        self.backends
+            .values()
+            .filter(|known| known.loses_results(now))
+            .map(|known| instance_news::server_hash(&known.entry.server))
+            .collect()
+    }
+
     /// Returns what this instance uses, for its news.
     #[must_use]
     pub fn own_usage(&self) -> Vec<(u64, engine_usage::EngineUsage)> {
--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -19,6 +19,9 @@
 /// line, where it holds no memory of a decode engine.
 const PREFILL_WAIT_LIMIT: time::Duration = time::Duration::from_millis(300);
 
+/// Times as long a decode engine takes for a prompt as a prefill engine.
+const SELF_READ_FACTOR: u32 = 2;
+
 /// The engines chosen for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct EngineChoice {
@@ -55,6 +58,7 @@
     pub fn choose(&self, ask: &stream_ask::StreamAsk) -> Option<EngineChoice> {
         let prefills: Vec<_> = self
             .engines(ask, backend_entry::EngineStage::Prefill)
+            .filter(|(_, engine)| engine.takes_prompts(self.now))
             .collect();
         self.engines(ask, backend_entry::EngineStage::Decode)
             .filter(|(_, engine)| self.has_room(engine, ask))
@@ -128,12 +132,14 @@
         ask: &'b stream_ask::StreamAsk,
     ) -> impl Iterator<Item = (f64, EngineChoice)> + 'b {
         let base = self.decode_cost(engine);
-        let alone = prefills.is_empty().then_some((
-            base,
+        let own_wait = engine.prefill_wait() * SELF_READ_FACTOR;
+        let reads_itself = prefills.is_empty() && own_wait <= PREFILL_WAIT_LIMIT;
+        let alone = reads_itself.then_some((
+            base + own_wait.as_secs_f64(),
             EngineChoice {
                 prefill: None,
                 decode,
-                prefill_wait: time::Duration::ZERO,
+                prefill_wait: own_wait,
             },
         ));
         let free = prefills
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -159,6 +159,16 @@
         total
     }
 
+    /// Returns the prefill engines whose results other instances have found gone.
+    #[must_use]
+    pub fn lost_results(&self, now: clock::Moment) -> collections::BTreeSet<u64> {
+        self.states
+            .values()
+            .filter(|state| now.since(state.heard_at) < ALIVE_TIMEOUT)
+            .flat_map(|state| state.news.lost_results.iter().copied())
+            .collect()
+    }
+
     /// Returns what the other instances have counted of a service's requests and repeats.
     #[must_use]
     pub fn fleet_count(
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -37,6 +37,9 @@
     /// Time since that order.
     #[builder(default)]
     pub last_order_age: time::Duration,
+    /// Prefill engines whose results it has found gone, by [`server_hash`].
+    #[builder(default)]
+    pub lost_results: Vec<u64>,
     /// Addresses of the other instances that it has heard of lately.
     #[builder(default)]
     pub known: Vec<net::Ipv4Addr>,
--- a/components/relay/src/relay_core/core_learning.rs
+++ b/components/relay/src/relay_core/core_learning.rs
@@ -1,6 +1,6 @@
 //! What the core learns from streams: lengths, pace and the time that places are held.
 
-use crate::{engine_usage, length_guess, stream_ask, stream_lease};
+use crate::{backend_health, engine_usage, length_guess, stream_ask, stream_lease};
 
 use super::{RelayCore, StreamAverage};
 
@@ -13,6 +13,7 @@
 impl RelayCore {
     /// Takes in that a stream has generated `tokens` more.
     pub fn progressed(&mut self, now: clock::Moment, key: stream_lease::StreamKey, tokens: u32) {
+        self.prefill_ended(now, key, backend_health::BackendOutcome::Succeeded);
         let Some(lease) = self.leases.get_mut(key) else {
             return;
         };
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -141,7 +141,8 @@
             .map(|engine| engine.prefill_rate)
             .collect();
         rates.sort_by(f64::total_cmp);
-        let rate = rates.get(rates.len() / 2)?;
+        let rate = rates.get(rates.len() / 2);
+        let rate = rate.unwrap_or(&backend::USUAL_PREFILL_RATE);
         let memory = f64::from(size.kv_tokens.max(1)) * USED_MEMORY;
         Some(stage_planner::EngineCost {
             prefill_millis: average.prompt_tokens / rate,
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -138,7 +138,7 @@
         self.line.next_overdue()
     }
 
-    /// Takes in that the prefill engine is done with a prompt, or that it failed.
+    /// Takes in that the engine that reads a prompt is done with it, or that it failed.
     pub fn prefill_ended(
         &mut self,
         now: clock::Moment,
@@ -150,16 +150,20 @@
         };
         lease.prefilling = false;
         let tokens = lease.ask.prompt_tokens;
-        let tokens_read = tokens + lease.tokens_ahead;
+        let ahead = lease.tokens_ahead;
         let took = now.since(lease.granted_at);
-        let engine = lease.prefill;
-        let Some(engine) = engine.and_then(|engine| self.book.get_mut(engine)) else {
+        let reads_itself = lease.prefill.is_none();
+        let reader = lease.prefill.unwrap_or(lease.decode);
+        let Some(engine) = self.book.get_mut(reader) else {
             return false;
         };
         engine.own_prefill_tokens = engine.own_prefill_tokens.saturating_sub(tokens);
+        if reads_itself {
+            return false;
+        }
         engine.own_running = engine.own_running.saturating_sub(1);
         if outcome == backend_health::BackendOutcome::Succeeded {
-            engine.prompt_read(tokens_read, took);
+            engine.prompt_read(tokens, ahead, took);
         }
         if outcome == backend_health::BackendOutcome::Refused {
             engine.was_full(now);
@@ -167,6 +171,13 @@
         engine.health.ended(now, outcome, took)
     }
 
+    /// Takes in that a prefill result was gone when a decode engine with room came for it.
+    pub fn result_lost(&mut self, now: clock::Moment, prefill: backend::BackendKey) {
+        if let Some(engine) = self.book.get_mut(prefill) {
+            engine.result_lost(now);
+        }
+    }
+
     /// Frees the place of a stream; returns whether the decode engine was ejected by its outcome.
     pub fn release(
         &mut self,
@@ -273,10 +284,13 @@
             tokens_ahead,
             generated: 0,
             first_token_at: None,
-            prefilling: choice.prefill.is_some(),
+            prefilling: true,
         });
         let engine = self.book.get_mut(choice.decode)?;
         engine.own_running += 1;
+        if choice.prefill.is_none() {
+            engine.own_prefill_tokens += ask.prompt_tokens;
+        }
         engine.own_streams.insert(key, ask.load());
         let decode = (choice.decode, engine.entry.clone());
         Some(StreamPlace {
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -61,15 +61,15 @@
         if !self.instances.heard(now, news) {
             return false;
         }
-        let usage = self.instances.usage(now, self.pace);
-        self.book.take_usage(&usage);
+        self.refresh_usage(now);
         fingerprint != 0 && self.keeper.heard(now, revision, fingerprint, age)
     }
 
-    /// Drops what silent instances used.
+    /// Takes over what the other instances use now, without those that are silent.
     pub fn refresh_usage(&mut self, now: clock::Moment) {
         let usage = self.instances.usage(now, self.pace);
         self.book.take_usage(&usage);
+        self.book.take_lost(&self.instances.lost_results(now));
     }
 
     /// Replaces the addresses of instances that may be known to others.
@@ -104,6 +104,7 @@
             .view_age(self.keeper.read_age(now))
             .usage(self.book.own_usage())
             .retries(retries)
+            .lost_results(self.book.own_lost(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
                 self.last_order
--- a/components/relay/src/stage_planner.rs
+++ b/components/relay/src/stage_planner.rs
@@ -13,6 +13,9 @@
 /// Ratio of requests served by which another share must be better.
 const GAIN: f64 = 1.08;
 
+/// Engines from which on two read prompts, so that the loss of one leaves another.
+const LARGER_POOL: u32 = 6;
+
 /// Engines of a service of which one may change at a time.
 const ENGINES_FOR_ONE: u32 = 10;
 
@@ -46,6 +49,11 @@
         prefill.min(decode) * 1_000.0
     }
 
+    /// Returns whether a stage has no engine at all.
+    const fn lacks_stage(self) -> bool {
+        self.prefill == 0 || self.decode == 0
+    }
+
     /// Returns the engines of both stages.
     const fn total(self) -> u32 {
         self.prefill + self.decode
@@ -84,7 +92,8 @@
         };
         self.wanted = better.map(|change| (change.stage, since));
         let rested = self.changed_at.is_none_or(|at| now.since(at) >= REST);
-        better.filter(|_| rested && now.since(since) >= LASTING)
+        let lasts = share.lacks_stage() || now.since(since) >= LASTING;
+        better.filter(|_| rested && lasts)
     }
 
     /// Notes that engines were told to change.
@@ -96,8 +105,9 @@
 /// Returns the change towards the share that serves most, when that one serves clearly more.
 fn better_share(share: EngineShare, cost: &EngineCost) -> Option<StageChange> {
     let total = share.total();
-    // The last engine of a stage stays.
-    let best = (1..total)
+    let least = if total >= LARGER_POOL { 2 } else { 1 };
+    let best = (least..total)
+        .rev()
         .map(|prefill| EngineShare {
             prefill,
             decode: total - prefill,
@@ -111,9 +121,11 @@
     } else {
         backend_entry::EngineStage::Decode
     };
-    let engines = best.prefill.abs_diff(share.prefill);
-    Some(StageChange {
-        stage,
-        engines: engines.min((total / ENGINES_FOR_ONE).max(1)),
-    })
+    let wanted = best.prefill.abs_diff(share.prefill);
+    let engines = if share.lacks_stage() {
+        wanted
+    } else {
+        wanted.min((total / ENGINES_FOR_ONE).max(1))
+    };
+    Some(StageChange { stage, engines })
 }
--- a/components/relay/tests/decisions.rs
+++ b/components/relay/tests/decisions.rs
@@ -410,3 +410,35 @@
 
     assert!(again.is_ok());
 }
+
+#[test]
+fn a_site_without_prefill_engines_orders_some_at_once() {
+    assert_eq!(planned((0, 8), 0), Some((EngineStage::Prefill, 2)));
+    assert!(
+        planned((8, 0), 0)
+            .is_some_and(|(stage, engines)| { stage == EngineStage::Decode && engines >= 5 })
+    );
+}
+
+#[test]
+fn a_pool_of_some_size_keeps_two_prefill_engines() {
+    assert_eq!(planned((2, 5), 60_000), None);
+    assert_eq!(planned((1, 5), 60_000), Some((EngineStage::Prefill, 1)));
+}
+
+#[test]
+fn the_core_orders_a_prefill_engine_when_the_last_one_has_left() {
+    let mut core = common::core_with(&common::four_engines());
+    let place = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
+    core.release(at(1), place.key, common::ended(BackendOutcome::Abandoned));
+    let gone = ["p1", "p2"].map(|server| relay::ViewChange::BackendGone(server.into()));
+    let mut stages = Vec::new();
+
+    core.view_read(at(10), at(10), common::changes(11, gone.to_vec()));
+    for millis in (0..20_000).step_by(250) {
+        let orders = core.due_orders(at(millis), 1_000_000 + millis);
+        stages.extend(orders.into_iter().map(|order| order.stage));
+    }
+
+    assert_eq!(stages.first(), Some(&EngineStage::Prefill), "{stages:?}");
+}
--- a/components/relay/tests/placing.rs
+++ b/components/relay/tests/placing.rs
@@ -318,3 +318,104 @@
     assert_eq!(relay::remaining_tokens(3_000, 4_000, 6_500), 600);
     assert_eq!(relay::remaining_tokens(3_000, 6_400, 6_500), 100);
 }
+
+/// Returns the key of an engine.
+fn key_of(core: &relay::RelayCore, name: &str) -> relay::BackendKey {
+    let mut table = core.book().table().iter();
+    let found = table.find(|(_, engine)| engine.entry.server.to_string() == name);
+    found.map(|(key, _)| key).expect("it is listed")
+}
+
+/// Returns the prefill engines of some requests.
+fn prefills_of(core: &mut relay::RelayCore, millis: u64, count: usize) -> Vec<String> {
+    (0..count)
+        .map(|_| common::placed(core.place(at(millis), common::ask(at(millis), 1_000))))
+        .filter_map(|place| place.prefill.map(|(_, entry)| entry.server.to_string()))
+        .collect()
+}
+
+#[test]
+fn a_prefill_engine_whose_results_are_lost_reads_nothing_for_a_while() {
+    let mut core = common::core_with(&common::four_engines());
+    let lost = key_of(&core, "p1");
+
+    core.result_lost(at(0), lost);
+
+    assert_eq!(prefills_of(&mut core, 10, 4), ["p2"; 4]);
+    assert!(prefills_of(&mut core, 3_000, 6).contains(&"p1".to_owned()));
+}
+
+#[test]
+fn other_instances_hear_of_an_engine_whose_results_are_lost() {
+    let mut core = common::core_with(&common::four_engines());
+    let mut other = common::core_of(2);
+    let config = common::config(1, vec![common::draft_route()]);
+    other.view_read(
+        at(0),
+        at(0),
+        common::full_update(10, &config, &common::four_engines()),
+    );
+    let lost = key_of(&other, "p1");
+    other.result_lost(at(0), lost);
+
+    core.heard(at(5), other.news(at(4)));
+
+    assert_eq!(prefills_of(&mut core, 10, 4), ["p2"; 4]);
+    core.refresh_usage(at(3_000));
+    assert!(prefills_of(&mut core, 3_000, 6).contains(&"p1".to_owned()));
+}
+
+#[test]
+fn decode_engines_that_read_prompts_themselves_are_given_few_at_a_time() {
+    let mut core = common::core_with(&[
+        common::engine("d1", Decode, "a"),
+        common::engine("d2", Decode, "a"),
+    ]);
+    let mut places = Vec::new();
+
+    while let relay::PlaceAnswer::Placed(place) = core.place(at(0), common::ask(at(0), 5_000)) {
+        places.push(place.key);
+    }
+
+    assert!((2..=6).contains(&places.len()), "{}", places.len());
+    for key in places {
+        core.progressed(at(300), key, 50);
+    }
+    let answers = core.grants(at(300));
+    assert!(
+        matches!(answers.as_slice(), [(_, relay::PlaceAnswer::Placed(_))]),
+        "{answers:?}"
+    );
+}
+
+#[test]
+fn a_prompt_read_behind_others_does_not_make_an_engine_look_fast() {
+    let mut core = common::core_with(&[
+        common::engine("p1", Prefill, "a"),
+        common::engine("d1", Decode, "a"),
+    ]);
+    let first = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
+    let second = common::placed(core.place(at(90), common::ask(at(90), 5_000)));
+
+    core.prefill_ended(at(100), first.key, relay::BackendOutcome::Succeeded);
+    core.prefill_ended(at(200), second.key, relay::BackendOutcome::Succeeded);
+
+    let engine = core.book().get(key_of(&core, "p1")).expect("it is listed");
+    assert!(engine.prefill_rate <= 50.0, "{}", engine.prefill_rate);
+}
+
+#[test]
+fn a_prompt_that_takes_long_makes_an_engine_look_slow_also_behind_others() {
+    let mut core = common::core_with(&[
+        common::engine("p1", Prefill, "a"),
+        common::engine("d1", Decode, "a"),
+    ]);
+    let first = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
+    let second = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
+
+    core.prefill_ended(at(500), first.key, relay::BackendOutcome::Succeeded);
+    core.prefill_ended(at(1_000), second.key, relay::BackendOutcome::Succeeded);
+
+    let engine = core.book().get(key_of(&core, "p1")).expect("it is listed");
+    assert!(engine.prefill_rate < 40.0, "{}", engine.prefill_rate);
+}
