--- a/components/gateway/src/core_port.rs
+++ b/components/gateway/src/core_port.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::oneshot;
 
 /// Shares the relay core among the tasks of an instance.
 ///
@@ -13,11 +13,11 @@
     waiting:
         sync::Mutex<collections::BTreeMap<relay::WaitTicket, oneshot::Sender<relay::PlaceAnswer>>>,
     /// Wakes the task that sends news.
-    pub(crate) usage_changed: Notify,
+    pub(crate) usage_changed: tokio::sync::Notify,
     /// Wakes the task that reads the platform.
-    pub(crate) view_behind: Notify,
+    pub(crate) view_behind: tokio::sync::Notify,
     /// Wakes the task that refuses requests which have waited too long.
-    pub(crate) line_changed: Notify,
+    pub(crate) line_changed: tokio::sync::Notify,
 }
 
 impl CorePort {
@@ -28,9 +28,9 @@
             clock,
             core: sync::Mutex::new(core),
             waiting: sync::Mutex::default(),
-            usage_changed: Notify::new(),
-            view_behind: Notify::new(),
-            line_changed: Notify::new(),
+            usage_changed: tokio::sync::Notify::new(),
+            view_behind: tokio::sync::Notify::new(),
+            line_changed: tokio::sync::Notify::new(),
         }
     }
 
--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -2,8 +2,6 @@
 
 use std::{net, sync, time};
 
-use tokio::net::UdpSocket;
-
 use crate::{core_port, decision_event, decision_log, peer_message};
 
 /// Time between news when nothing happens.
@@ -19,7 +17,7 @@
 pub struct PeerLink {
     port: sync::Arc<core_port::CorePort>,
     log: sync::Arc<decision_log::DecisionLog>,
-    socket: UdpSocket,
+    socket: tokio::net::UdpSocket,
     peer_port: u16,
 }
 
@@ -37,7 +35,7 @@
         Ok(Self {
             port,
             log,
-            socket: UdpSocket::bind(address).await?,
+            socket: tokio::net::UdpSocket::bind(address).await?,
             peer_port: address.port(),
         })
     }
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -1,5 +1,8 @@
 //! Brings a generation to its first event, over engines that may fail.
 
+mod decode_step;
+mod prompt_step;
+
 use std::{sync, time};
 
 use crate::{
@@ -10,19 +13,10 @@
 /// Places at the most, those included whose engines prove that they didn't run the request.
 const TRY_LIMIT: u32 = 5;
 
-/// Times the expected duration after which a prompt that isn't read is given up.
-const PREFILL_PATIENCE_RATIO: u32 = 3;
-
-/// Shortest time after which a prompt that isn't read is given up.
-const PREFILL_PATIENCE_FLOOR: time::Duration = time::Duration::from_millis(350);
-
 /// Times the target for the first token that a request waits for a place: callers leave after
 /// about four.
 const WAIT_TARGETS: u32 = 3;
 
-/// Part of the time a prefill result is kept in which it is given to another engine.
-const RESULT_SHARE: f64 = 0.7;
-
 /// A stream with the place that it holds.
 pub(crate) struct OpenStream {
     pub(crate) guard: place_guard::PlaceGuard,
@@ -57,12 +51,6 @@
     Reply(whole_reply::WholeReply),
 }
 
-/// A prefill result that a decode engine may take.
-struct ReadPrompt {
-    source: relay_client::KvSource,
-    taken_by: clock::Moment,
-}
-
 /// Brings a generation to its first event, over engines that may fail.
 pub(crate) struct StreamOpener {
     pub(crate) gateway: sync::Arc<gateway::Gateway>,
@@ -202,7 +190,7 @@
     async fn attempt(
         &mut self,
         guard: &mut place_guard::PlaceGuard,
-        prompt: &mut Option<ReadPrompt>,
+        prompt: &mut Option<prompt_step::ReadPrompt>,
         next: relay::NextStep,
     ) -> Result<stream_opening::OpenedStream, StepError> {
         if next == relay::NextStep::Restart {
@@ -256,171 +244,6 @@
         }
     }
 
-    /// Has the prefill engine of a place read the prompt.
-    async fn read_prompt(
-        &mut self,
-        guard: &place_guard::PlaceGuard,
-    ) -> Result<Option<ReadPrompt>, StepError> {
-        let Some((key, entry)) = guard.place.prefill.clone() else {
-            return Ok(None);
-        };
-        let started = self.gateway.port.now();
-        let time_left = self.routed.time_left(started);
-        let patience = (guard.place.prefill_time * PREFILL_PATIENCE_RATIO)
-            .max(PREFILL_PATIENCE_FLOOR)
-            .min(time_left);
-        let send = self.send_to(&entry, relay_client::RelayStep::Run, time_left);
-        let reading = self.gateway.client.prefill(&self.routed.request, send);
-        let result = tokio::time::timeout(patience, reading).await;
-        let now = self.gateway.port.now();
-        let (outcome, error) = match result {
-            Ok(Ok(source)) => {
-                guard.prefill_ended(relay::BackendOutcome::Succeeded);
-                self.counts.prefills += 1;
-                self.warm = Some((key, entry.address));
-                self.trace.prompt_read(&entry.server, now.since(started));
-                return Ok(Some(ReadPrompt {
-                    source,
-                    taken_by: now + self.result_time(),
-                }));
-            }
-            Ok(Err(error)) => (whole_reply::outcome_of(&error), error.to_string()),
-            Err(_) => (
-                relay::BackendOutcome::Silent,
-                format!("the prompt wasn't read within {} ms", patience.as_millis()),
-            ),
-        };
-        guard.prefill_ended(outcome);
-        self.count_failed_prefill(outcome);
-        Err(StepError {
-            failure: relay::StepFailure::builder()
-                .step(relay::StreamStep::Prefill)
-                .outcome(outcome)
-                // Reading a prompt doesn't run the request.
-                .not_run(true)
-                .build(),
-            server: entry.server,
-            engine: key,
-            error,
-            reply: None,
-        })
-    }
-
-    /// Counts a prompt that a prefill engine refused or may have read.
-    fn count_failed_prefill(&mut self, outcome: relay::BackendOutcome) {
-        let service = &self.routed.service;
-        match outcome {
-            relay::BackendOutcome::Unreachable => {}
-            relay::BackendOutcome::Refused => self
-                .gateway
-                .port
-                .decide(|core, now| core.count_repeat(now, service)),
-            _ => self.counts.prefills += 1,
-        }
-    }
-
-    /// Returns the time in which a prefill result may be given to an engine.
-    fn result_time(&self) -> time::Duration {
-        self.gateway
-            .port
-            .decide(|core, _| core.result_retention(&self.routed.service))
-            .mul_f64(RESULT_SHARE)
-    }
-
-    /// Has the decode engine of a place generate, up to the first event.
-    async fn generate(
-        &mut self,
-        guard: &mut place_guard::PlaceGuard,
-        prompt: &mut Option<ReadPrompt>,
-    ) -> Result<stream_opening::OpenedStream, StepError> {
-        let (key, entry) = guard.place.decode.clone();
-        let time_left = self.routed.time_left(self.gateway.port.now());
-        let source = prompt.as_ref().map(|prompt| prompt.source.clone());
-        let cache = self.warm.map(|(_, address)| address);
-        let step = relay_client::RelayStep::Decode {
-            cache: cache.filter(|_| source.is_none()),
-            source,
-            resume_after: self.last_event,
-        };
-        let send = self.send_to(&entry, step, time_left);
-        guard.sent();
-        let opening =
-            stream_opening::first_event(self.gateway.client.send(&self.routed.request, send));
-        let result = tokio::time::timeout(time_left, opening).await;
-        let failed = match result {
-            Ok(Ok(opened)) => {
-                guard.first_token();
-                self.counts.decodes += 1;
-                self.note_run(key);
-                if prompt.is_none() {
-                    self.note_lost_result();
-                }
-                return Ok(opened);
-            }
-            Ok(Err(failed)) => failed,
-            Err(_) => stream_opening::OpenFailure {
-                outcome: relay::BackendOutcome::Silent,
-                not_run: false,
-                has_arrived: true,
-                error: "no event in time".to_owned(),
-                reply: None,
-            },
-        };
-        if failed.has_arrived {
-            self.counts.decodes += 1;
-        }
-        if !failed.not_run {
-            self.note_run(key);
-        }
-        let now = self.gateway.port.now();
-        let was_refused = failed.outcome == relay::BackendOutcome::Refused;
-        self.lost_result = prompt
-            .as_ref()
-            .and(self.warm)
-            .map(|(engine, _)| engine)
-            .filter(|_| was_refused);
-        let has_result = prompt.as_ref().is_some_and(|prompt| now < prompt.taken_by);
-        Err(StepError {
-            failure: relay::StepFailure::builder()
-                .step(relay::StreamStep::Decode)
-                .outcome(failed.outcome)
-                .not_run(failed.not_run)
-                .has_result(has_result)
-                .fill(guard.place.fill)
-                .stayed(self.stayed)
-                .build(),
-            server: entry.server,
-            engine: key,
-            error: failed.error,
-            reply: failed.reply,
-        })
-    }
-
-    /// Tells the core of a result that was gone: the engine that was refused it has room.
-    fn note_lost_result(&mut self) {
-        if let Some(engine) = self.lost_result.take() {
-            self.gateway
-                .port
-                .decide(|core, now| core.result_lost(now, engine));
-            self.gateway.port.usage_changed.notify_one();
-        }
-    }
-
-    /// Returns whether the request may have run.
-    pub(crate) const fn may_have_run(&self) -> bool {
-        !self.ran_on.is_empty()
-    }
-
-    fn ran_on_count(&self) -> u32 {
-        u32::try_from(self.ran_on.len()).unwrap_or(u32::MAX)
-    }
-
-    fn note_run(&mut self, engine: relay::BackendKey) {
-        if !self.ran_on.contains(&engine) {
-            self.ran_on.push(engine);
-        }
-    }
-
     fn send_to(
         &self,
         entry: &relay::BackendEntry,
@@ -446,17 +269,4 @@
         };
         guard.end(outcome);
     }
-
-    /// Frees a prefill result that nobody will take.
-    fn drop_prompt(&self, prompt: &mut Option<ReadPrompt>) {
-        let now = self.gateway.port.now();
-        let Some(prompt) = prompt.take().filter(|prompt| now < prompt.taken_by) else {
-            return;
-        };
-        let client = sync::Arc::clone(&self.gateway.client);
-        tokio::spawn(async move {
-            // The engine frees it by itself when its time is up.
-            let _freed = client.free(prompt.source).await;
-        });
-    }
 }
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -4,9 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{backend, backend_entry, backend_health, refusal};
-
-use super::RelayCore;
+use crate::{backend, backend_entry, backend_health, refusal, relay_core};
 
 /// Latency of a call in milliseconds until a server has shown its own.
 const USUAL_CALL_MILLIS: f64 = 20.0;
@@ -39,7 +37,7 @@
     pub failure_share: f64,
 }
 
-impl RelayCore {
+impl relay_core::RelayCore {
     /// Chooses a server for a call and counts the call there.
     ///
     /// # Errors
--- a/components/relay/src/relay_core/core_learning.rs
+++ b/components/relay/src/relay_core/core_learning.rs
@@ -1,8 +1,6 @@
 //! What the core learns from streams: lengths, pace and the time that places are held.
 
-use crate::{backend_health, engine_usage, length_guess, stream_ask, stream_lease};
-
-use super::{RelayCore, StreamAverage};
+use crate::{backend_health, engine_usage, length_guess, relay_core, stream_ask, stream_lease};
 
 /// Time that a stream holds its place until streams have shown their own, in milliseconds.
 const USUAL_HELD_MILLIS: f64 = 3_000.0;
@@ -10,7 +8,7 @@
 /// Weight of a new stream in the averages.
 const HELD_WEIGHT: f64 = 0.05;
 
-impl RelayCore {
+impl relay_core::RelayCore {
     /// Takes in that a stream has generated `tokens` more.
     pub fn progressed(&mut self, now: clock::Moment, key: stream_lease::StreamKey, tokens: u32) {
         self.prefill_ended(now, key, backend_health::BackendOutcome::Succeeded);
@@ -68,10 +66,10 @@
         lengths.expected(ask.expected_tokens, ask.output_tokens)
     }
 
-    fn average(&mut self, ask: &stream_ask::StreamAsk) -> &mut StreamAverage {
+    fn average(&mut self, ask: &stream_ask::StreamAsk) -> &mut relay_core::StreamAverage {
         self.averages
             .entry(ask.service.clone())
-            .or_insert_with(|| StreamAverage {
+            .or_insert_with(|| relay_core::StreamAverage {
                 held_millis: USUAL_HELD_MILLIS,
                 prompt_tokens: f64::from(ask.prompt_tokens),
                 mean_tokens: f64::from(ask.prompt_tokens + ask.output_tokens / 4),
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -1,8 +1,6 @@
 //! Orders to engines.
 
-use crate::{backend, backend_entry, order_gate, stage_planner};
-
-use super::RelayCore;
+use crate::{backend, backend_entry, order_gate, relay_core, stage_planner};
 
 /// Part of an engine's memory that is in use when it is full.
 const USED_MEMORY: f64 = 0.8;
@@ -27,7 +25,7 @@
     pub cost: stage_planner::EngineCost,
 }
 
-impl RelayCore {
+impl relay_core::RelayCore {
     /// Returns the orders that are due, if this instance may give any.
     pub fn due_orders(&mut self, now: clock::Moment, wall_millis: u64) -> Vec<StageOrder> {
         let view = self.order_view(now, wall_millis);
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -5,12 +5,10 @@
 use rand::RngExt as _;
 
 use crate::{
-    backend, backend_entry, backend_health, engine_choice, refusal, service_rule, stream_ask,
-    stream_lease, wait_line,
+    backend, backend_entry, backend_health, engine_choice, refusal, relay_core, service_rule,
+    stream_ask, stream_lease, wait_line,
 };
 
-use super::{RETRY_FLOOR, RelayCore};
-
 /// Share of a decode engine's memory that streams may be expected to take; the rest answers
 /// lengths that were guessed too short.
 const FILL_LIMIT: f64 = 0.92;
@@ -53,7 +51,7 @@
 pub enum PlaceAnswer {
     /// A place is reserved.
     Placed(Box<StreamPlace>),
-    /// The request waits; the answer follows by [`RelayCore::grants`].
+    /// The request waits; the answer follows by [`relay_core::RelayCore::grants`].
     Waiting(wait_line::WaitTicket),
     /// The request can't be served.
     Refused(refusal::Refusal),
@@ -68,7 +66,7 @@
     pub first_token: time::Duration,
 }
 
-impl RelayCore {
+impl relay_core::RelayCore {
     /// Answers a request for a place at once, or lets it wait when it will be served.
     pub fn place(&mut self, now: clock::Moment, mut ask: stream_ask::StreamAsk) -> PlaceAnswer {
         let Some(size) = self.engine_size(&ask.service) else {
@@ -132,7 +130,7 @@
         answers
     }
 
-    /// Returns the next moment at which [`RelayCore::grants`] has something to refuse.
+    /// Returns the next moment at which [`relay_core::RelayCore::grants`] has something to refuse.
     #[must_use]
     pub fn next_overdue(&self) -> Option<clock::Moment> {
         self.line.next_overdue()
@@ -329,7 +327,7 @@
 
     fn overload_retry(&mut self, wait: time::Duration) -> time::Duration {
         let spread = RETRY_SPREAD.mul_f64(self.random.random::<f64>());
-        (wait + OVERLOAD_RETRY + spread).max(RETRY_FLOOR)
+        (wait + OVERLOAD_RETRY + spread).max(relay_core::RETRY_FLOOR)
     }
 
     fn chooser(
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -2,9 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::{instance_news, site_view, view_change};
-
-use super::RelayCore;
+use crate::{instance_news, relay_core, site_view, view_change};
 
 /// Instances up to which all news name all others.
 const SMALL_FLEET: usize = 16;
@@ -12,7 +10,7 @@
 /// News of a large fleet of which one names the other instances.
 const TELLING_INTERVAL: u64 = 8;
 
-impl RelayCore {
+impl relay_core::RelayCore {
     /// Returns when the platform's store is to be read next.
     #[must_use]
     pub fn next_read(&self, now: clock::Moment) -> clock::Moment {
