relay, gateway: tell all instances of engines that change stage; hold refused prompts to the bound on repeats

Four engines changed stage at a time, each of ninety instances was refused by each of them, and a refused prompt was counted but not asked for. Ruled out: late counts (the sum of the instances' grants alone stays below the bound). Change: engines that were ordered to change, or whose results were gone, are named in news and receive nothing from any instance meanwhile; a refused prompt makes the next one a repeat that must be granted.

--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -48,7 +48,7 @@
     #[prost(uint32, tag = "12")]
     last_order_age_ms: u32,
     #[prost(fixed64, repeated, tag = "13")]
-    lost_results: Vec<u64>,
+    paused: Vec<u64>,
 }
 
 /// Requests and repeats of one service.
@@ -95,7 +95,7 @@
             })
             .collect(),
         last_fence: news.last_fence,
-        lost_results: news.lost_results.clone(),
+        paused: news.paused.clone(),
         last_order_age_ms: whole_millis(news.last_order_age),
         known: news.known.iter().map(|address| address.to_bits()).collect(),
     };
@@ -125,7 +125,7 @@
                 .collect(),
         )
         .last_fence(message.last_fence)
-        .lost_results(message.lost_results)
+        .paused(message.paused)
         .last_order_age(time::Duration::from_millis(u64::from(
             message.last_order_age_ms,
         )))
--- a/components/gateway/src/stream_opener/prompt_step.rs
+++ b/components/gateway/src/stream_opener/prompt_step.rs
@@ -56,7 +56,9 @@
             ),
         };
         guard.prefill_ended(outcome);
-        self.count_failed_prefill(outcome);
+        if outcome != relay::BackendOutcome::Unreachable {
+            self.counts.prefills += 1;
+        }
         Err(stream_opener::StepError {
             failure: relay::StepFailure::builder()
                 .step(relay::StreamStep::Prefill)
@@ -71,19 +73,6 @@
         })
     }
 
-    /// Counts a prompt that a prefill engine refused or may have read.
-    fn count_failed_prefill(&mut self, outcome: relay::BackendOutcome) {
-        let service = &self.routed.service;
-        match outcome {
-            relay::BackendOutcome::Unreachable => {}
-            relay::BackendOutcome::Refused => self
-                .gateway
-                .port
-                .decide(|core, now| core.count_repeat(now, service)),
-            _ => self.counts.prefills += 1,
-        }
-    }
-
     /// Returns the time in which a prefill result may be given to an engine.
     fn result_time(&self) -> time::Duration {
         self.gateway
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -95,7 +95,7 @@
             .usage(vec![(numbers[4], usage)])
             .retries(vec![(numbers[5], count)])
             .last_fence(numbers[0])
-            .lost_results(vec![numbers[1]])
+            .paused(vec![numbers[1]])
             .last_order_age(time::Duration::from_millis(40))
             .known(vec![net::Ipv4Addr::from_bits(host)])
             .build();
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -47,10 +47,10 @@
     /// Prompt tokens read in a millisecond.
     pub prefill_rate: f64,
     full_until: clock::Moment,
-    /// Moment until which its prefill results aren't relied on.
-    lost_until: clock::Moment,
-    /// Whether another instance doesn't rely on its prefill results.
-    pub told_lost: bool,
+    /// Moment until which no instance is to send it anything.
+    paused_for_all_until: clock::Moment,
+    /// Whether another instance tells that nothing is to be sent to it.
+    pub told_paused: bool,
 }
 
 impl Backend {
@@ -67,32 +67,27 @@
             health: backend_health::BackendHealth::default(),
             prefill_rate: USUAL_PREFILL_RATE,
             full_until: clock::Moment::default(),
-            lost_until: clock::Moment::default(),
-            told_lost: false,
+            paused_for_all_until: clock::Moment::default(),
+            told_paused: false,
         }
     }
 
     /// Returns whether it may receive new work.
     #[must_use]
     pub fn takes_work(&self, now: clock::Moment) -> bool {
-        self.is_current() && self.health.is_usable(now) && now >= self.full_until
+        let is_paused = self.told_paused || self.is_paused_for_all(now);
+        self.is_current() && self.health.is_usable(now) && now >= self.full_until && !is_paused
     }
 
-    /// Returns whether this instance has found its prefill results gone lately.
+    /// Returns whether no instance is to send it anything, as far as this one knows.
     #[must_use]
-    pub fn loses_results(&self, now: clock::Moment) -> bool {
-        now < self.lost_until
-    }
-
-    /// Returns whether it may read prompts for decode engines.
-    #[must_use]
-    pub fn takes_prompts(&self, now: clock::Moment) -> bool {
-        self.takes_work(now) && !self.told_lost && !self.loses_results(now)
+    pub fn is_paused_for_all(&self, now: clock::Moment) -> bool {
+        now < self.paused_for_all_until
     }
 
     /// Takes in that a prefill result was gone before it was taken.
     pub fn result_lost(&mut self, now: clock::Moment) {
-        self.lost_until = now + LOST_PAUSE;
+        self.paused_for_all_until = now + LOST_PAUSE;
     }
 
     /// Returns whether it is listed and isn't leaving.
@@ -176,13 +171,14 @@
 
     /// Sends the engine nothing while it goes over to another stage.
     pub fn changes_stage(&mut self, now: clock::Moment) {
-        self.full_until = now + CHANGE_PAUSE;
+        self.paused_for_all_until = now + CHANGE_PAUSE;
     }
 
     /// Takes over a newer entry.
     pub fn take_entry(&mut self, entry: &backend_entry::BackendEntry) {
         if entry.stage != self.entry.stage {
             self.full_until = clock::Moment::default();
+            self.paused_for_all_until = clock::Moment::default();
         }
         self.entry = entry.clone();
         self.listed = true;
--- a/components/relay/src/backend_book.rs
+++ b/components/relay/src/backend_book.rs
@@ -62,19 +62,20 @@
         }
     }
 
-    /// Takes over which prefill engines the other instances don't rely on.
-    pub fn take_lost(&mut self, lost: &collections::BTreeSet<u64>) {
+    /// Takes over which engines the other instances tell to be paused.
+    pub fn take_paused(&mut self, paused: &collections::BTreeSet<u64>) {
         for (_, known) in &mut self.backends {
-            known.told_lost = lost.contains(&instance_news::server_hash(&known.entry.server));
+            let hash = instance_news::server_hash(&known.entry.server);
+            known.told_paused = paused.contains(&hash);
         }
     }
 
-    /// Returns the prefill engines whose results this instance has found gone, for its news.
+    /// Returns the engines that no instance is to send anything, for this one's news.
     #[must_use]
-    pub fn own_lost(&self, now: clock::Moment) -> Vec<u64> {
+    pub fn own_paused(&self, now: clock::Moment) -> Vec<u64> {
         self.backends
             .values()
-            .filter(|known| known.loses_results(now))
+            .filter(|known| known.is_paused_for_all(now))
             .map(|known| instance_news::server_hash(&known.entry.server))
             .collect()
     }
--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -58,7 +58,6 @@
     pub fn choose(&self, ask: &stream_ask::StreamAsk) -> Option<EngineChoice> {
         let prefills: Vec<_> = self
             .engines(ask, backend_entry::EngineStage::Prefill)
-            .filter(|(_, engine)| engine.takes_prompts(self.now))
             .collect();
         self.engines(ask, backend_entry::EngineStage::Decode)
             .filter(|(_, engine)| self.has_room(engine, ask))
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -159,13 +159,13 @@
         total
     }
 
-    /// Returns the prefill engines whose results other instances have found gone.
+    /// Returns the engines that other instances tell to be paused.
     #[must_use]
-    pub fn lost_results(&self, now: clock::Moment) -> collections::BTreeSet<u64> {
+    pub fn paused(&self, now: clock::Moment) -> collections::BTreeSet<u64> {
         self.states
             .values()
             .filter(|state| now.since(state.heard_at) < ALIVE_TIMEOUT)
-            .flat_map(|state| state.news.lost_results.iter().copied())
+            .flat_map(|state| state.news.paused.iter().copied())
             .collect()
     }
 
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -37,9 +37,10 @@
     /// Time since that order.
     #[builder(default)]
     pub last_order_age: time::Duration,
-    /// Prefill engines whose results it has found gone, by [`server_hash`].
+    /// Engines that no instance is to send anything, by [`server_hash`]: those that it has ordered
+    /// to change stage, and those whose prefill results it has found gone.
     #[builder(default)]
-    pub lost_results: Vec<u64>,
+    pub paused: Vec<u64>,
     /// Addresses of the other instances that it has heard of lately.
     #[builder(default)]
     pub known: Vec<net::Ipv4Addr>,
--- a/components/relay/src/next_step.rs
+++ b/components/relay/src/next_step.rs
@@ -91,7 +91,7 @@
 /// Counts what a request has cost, for the bound on repeats.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AttemptCount {
-    /// Prompts that prefill engines were given.
+    /// Prompts that prefill engines were given, those included that they refused.
     pub prefills: u32,
     /// Requests that decode engines were given.
     pub decodes: u32,
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -182,11 +182,6 @@
         allowed
     }
 
-    /// Counts a repeat that wasn't asked for, such as a first prompt that was refused.
-    pub fn count_repeat(&mut self, now: clock::Moment, service: &ids::ServiceName) {
-        self.window(service).count_repeats(now, 1);
-    }
-
     /// Returns a backend server's entry.
     #[must_use]
     pub fn entry(&self, key: backend::BackendKey) -> Option<crate::BackendEntry> {
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -67,7 +67,7 @@
     pub fn refresh_usage(&mut self, now: clock::Moment) {
         let usage = self.instances.usage(now, self.pace);
         self.book.take_usage(&usage);
-        self.book.take_lost(&self.instances.lost_results(now));
+        self.book.take_paused(&self.instances.paused(now));
     }
 
     /// Replaces the addresses of instances that may be known to others.
@@ -102,7 +102,7 @@
             .view_age(self.keeper.read_age(now))
             .usage(self.book.own_usage())
             .retries(retries)
-            .lost_results(self.book.own_lost(now))
+            .paused(self.book.own_paused(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
                 self.last_order
--- a/components/relay/tests/decisions.rs
+++ b/components/relay/tests/decisions.rs
@@ -442,3 +442,13 @@
 
     assert_eq!(stages.first(), Some(&EngineStage::Prefill), "{stages:?}");
 }
+
+#[test]
+fn a_prompt_that_was_refused_costs_a_repeat_when_another_engine_is_given_it() {
+    let refused = relay::AttemptCount {
+        prefills: 1,
+        decodes: 0,
+    };
+
+    assert_eq!(refused.cost(NextStep::Restart), 1);
+}
--- a/components/relay/tests/placing.rs
+++ b/components/relay/tests/placing.rs
@@ -419,3 +419,35 @@
     let engine = core.book().get(key_of(&core, "p1")).expect("it is listed");
     assert!(engine.prefill_rate < 40.0, "{}", engine.prefill_rate);
 }
+
+#[test]
+fn other_instances_send_nothing_to_an_engine_that_was_ordered_to_change() {
+    let mut entries = common::four_engines();
+    entries.push(common::engine("p3", EngineStage::Prefill, "a"));
+    entries.push(common::engine("p4", EngineStage::Prefill, "b"));
+    let mut leader = common::core_with(&entries);
+    let place = common::placed(leader.place(at(0), common::ask(at(0), 5_000)));
+    leader.release(
+        at(1),
+        place.key,
+        common::ended(relay::BackendOutcome::Abandoned),
+    );
+    let mut other = common::core_of(2);
+    let config = common::config(1, vec![common::draft_route()]);
+    other.view_read(at(0), at(0), common::full_update(10, &config, &entries));
+    let mut ordered = None;
+    let mut millis = 0;
+    while ordered.is_none() && millis < 30_000 {
+        millis += 250;
+        ordered = leader.due_orders(at(millis), 1_000_000 + millis).pop();
+    }
+    let ordered = ordered
+        .expect("an engine is ordered")
+        .entry
+        .server
+        .to_string();
+
+    other.heard(at(millis), leader.news(at(millis)));
+
+    assert!(!prefills_of(&mut other, millis, 8).contains(&ordered));
+}
