gateway, relay: drop a method that nothing calls; name enums in tests through their crate

Cause: reading the whole change once more: RelayClient::forget has no caller, since the identity that each send names makes old connections harmless; two tests imported an enum directly. No behaviour, bound or assertion changes.

--- a/components/gateway/src/relay_client.rs
+++ b/components/gateway/src/relay_client.rs
@@ -112,7 +112,4 @@
     ///
     /// As [`RelayClient::send`].
     async fn free(&self, source: KvSource) -> Result<(), border::BorderError>;
-
-    /// Drops unused connections to an address.
-    fn forget(&self, address: net::SocketAddr);
 }
--- a/components/relay/tests/heavy_day.rs
+++ b/components/relay/tests/heavy_day.rs
@@ -10,7 +10,6 @@
 
 use common::at;
 use rand::{RngExt as _, SeedableRng as _};
-use relay::EngineStage;
 
 /// Step of the play, in milliseconds.
 const STEP_MILLIS: u64 = 5;
@@ -116,8 +115,8 @@
 
 impl CorePlacer {
     fn new() -> Self {
-        let prefills = (0..ENGINES.0).map(|number| ("p", number, EngineStage::Prefill));
-        let decodes = (0..ENGINES.1).map(|number| ("d", number, EngineStage::Decode));
+        let prefills = (0..ENGINES.0).map(|number| ("p", number, relay::EngineStage::Prefill));
+        let decodes = (0..ENGINES.1).map(|number| ("d", number, relay::EngineStage::Decode));
         let entries: Vec<_> = prefills
             .chain(decodes)
             .map(|(name, number, stage)| common::engine(&format!("{name}{number}"), stage, "a"))
--- a/components/relay/tests/placing.rs
+++ b/components/relay/tests/placing.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{at, ms};
-use relay::EngineStage;
 
 #[test]
 fn a_request_gets_engines_in_one_data_centre() {
@@ -84,8 +83,8 @@
 #[test]
 fn a_full_site_lets_requests_wait_and_serves_them_when_a_stream_ends() {
     let entries = [
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
     ];
     let mut core = common::core_with(&entries);
     let mut places = Vec::new();
@@ -114,8 +113,8 @@
 #[test]
 fn a_request_that_waited_as_long_as_it_may_is_refused_with_a_time_to_come_back() {
     let mut core = common::core_with(&[
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
     ]);
     let held = core.place(at(0), common::ask(at(0), 80_000));
     assert!(matches!(held, relay::PlaceAnswer::Placed(_)));
@@ -138,7 +137,7 @@
 
 #[test]
 fn without_a_decode_engine_a_request_is_refused_at_once() {
-    let mut core = common::core_with(&[common::engine("p1", EngineStage::Prefill, "a")]);
+    let mut core = common::core_with(&[common::engine("p1", relay::EngineStage::Prefill, "a")]);
 
     let answer = core.place(at(0), common::ask(at(0), 5_000));
 
@@ -150,7 +149,7 @@
 
 #[test]
 fn without_a_prefill_engine_the_decode_engine_reads_the_prompt() {
-    let mut core = common::core_with(&[common::engine("d1", EngineStage::Decode, "a")]);
+    let mut core = common::core_with(&[common::engine("d1", relay::EngineStage::Decode, "a")]);
 
     let place = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
 
@@ -214,8 +213,8 @@
 #[test]
 fn a_restarted_engine_starts_unused_and_without_its_past() {
     let mut core = common::core_with(&[
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
     ]);
     let place = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
     core.release(
@@ -223,7 +222,7 @@
         place.key,
         common::ended(relay::BackendOutcome::Unreachable),
     );
-    let mut reborn = common::engine("d1", EngineStage::Decode, "a");
+    let mut reborn = common::engine("d1", relay::EngineStage::Decode, "a");
     reborn.born_millis = 2;
 
     core.view_read(
@@ -239,9 +238,9 @@
 #[test]
 fn a_prompt_does_not_wait_long_at_a_prefill_engine() {
     let mut core = common::core_with(&[
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
-        common::engine("d2", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
+        common::engine("d2", relay::EngineStage::Decode, "a"),
     ]);
     let mut placed = 0;
 
@@ -258,9 +257,9 @@
 #[test]
 fn a_warm_prefill_engine_is_preferred() {
     let mut core = common::core_with(&[
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("p2", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("p2", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
     ]);
     let key_of = |core: &relay::RelayCore, name: &str| {
         let mut table = core.book().table().iter();
@@ -368,8 +367,8 @@
 #[test]
 fn decode_engines_that_read_prompts_themselves_are_given_few_at_a_time() {
     let mut core = common::core_with(&[
-        common::engine("d1", EngineStage::Decode, "a"),
-        common::engine("d2", EngineStage::Decode, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
+        common::engine("d2", relay::EngineStage::Decode, "a"),
     ]);
     let mut places = Vec::new();
 
@@ -391,8 +390,8 @@
 #[test]
 fn a_prompt_read_behind_others_does_not_make_an_engine_look_fast() {
     let mut core = common::core_with(&[
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
     ]);
     let first = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
     let second = common::placed(core.place(at(90), common::ask(at(90), 5_000)));
@@ -407,8 +406,8 @@
 #[test]
 fn a_prompt_that_takes_long_makes_an_engine_look_slow_also_behind_others() {
     let mut core = common::core_with(&[
-        common::engine("p1", EngineStage::Prefill, "a"),
-        common::engine("d1", EngineStage::Decode, "a"),
+        common::engine("p1", relay::EngineStage::Prefill, "a"),
+        common::engine("d1", relay::EngineStage::Decode, "a"),
     ]);
     let first = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
     let second = common::placed(core.place(at(0), common::ask(at(0), 5_000)));
@@ -423,8 +422,8 @@
 #[test]
 fn other_instances_send_nothing_to_an_engine_that_was_ordered_to_change() {
     let mut entries = common::four_engines();
-    entries.push(common::engine("p3", EngineStage::Prefill, "a"));
-    entries.push(common::engine("p4", EngineStage::Prefill, "b"));
+    entries.push(common::engine("p3", relay::EngineStage::Prefill, "a"));
+    entries.push(common::engine("p4", relay::EngineStage::Prefill, "b"));
     let mut leader = common::core_with(&entries);
     let place = common::placed(leader.place(at(0), common::ask(at(0), 5_000)));
     leader.release(
