relay: put the requests that wait at all instances in one order

Cause: each instance kept a line of its own. When a place became free, all instances heard of it at once and each granted it to a request of its own.

Change: news tell which requests wait (at most eight an instance, 40 bytes each). An instance places one of its own only when those before it, wherever they wait, would have found places too. The expected wait counts them instead of its own line times the number of instances.

--- a/components/gateway/src/core_port.rs
+++ b/components/gateway/src/core_port.rs
@@ -74,6 +74,7 @@
             answered: false,
         };
         self.line_changed.notify_one();
+        self.usage_changed.notify_one();
         let answer = receiver.await;
         guard.answered = true;
         self.usage_changed.notify_one();
@@ -118,6 +119,7 @@
             return;
         }
         lock(&self.port.waiting).remove(&self.ticket);
+        self.port.usage_changed.notify_one();
         self.port
             .decide_and_grant(|core, _| core.stop_waiting(self.ticket));
     }
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -49,6 +49,30 @@
     last_order_age_ms: u32,
     #[prost(fixed64, repeated, tag = "13")]
     paused: Vec<u64>,
+    #[prost(message, repeated, tag = "14")]
+    waiting: Vec<WaitMessage>,
+}
+
+/// A request that waits for a place.
+#[derive(Clone, PartialEq, prost::Message)]
+struct WaitMessage {
+    /// Hash of the service's name.
+    #[prost(fixed64, tag = "1")]
+    service: u64,
+    #[prost(bool, tag = "2")]
+    resumes: bool,
+    #[prost(uint32, tag = "3")]
+    priority: u32,
+    #[prost(uint32, tag = "4")]
+    held: u32,
+    #[prost(uint32, tag = "5")]
+    remaining: u32,
+    #[prost(sint32, tag = "6")]
+    due_in_ms: i32,
+    #[prost(uint32, tag = "7")]
+    timely_for_ms: u32,
+    #[prost(fixed32, tag = "8")]
+    choice_seed: u32,
 }
 
 /// Requests and repeats of one service.
@@ -94,6 +118,7 @@
                 repeats: count.repeats,
             })
             .collect(),
+        waiting: news.waiting.iter().map(encode_waiting).collect(),
         last_fence: news.last_fence,
         paused: news.paused.clone(),
         last_order_age_ms: whole_millis(news.last_order_age),
@@ -124,6 +149,7 @@
                 .map(|usage| (usage.server, decode_usage(usage)))
                 .collect(),
         )
+        .waiting(message.waiting.iter().map(decode_waiting).collect())
         .last_fence(message.last_fence)
         .paused(message.paused)
         .last_order_age(time::Duration::from_millis(u64::from(
@@ -166,6 +192,36 @@
     }
 }
 
+fn encode_waiting(news: &relay::WaitNews) -> WaitMessage {
+    WaitMessage {
+        service: news.service,
+        resumes: news.resumes,
+        priority: u32::from(news.priority),
+        held: news.load.held,
+        remaining: news.load.remaining,
+        due_in_ms: news.due_in_millis,
+        timely_for_ms: whole_millis(news.timely_for),
+        choice_seed: news.choice_seed,
+    }
+}
+
+fn decode_waiting(message: &WaitMessage) -> relay::WaitNews {
+    relay::WaitNews::builder()
+        .service(message.service)
+        .resumes(message.resumes)
+        .priority(u8::try_from(message.priority).unwrap_or(u8::MAX))
+        .load(relay::StreamLoad {
+            held: message.held,
+            remaining: message.remaining,
+        })
+        .due_in_millis(message.due_in_ms)
+        .timely_for(time::Duration::from_millis(u64::from(
+            message.timely_for_ms,
+        )))
+        .choice_seed(message.choice_seed)
+        .build()
+}
+
 fn whole_millis(time: time::Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -84,6 +84,20 @@
                 .collect(),
         };
         let count = relay::RetryCount { requests: 4, repeats: 5 };
+        let waiting = loads
+            .iter()
+            .map(|(held, remaining)| {
+                relay::WaitNews::builder()
+                    .service(numbers[2])
+                    .resumes(leaving)
+                    .priority(2)
+                    .load(relay::StreamLoad { held: *held, remaining: *remaining })
+                    .due_in_millis(held.cast_signed())
+                    .timely_for(time::Duration::from_millis(u64::from(*remaining)))
+                    .choice_seed(*held)
+                    .build()
+            })
+            .collect();
         let news = relay::InstanceNews::builder()
             .address(net::Ipv4Addr::from_bits(host))
             .incarnation(numbers[0])
@@ -93,6 +107,7 @@
             .fingerprint(numbers[3])
             .view_age(time::Duration::from_millis(250))
             .usage(vec![(numbers[4], usage)])
+            .waiting(waiting)
             .retries(vec![(numbers[5], count)])
             .last_fence(numbers[0])
             .paused(vec![numbers[1]])
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -42,6 +42,10 @@
     pub own_streams: collections::BTreeMap<stream_lease::StreamKey, engine_usage::StreamLoad>,
     /// What the other instances use of it.
     pub foreign: engine_usage::EngineUsage,
+    /// Streams of requests that wait at other instances and are expected to be placed here.
+    pub expected: Vec<engine_usage::StreamLoad>,
+    /// Prompt tokens of such requests that are expected to be read here.
+    pub expected_prefill_tokens: u32,
     /// How well it answers.
     pub health: backend_health::BackendHealth,
     /// Prompt tokens read in a millisecond.
@@ -64,6 +68,8 @@
             own_prefill_tokens: 0,
             own_streams: collections::BTreeMap::new(),
             foreign: engine_usage::EngineUsage::default(),
+            expected: Vec::new(),
+            expected_prefill_tokens: 0,
             health: backend_health::BackendHealth::default(),
             prefill_rate: USUAL_PREFILL_RATE,
             full_until: clock::Moment::default(),
@@ -114,20 +120,23 @@
 
     /// Returns the requests of all instances that are under way there.
     #[must_use]
-    pub const fn running(&self) -> u32 {
-        self.own_running + self.foreign.running
+    pub fn running(&self) -> u32 {
+        let expected = u32::try_from(self.expected.len()).unwrap_or(u32::MAX);
+        self.own_running + self.foreign.running + expected
     }
 
     /// Returns the prompt tokens of all instances that aren't read yet.
     #[must_use]
     pub const fn prefill_tokens(&self) -> u32 {
-        self.own_prefill_tokens + self.foreign.prefill_tokens
+        self.own_prefill_tokens + self.foreign.prefill_tokens + self.expected_prefill_tokens
     }
 
     /// Returns the streams of all instances that hold memory there.
     pub fn streams(&self) -> impl Iterator<Item = engine_usage::StreamLoad> {
         let own = self.own_streams.values();
-        own.chain(&self.foreign.streams).copied()
+        own.chain(&self.foreign.streams)
+            .chain(&self.expected)
+            .copied()
     }
 
     /// Returns the time until a prompt sent now begins to be read.
--- a/components/relay/src/backend_book.rs
+++ b/components/relay/src/backend_book.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Forgets the requests of other instances that were expected to be placed.
+    pub fn clear_expected(&mut self) {
+        for (_, known) in &mut self.backends {
+            known.expected.clear();
+            known.expected_prefill_tokens = 0;
+        }
+    }
+
     /// Takes over which engines the other instances tell to be paused.
     pub fn take_paused(&mut self, paused: &collections::BTreeSet<u64>) {
         for (_, known) in &mut self.backends {
--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -46,8 +46,8 @@
     pub variation: f64,
     /// Seed of the variation.
     pub seed: u64,
-    /// Data centre of this instance.
-    pub data_centre: &'a ids::DataCentreName,
+    /// Data centre from which the caller is answered, when it counts.
+    pub data_centre: Option<&'a ids::DataCentreName>,
     /// Current time.
     pub now: clock::Moment,
 }
@@ -177,10 +177,13 @@
     }
 
     fn decode_cost(&self, engine: &backend::Backend) -> f64 {
-        let far = if engine.entry.data_centre == *self.data_centre {
-            time::Duration::ZERO
-        } else {
+        let is_far = self
+            .data_centre
+            .is_some_and(|home| engine.entry.data_centre != *home);
+        let far = if is_far {
             CALLER_COST
+        } else {
+            time::Duration::ZERO
         };
         let fill = FILL_COST.mul_f64(self.fill(engine));
         let base = time::Duration::from_millis(5);
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::{engine_usage, instance_news};
+use crate::{engine_usage, instance_news, wait_line};
 
 /// Silence after which an instance's usage no longer counts: its connections are gone.
 const USAGE_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
@@ -10,6 +10,10 @@
 /// Silence after which an instance no longer counts as alive.
 const ALIVE_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 
+/// Silence after which the requests that wait at an instance no longer go before others: a place
+/// that is kept for one that won't take it is lost to all.
+const WAITING_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+
 /// Silence after which news of another incarnation are taken for those of a restarted process.
 const RESTART_SILENCE: time::Duration = time::Duration::from_millis(600);
 
@@ -159,6 +163,26 @@
         total
     }
 
+    /// Returns the requests that wait at other instances for engines of some services.
+    #[must_use]
+    pub fn waiting(
+        &self,
+        now: clock::Moment,
+        services: &collections::BTreeMap<u64, ids::ServiceName>,
+    ) -> Vec<wait_line::WaitingAsk> {
+        self.states
+            .values()
+            .filter(|state| now.since(state.heard_at) < WAITING_TIMEOUT)
+            .flat_map(|state| {
+                let told = state.news.waiting.iter();
+                told.filter_map(|waiting| {
+                    let service = services.get(&waiting.service)?;
+                    Some(waiting.waiting(state.heard_at, service))
+                })
+            })
+            .collect()
+    }
+
     /// Returns the engines that other instances tell to be paused.
     #[must_use]
     pub fn paused(&self, now: clock::Moment) -> collections::BTreeSet<u64> {
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::engine_usage;
+use crate::{engine_usage, wait_news};
 
 /// What one instance tells the others, in one datagram.
 #[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
@@ -28,6 +28,9 @@
     /// What it uses, by [`server_hash`] of the backend server.
     #[builder(default)]
     pub usage: Vec<(u64, engine_usage::EngineUsage)>,
+    /// Its requests that wait for a place, those first that go first.
+    #[builder(default)]
+    pub waiting: Vec<wait_news::WaitNews>,
     /// Its requests and repeats in the window of the bound, by [`service_hash`].
     #[builder(default)]
     pub retries: Vec<(u64, retry::RetryCount)>,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod view_change;
 mod view_keeper;
 mod wait_line;
+mod wait_news;
 
 pub use backend::{Backend, BackendKey};
 pub use backend_book::{BackendBook, BackendTable};
@@ -61,3 +62,4 @@
 pub use view_change::{ViewChange, ViewUpdate};
 pub use view_keeper::ViewKeeper;
 pub use wait_line::{WaitLine, WaitTicket, WaitingAsk};
+pub use wait_news::WaitNews;
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -2,6 +2,7 @@
 
 mod core_calls;
 mod core_learning;
+mod core_line;
 mod core_orders;
 mod core_streams;
 mod core_views;
@@ -16,8 +17,9 @@
 };
 
 pub use core_calls::ServerPick;
+pub use core_line::PlaceAnswer;
 pub use core_orders::StageOrder;
-pub use core_streams::{PlaceAnswer, StreamEnd, StreamPlace};
+pub use core_streams::{StreamEnd, StreamPlace};
 
 /// The route of a request.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/components/relay/src/relay_core/core_line.rs
@@ -0,0 +1,265 @@
+//! Who is placed when places are few: requests that wait, at this and at other instances.
+//!
+//! It answers bursts on sites of many instances. Each instance tells which requests wait there, and
+//! puts them all in one order; it places a request of its own only when those before it, wherever
+//! they wait, would have found places too. So a place that becomes free is taken once, though all
+//! instances hear of it at the same time.
+
+use std::{collections, time};
+
+use rand::RngExt as _;
+
+use crate::{
+    backend_entry, engine_choice, instance_news, refusal, relay_core, service_rule, stream_ask,
+    wait_line, wait_news,
+};
+
+use super::core_streams;
+
+/// Share up to which requests that are late already are placed, so that room is left for others.
+const LATE_FILL_LIMIT: f64 = 0.6;
+
+/// Waiting requests that an instance tells the others of; those behind them won't be placed soon.
+const TOLD_REQUESTS: usize = 8;
+
+/// Time after which a caller may come back when no engine takes work.
+const NO_ENGINE_RETRY: time::Duration = time::Duration::from_millis(700);
+
+/// Shortest time after which a caller that met a full site may come back.
+const OVERLOAD_RETRY: time::Duration = time::Duration::from_millis(1_500);
+
+/// Span over which callers that met a full site are spread.
+const RETRY_SPREAD: time::Duration = time::Duration::from_millis(2_000);
+
+/// The answer to a request for a place.
+#[derive(Clone, Debug)]
+pub enum PlaceAnswer {
+    /// A place is reserved.
+    Placed(Box<core_streams::StreamPlace>),
+    /// The request waits; the answer follows by [`relay_core::RelayCore::grants`].
+    Waiting(wait_line::WaitTicket),
+    /// The request can't be served.
+    Refused(refusal::Refusal),
+}
+
+impl relay_core::RelayCore {
+    /// Answers a request for a place at once, or lets it wait when it will be served.
+    pub fn place(&mut self, now: clock::Moment, mut ask: stream_ask::StreamAsk) -> PlaceAnswer {
+        let Some(size) = self.engine_size(&ask.service) else {
+            return PlaceAnswer::Refused(refuse(refusal::RefusalReason::NoServer, NO_ENGINE_RETRY));
+        };
+        ask.guessed_tokens = self.guess(&ask);
+        let others = self.others_waiting(now);
+        let may_pass = ask.resumes || !self.timely_wait(now, &ask.service, &others);
+        if may_pass {
+            self.choice_seed = self.choice_seed.wrapping_add(1);
+            let chooser = self.chooser(now, size, core_streams::FILL_LIMIT);
+            if let Some(choice) = chooser.choose(&ask)
+                && let Some(place) = self.reserve(now, &ask, choice, size)
+            {
+                return PlaceAnswer::Placed(Box::new(place));
+            }
+        }
+        let chooser = self.chooser(now, size, core_streams::FILL_LIMIT);
+        if !chooser.has_engine(&ask.service, backend_entry::EngineStage::Decode) {
+            return PlaceAnswer::Refused(refuse(refusal::RefusalReason::NoServer, NO_ENGINE_RETRY));
+        }
+        let timely_until = ask
+            .first_token_due
+            .before(self.time_to_first_token(now, &ask));
+        let timely_wait = self.expected_wait(now, &ask, size, &others, true);
+        let wait = if now + timely_wait <= timely_until {
+            timely_wait
+        } else {
+            self.expected_wait(now, &ask, size, &others, false)
+        };
+        if now + wait >= ask.wait_until {
+            let retry_after = self.overload_retry(wait);
+            return PlaceAnswer::Refused(refuse(refusal::RefusalReason::Overload, retry_after));
+        }
+        let choice_seed = self.random.random();
+        PlaceAnswer::Waiting(self.line.push(ask, timely_until, choice_seed))
+    }
+
+    /// Takes a request out of the line.
+    pub fn stop_waiting(&mut self, ticket: wait_line::WaitTicket) {
+        self.line.remove(ticket);
+    }
+
+    /// Answers waiting requests for which a place is free or which can't be served any more.
+    pub fn grants(&mut self, now: clock::Moment) -> Vec<(wait_line::WaitTicket, PlaceAnswer)> {
+        let mut answers = Vec::new();
+        for overdue in self.line.take_overdue(now) {
+            let retry_after = self.overload_retry(time::Duration::ZERO);
+            let refusal = refuse(refusal::RefusalReason::WaitedOut, retry_after);
+            answers.extend(
+                overdue
+                    .ticket
+                    .map(|ticket| (ticket, PlaceAnswer::Refused(refusal))),
+            );
+        }
+        if !self.line.waiting().is_empty() {
+            self.grant_in_order(now, &mut answers);
+            self.book.clear_expected();
+        }
+        answers
+    }
+
+    /// Returns the next moment at which [`relay_core::RelayCore::grants`] has something to refuse.
+    #[must_use]
+    pub fn next_overdue(&self) -> Option<clock::Moment> {
+        self.line.next_overdue()
+    }
+
+    /// Returns what this instance tells of the requests that wait here.
+    pub(super) fn waiting_news(&self, now: clock::Moment) -> Vec<wait_news::WaitNews> {
+        let mut waiting: Vec<&wait_line::WaitingAsk> = self.line.waiting().iter().collect();
+        waiting.sort_by(|left, right| left.order(right, now));
+        waiting
+            .into_iter()
+            .take(TOLD_REQUESTS)
+            .map(|waiting| {
+                let service = instance_news::service_hash(&waiting.ask.service);
+                wait_news::WaitNews::new(now, service, waiting)
+            })
+            .collect()
+    }
+
+    /// Goes through the waiting requests of all instances in order, reserves places for own ones
+    /// and expects others to take theirs, until the first of a service finds none.
+    fn grant_in_order(
+        &mut self,
+        now: clock::Moment,
+        answers: &mut Vec<(wait_line::WaitTicket, PlaceAnswer)>,
+    ) {
+        let mut waiting = self.others_waiting(now);
+        waiting.extend_from_slice(self.line.waiting());
+        waiting.sort_by(|left, right| left.order(right, now));
+        let mut full = collections::BTreeSet::new();
+        for next in &waiting {
+            let service = &next.ask.service;
+            let Some(size) = self
+                .engine_size(service)
+                .filter(|_| !full.contains(service))
+            else {
+                continue;
+            };
+            let Some(choice) = self.choose_waiting(now, next, size) else {
+                full.insert(service.clone());
+                continue;
+            };
+            match next.ticket {
+                None => self.expect(&next.ask, choice),
+                Some(ticket) => {
+                    self.line.remove(ticket);
+                    let place = self.reserve(now, &next.ask, choice, size);
+                    answers
+                        .extend(place.map(|place| (ticket, PlaceAnswer::Placed(Box::new(place)))));
+                }
+            }
+        }
+    }
+
+    /// Returns the engines for a waiting request, which all instances choose alike.
+    fn choose_waiting(
+        &self,
+        now: clock::Moment,
+        waiting: &wait_line::WaitingAsk,
+        size: service_rule::EngineSize,
+    ) -> Option<engine_choice::EngineChoice> {
+        let limit = if waiting.is_timely(now) {
+            core_streams::FILL_LIMIT
+        } else {
+            LATE_FILL_LIMIT
+        };
+        let chooser = engine_choice::EngineChooser {
+            data_centre: None,
+            seed: u64::from(waiting.choice_seed),
+            ..self.chooser(now, size, limit)
+        };
+        chooser.choose(&waiting.ask)
+    }
+
+    /// Counts a request of another instance at the engines that it is expected to be given.
+    fn expect(&mut self, ask: &stream_ask::StreamAsk, choice: engine_choice::EngineChoice) {
+        if let Some(engine) = self.book.get_mut(choice.decode) {
+            engine.expected.push(ask.load());
+        }
+        let reader = choice.prefill.unwrap_or(choice.decode);
+        if let Some(engine) = self.book.get_mut(reader) {
+            engine.expected_prefill_tokens += ask.prompt_tokens;
+        }
+    }
+
+    fn others_waiting(&self, now: clock::Moment) -> Vec<wait_line::WaitingAsk> {
+        let services = self
+            .keeper
+            .view()
+            .config
+            .iter()
+            .flat_map(|config| config.services.iter())
+            .filter(|(_, rule)| rule.engine.is_some())
+            .map(|(service, _)| (instance_news::service_hash(service), service.clone()))
+            .collect();
+        self.instances.waiting(now, &services)
+    }
+
+    /// Returns whether a request waits somewhere that can be on time.
+    fn timely_wait(
+        &self,
+        now: clock::Moment,
+        service: &ids::ServiceName,
+        others: &[wait_line::WaitingAsk],
+    ) -> bool {
+        self.line
+            .waiting()
+            .iter()
+            .chain(others)
+            .any(|waiting| waiting.ask.service == *service && waiting.is_timely(now))
+    }
+
+    /// Returns the time until the requests that go before one that can be on time, or before one
+    /// that can't, have found places.
+    fn expected_wait(
+        &self,
+        now: clock::Moment,
+        ask: &stream_ask::StreamAsk,
+        size: service_rule::EngineSize,
+        others: &[wait_line::WaitingAsk],
+        timely: bool,
+    ) -> time::Duration {
+        let engines = self
+            .book
+            .table()
+            .values()
+            .filter(|engine| engine.entry.service == ask.service && engine.takes_work(now))
+            .filter(|engine| engine.entry.stage == Some(backend_entry::EngineStage::Decode))
+            .count();
+        let ahead: u64 = self
+            .line
+            .waiting()
+            .iter()
+            .chain(others)
+            .filter(|waiting| waiting.ask.service == ask.service)
+            .filter(|waiting| !timely || waiting.is_timely(now))
+            .map(|waiting| u64::from(waiting.ask.mean_tokens()))
+            .sum();
+        let waiting = ahead + u64::from(ask.mean_tokens());
+        let total = f64::from(size.kv_tokens) * f64::from(u32::try_from(engines).unwrap_or(1));
+        let held = self.held_millis(&ask.service);
+        let waiting = f64::from(u32::try_from(waiting).unwrap_or(u32::MAX));
+        time::Duration::from_secs_f64(waiting / total.max(1.0) * held / 1_000.0)
+    }
+
+    fn overload_retry(&mut self, wait: time::Duration) -> time::Duration {
+        let spread = RETRY_SPREAD.mul_f64(self.random.random::<f64>());
+        (wait + OVERLOAD_RETRY + spread).max(relay_core::RETRY_FLOOR)
+    }
+}
+
+const fn refuse(reason: refusal::RefusalReason, retry_after: time::Duration) -> refusal::Refusal {
+    refusal::Refusal {
+        reason,
+        retry_after,
+    }
+}
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -1,20 +1,15 @@
-//! Placing of generations on prefill and decode engines.
+//! Places of generations at prefill and decode engines, from reservation to release.
 
 use std::time;
 
-use rand::RngExt as _;
-
 use crate::{
-    backend, backend_entry, backend_health, engine_choice, refusal, relay_core, service_rule,
-    stream_ask, stream_lease, wait_line,
+    backend, backend_entry, backend_health, engine_choice, relay_core, service_rule, stream_ask,
+    stream_lease,
 };
 
 /// Share of a decode engine's memory that streams may be expected to take; the rest answers
 /// lengths that were guessed too short.
-const FILL_LIMIT: f64 = 0.92;
-
-/// Share up to which requests that are late already are placed, so that room is left for others.
-const LATE_FILL_LIMIT: f64 = 0.6;
+pub(super) const FILL_LIMIT: f64 = 0.92;
 
 /// Instances at which costs are varied most.
 const VARIED_FLEET: f64 = 90.0;
@@ -22,15 +17,6 @@
 /// Time between the end of prefill and the first token at the caller.
 const HAND_OVER: time::Duration = time::Duration::from_millis(80);
 
-/// Time after which a caller may come back when no engine takes work.
-const NO_ENGINE_RETRY: time::Duration = time::Duration::from_millis(700);
-
-/// Shortest time after which a caller that met a full site may come back.
-const OVERLOAD_RETRY: time::Duration = time::Duration::from_millis(1_500);
-
-/// Span over which callers that met a full site are spread.
-const RETRY_SPREAD: time::Duration = time::Duration::from_millis(2_000);
-
 /// A granted place.
 #[derive(Clone, Debug)]
 pub struct StreamPlace {
@@ -46,17 +32,6 @@
     pub fill: f64,
 }
 
-/// The answer to a request for a place.
-#[derive(Clone, Debug)]
-pub enum PlaceAnswer {
-    /// A place is reserved.
-    Placed(Box<StreamPlace>),
-    /// The request waits; the answer follows by [`relay_core::RelayCore::grants`].
-    Waiting(wait_line::WaitTicket),
-    /// The request can't be served.
-    Refused(refusal::Refusal),
-}
-
 /// How a stream left its place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StreamEnd {
@@ -67,75 +42,6 @@
 }
 
 impl relay_core::RelayCore {
-    /// Answers a request for a place at once, or lets it wait when it will be served.
-    pub fn place(&mut self, now: clock::Moment, mut ask: stream_ask::StreamAsk) -> PlaceAnswer {
-        let Some(size) = self.engine_size(&ask.service) else {
-            return PlaceAnswer::Refused(refuse(refusal::RefusalReason::NoServer, NO_ENGINE_RETRY));
-        };
-        ask.guessed_tokens = self.guess(&ask);
-        let may_pass = ask.resumes || self.line.is_free_for(now, &ask.service);
-        if may_pass && let Some(place) = self.try_place(now, &ask, size, FILL_LIMIT) {
-            return PlaceAnswer::Placed(Box::new(place));
-        }
-        let chooser = self.chooser(now, size, FILL_LIMIT);
-        if !chooser.has_engine(&ask.service, backend_entry::EngineStage::Decode) {
-            return PlaceAnswer::Refused(refuse(refusal::RefusalReason::NoServer, NO_ENGINE_RETRY));
-        }
-        let timely_until = ask
-            .first_token_due
-            .before(self.time_to_first_token(now, &ask));
-        let timely_wait = self.expected_wait(now, &ask, size, true);
-        let wait = if now + timely_wait <= timely_until {
-            timely_wait
-        } else {
-            self.expected_wait(now, &ask, size, false)
-        };
-        if now + wait >= ask.wait_until {
-            let retry_after = self.overload_retry(wait);
-            return PlaceAnswer::Refused(refuse(refusal::RefusalReason::Overload, retry_after));
-        }
-        PlaceAnswer::Waiting(self.line.push(ask, timely_until))
-    }
-
-    /// Takes a request out of the line.
-    pub fn stop_waiting(&mut self, ticket: wait_line::WaitTicket) {
-        self.line.remove(ticket);
-    }
-
-    /// Answers waiting requests for which a place is free or which can't be served any more.
-    pub fn grants(&mut self, now: clock::Moment) -> Vec<(wait_line::WaitTicket, PlaceAnswer)> {
-        let mut answers = Vec::new();
-        for overdue in self.line.take_overdue(now) {
-            let retry_after = self.overload_retry(time::Duration::ZERO);
-            let refusal = refuse(refusal::RefusalReason::WaitedOut, retry_after);
-            answers.push((overdue.ticket, PlaceAnswer::Refused(refusal)));
-        }
-        loop {
-            let next = self.line.next(now).cloned();
-            let Some(waiting) = next else { break };
-            let limit = if waiting.is_timely(now) {
-                FILL_LIMIT
-            } else {
-                LATE_FILL_LIMIT
-            };
-            let Some(size) = self.engine_size(&waiting.ask.service) else {
-                break;
-            };
-            let Some(place) = self.try_place(now, &waiting.ask, size, limit) else {
-                break;
-            };
-            self.line.remove(waiting.ticket);
-            answers.push((waiting.ticket, PlaceAnswer::Placed(Box::new(place))));
-        }
-        answers
-    }
-
-    /// Returns the next moment at which [`relay_core::RelayCore::grants`] has something to refuse.
-    #[must_use]
-    pub fn next_overdue(&self) -> Option<clock::Moment> {
-        self.line.next_overdue()
-    }
-
     /// Takes in that the engine that reads a prompt is done with it, or that it failed.
     pub fn prefill_ended(
         &mut self,
@@ -252,16 +158,15 @@
         reading.unwrap_or_default() + HAND_OVER
     }
 
-    fn try_place(
+    /// Reserves a place at the engines that were chosen.
+    pub(super) fn reserve(
         &mut self,
         now: clock::Moment,
         ask: &stream_ask::StreamAsk,
+        choice: engine_choice::EngineChoice,
         size: service_rule::EngineSize,
-        fill_limit: f64,
     ) -> Option<StreamPlace> {
-        self.choice_seed = self.choice_seed.wrapping_add(1);
-        let chooser = self.chooser(now, size, fill_limit);
-        let choice = chooser.choose(ask)?;
+        let chooser = self.chooser(now, size, 1.0);
         let fill = chooser.fill(self.book.get(choice.decode)?);
         let mut prefill_time = time::Duration::ZERO;
         let mut tokens_ahead = 0;
@@ -300,37 +205,7 @@
         })
     }
 
-    /// Returns the time until the requests that go before one that can be on time, or before one
-    /// that can't, have found places.
-    fn expected_wait(
-        &self,
-        now: clock::Moment,
-        ask: &stream_ask::StreamAsk,
-        size: service_rule::EngineSize,
-        timely: bool,
-    ) -> time::Duration {
-        let engines = self
-            .book
-            .table()
-            .values()
-            .filter(|engine| engine.entry.service == ask.service && engine.takes_work(now))
-            .filter(|engine| engine.entry.stage == Some(backend_entry::EngineStage::Decode))
-            .count();
-        let instances = u64::try_from(self.instances.live_count(now)).unwrap_or(1);
-        let ahead = self.line.tokens_ahead(now, &ask.service, timely);
-        let waiting = ahead * instances + u64::from(ask.mean_tokens());
-        let total = f64::from(size.kv_tokens) * f64::from(u32::try_from(engines).unwrap_or(1));
-        let held = self.held_millis(&ask.service);
-        let waiting = f64::from(u32::try_from(waiting).unwrap_or(u32::MAX));
-        time::Duration::from_secs_f64(waiting / total.max(1.0) * held / 1_000.0)
-    }
-
-    fn overload_retry(&mut self, wait: time::Duration) -> time::Duration {
-        let spread = RETRY_SPREAD.mul_f64(self.random.random::<f64>());
-        (wait + OVERLOAD_RETRY + spread).max(relay_core::RETRY_FLOOR)
-    }
-
-    fn chooser(
+    pub(super) fn chooser(
         &self,
         now: clock::Moment,
         size: service_rule::EngineSize,
@@ -342,7 +217,7 @@
             fill_limit,
             variation: self.variation(now),
             seed: self.choice_seed,
-            data_centre: &self.settings.data_centre,
+            data_centre: Some(&self.settings.data_centre),
             now,
         }
     }
@@ -381,10 +256,3 @@
             .engine
     }
 }
-
-const fn refuse(reason: refusal::RefusalReason, retry_after: time::Duration) -> refusal::Refusal {
-    refusal::Refusal {
-        reason,
-        retry_after,
-    }
-}
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -101,6 +101,7 @@
             })
             .view_age(self.keeper.read_age(now))
             .usage(self.book.own_usage())
+            .waiting(self.waiting_news(now))
             .retries(retries)
             .paused(self.book.own_paused(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
--- a/components/relay/src/wait_line.rs
+++ b/components/relay/src/wait_line.rs
@@ -1,20 +1,24 @@
 //! Requests that wait for a place at a decode engine.
 
+use std::cmp;
+
 use crate::stream_ask;
 
 /// Names a waiting request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct WaitTicket(pub u64);
 
-/// A waiting request.
+/// A waiting request, of this instance or of another one.
 #[derive(Clone, Debug)]
 pub struct WaitingAsk {
-    /// Its name.
-    pub ticket: WaitTicket,
+    /// Its name; `None` when it waits at another instance.
+    pub ticket: Option<WaitTicket>,
     /// What it asks for.
     pub ask: stream_ask::StreamAsk,
     /// Latest moment at which a place still leads to a first token on time.
     pub timely_until: clock::Moment,
+    /// Seed of the choice of its engines, alike on all instances.
+    pub choice_seed: u32,
 }
 
 impl WaitingAsk {
@@ -26,10 +30,15 @@
 
     /// Returns the order in which requests are served: broken streams that go on, then those that
     /// can be on time, by priority and due time, then those that are late.
-    fn rank(&self, now: clock::Moment) -> (bool, bool, u8, clock::Moment) {
-        let ask = &self.ask;
-        let late = !self.is_timely(now);
-        (!ask.resumes, late, ask.priority, ask.first_token_due)
+    #[must_use]
+    pub fn order(&self, other: &Self, now: clock::Moment) -> cmp::Ordering {
+        let rank = |waiting: &Self| {
+            let ask = &waiting.ask;
+            let late = !waiting.is_timely(now);
+            let due = (ask.first_token_due, waiting.choice_seed);
+            (!ask.resumes, late, ask.priority, due)
+        };
+        rank(self).cmp(&rank(other))
     }
 }
 
@@ -45,37 +54,33 @@
 
 impl WaitLine {
     /// Adds a request and returns its name.
-    pub fn push(&mut self, ask: stream_ask::StreamAsk, timely_until: clock::Moment) -> WaitTicket {
+    pub fn push(
+        &mut self,
+        ask: stream_ask::StreamAsk,
+        timely_until: clock::Moment,
+        choice_seed: u32,
+    ) -> WaitTicket {
         let ticket = WaitTicket(self.next_ticket);
         self.next_ticket += 1;
         self.waiting.push(WaitingAsk {
-            ticket,
+            ticket: Some(ticket),
             ask,
             timely_until,
+            choice_seed,
         });
         ticket
     }
 
-    /// Removes a request, when it still waits.
-    pub fn remove(&mut self, ticket: WaitTicket) {
-        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    /// Returns the waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> &[WaitingAsk] {
+        &self.waiting
     }
 
-    /// Returns the mean memory in tokens of a service's requests that go before one that can be on
-    /// time, or before one that can't.
-    #[must_use]
-    pub fn tokens_ahead(
-        &self,
-        now: clock::Moment,
-        service: &ids::ServiceName,
-        timely: bool,
-    ) -> u64 {
+    /// Removes a request, when it still waits.
+    pub fn remove(&mut self, ticket: WaitTicket) {
         self.waiting
-            .iter()
-            .filter(|waiting| waiting.ask.service == *service)
-            .filter(|waiting| !timely || waiting.is_timely(now))
-            .map(|waiting| u64::from(waiting.ask.mean_tokens()))
-            .sum()
+            .retain(|waiting| waiting.ticket != Some(ticket));
     }
 
     /// Takes the requests out that have waited as long as they may.
@@ -85,12 +90,6 @@
             .collect()
     }
 
-    /// Returns the request that is served next.
-    #[must_use]
-    pub fn next(&self, now: clock::Moment) -> Option<&WaitingAsk> {
-        self.waiting.iter().min_by_key(|waiting| waiting.rank(now))
-    }
-
     /// Returns the earliest moment at which a request has waited as long as it may.
     #[must_use]
     pub fn next_overdue(&self) -> Option<clock::Moment> {
@@ -99,13 +98,4 @@
             .map(|waiting| waiting.ask.wait_until)
             .min()
     }
-
-    /// Returns whether no request of a service that can be on time waits.
-    #[must_use]
-    pub fn is_free_for(&self, now: clock::Moment, service: &ids::ServiceName) -> bool {
-        !self
-            .waiting
-            .iter()
-            .any(|waiting| waiting.ask.service == *service && waiting.is_timely(now))
-    }
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Fixtures of the relay core's tests.
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
+pub mod day;
+pub mod fleet;
+
 use std::{collections, net, sync, time};
 
 /// Name of the service with engines.
@@ -92,9 +95,18 @@
 
 /// Returns a configuration of a version.
 pub fn config(version: u64, routes: Vec<relay::RouteRule>) -> sync::Arc<relay::SiteConfig> {
+    config_of(KV_TOKENS, version, routes)
+}
+
+/// Returns a configuration whose engines have a memory of `kv_tokens`.
+pub fn config_of(
+    kv_tokens: u32,
+    version: u64,
+    routes: Vec<relay::RouteRule>,
+) -> sync::Arc<relay::SiteConfig> {
     let engine = relay::EngineSize::builder()
         .slots(64)
-        .kv_tokens(KV_TOKENS)
+        .kv_tokens(kv_tokens)
         .tokens_per_event(50)
         .retention(ms(500))
         .build();
