retry, relay: bound repeats by what lost counts may hide

Cause: a process that has just started knew of three seeds, took the fleet for four instances and used half of an even share of that; ninety did. Nothing counted what the processes before had sent.

Change: news tell how far back an instance's counts reach; what lost counts may hide is left unused. Where fewer repeats are left than there are instances, chance decides who gets one.

--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -51,6 +51,8 @@
     paused: Vec<u64>,
     #[prost(message, repeated, tag = "14")]
     waiting: Vec<WaitMessage>,
+    #[prost(uint32, tag = "15")]
+    counted_for_ms: u32,
 }
 
 /// A request that waits for a place.
@@ -119,6 +121,7 @@
             })
             .collect(),
         waiting: news.waiting.iter().map(encode_waiting).collect(),
+        counted_for_ms: whole_millis(news.counted_for),
         last_fence: news.last_fence,
         paused: news.paused.clone(),
         last_order_age_ms: whole_millis(news.last_order_age),
@@ -150,6 +153,9 @@
                 .collect(),
         )
         .waiting(message.waiting.iter().map(decode_waiting).collect())
+        .counted_for(time::Duration::from_millis(u64::from(
+            message.counted_for_ms,
+        )))
         .last_fence(message.last_fence)
         .paused(message.paused)
         .last_order_age(time::Duration::from_millis(u64::from(
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -110,6 +110,7 @@
             .waiting(waiting)
             .retries(vec![(numbers[5], count)])
             .last_fence(numbers[0])
+            .counted_for(time::Duration::from_millis(9_000))
             .paused(vec![numbers[1]])
             .last_order_age(time::Duration::from_millis(40))
             .known(vec![net::Ipv4Addr::from_bits(host)])
--- a/components/relay/src/instance_book.rs
+++ b/components/relay/src/instance_book.rs
@@ -203,22 +203,25 @@
     ) -> retry::FleetCount {
         let hash = instance_news::service_hash(service);
         let mut count = retry::RetryCount::default();
+        let mut covered = 0.0;
         let recent = self
             .states
             .values()
             .filter(|state| now.since(state.heard_at) < bound.window);
-        for (_, other) in recent
-            .flat_map(|state| &state.news.retries)
-            .filter(|(other, _)| *other == hash)
-        {
-            count.requests += other.requests;
-            count.repeats += other.repeats;
+        for state in recent {
+            covered += state.news.counted_for.as_secs_f64() / bound.window.as_secs_f64();
+            let counts = state.news.retries.iter();
+            for (_, other) in counts.filter(|(other, _)| *other == hash) {
+                count.requests += other.requests;
+                count.repeats += other.repeats;
+            }
         }
-        let heard = self.states.len().max(self.seeds.len());
+        let heard = self.states.len().max(self.targets(now).len());
         retry::FleetCount {
             count,
             live: u32::try_from(self.live_count(now)).unwrap_or(u32::MAX),
             known: u32::try_from(heard + 1).unwrap_or(u32::MAX),
+            covered,
         }
     }
 
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -34,6 +34,9 @@
     /// Its requests and repeats in the window of the bound, by [`service_hash`].
     #[builder(default)]
     pub retries: Vec<(u64, retry::RetryCount)>,
+    /// Time over which these counts reach back, at most the window.
+    #[builder(default)]
+    pub counted_for: time::Duration,
     /// Fencing number of its last order to an engine, 0 when it has given none.
     #[builder(default)]
     pub last_fence: u64,
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -168,6 +168,9 @@
     }
 
     /// Takes repeats out of what is allowed for a service; returns whether there were enough.
+    ///
+    /// Where fewer are left than there are instances, chance decides, as many may ask for them
+    /// before they hear of each other.
     pub fn take_repeats(
         &mut self,
         now: clock::Moment,
@@ -176,8 +179,11 @@
     ) -> bool {
         let bound = self.settings.retry_bound;
         let fleet = self.instances.fleet_count(now, service, &bound);
+        let draw = rand::RngExt::random::<f64>(&mut self.random);
         let window = self.window(service);
-        let allowed = repeats == 0 || window.allows(now, &bound, fleet, repeats);
+        let left = window.left(now, &bound, fleet);
+        let has_chance = draw * f64::from(fleet.live) < left;
+        let allowed = repeats == 0 || (left >= f64::from(repeats) && has_chance);
         if allowed {
             window.count_repeats(now, repeats);
         }
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -7,6 +7,10 @@
 /// Instances up to which all news name all others.
 const SMALL_FLEET: usize = 16;
 
+/// Time after the start of a process in which all its news name all others, so that a fleet that was
+/// started anew finds together.
+const MEETING_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// News of a large fleet of which one names the other instances.
 const TELLING_INTERVAL: u64 = 8;
 
@@ -103,6 +107,7 @@
             .usage(self.book.own_usage())
             .waiting(self.waiting_news(now))
             .retries(retries)
+            .counted_for(now.since(clock::Moment::default()).min(bound.window))
             .paused(self.book.own_paused(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
@@ -113,11 +118,12 @@
             .build()
     }
 
-    /// Returns the addresses of other instances that this one tells: all in a small fleet, all in one
-    /// of several news in a large one.
+    /// Returns the addresses of other instances that this one tells: all in a small fleet and while
+    /// the process is young, all in one of several news in a large one.
     fn told_instances(&self, now: clock::Moment) -> Vec<net::Ipv4Addr> {
         let alive: Vec<net::Ipv4Addr> = self.instances.alive(now).collect();
-        if alive.len() <= SMALL_FLEET || self.news_sequence % TELLING_INTERVAL == 1 {
+        let is_young = now.since(clock::Moment::default()) < MEETING_TIME;
+        if is_young || alive.len() <= SMALL_FLEET || self.news_sequence % TELLING_INTERVAL == 1 {
             alive
         } else {
             Vec::new()
--- a/components/relay/tests/decisions.rs
+++ b/components/relay/tests/decisions.rs
@@ -12,6 +12,7 @@
         count: relay::RetryCount { requests, repeats },
         live: 6,
         known: 6,
+        covered: 5.0,
     }
 }
 
@@ -96,6 +97,51 @@
     assert!(before && !after);
 }
 
+#[test]
+fn a_fleet_that_restarts_keeps_the_bound_though_its_counts_are_lost() {
+    let bound = relay::RetryBound {
+        slack: 220.0,
+        ..common::bound()
+    };
+    let mut cores: Vec<relay::RelayCore> = (1..=40)
+        .map(|number| {
+            let settings = relay::CoreSettings::builder()
+                .address(common::instance(number))
+                .incarnation(1_000 + u64::from(number))
+                .data_centre("a".into())
+                .seeds((1..=3).map(common::instance).collect())
+                .retry_bound(bound)
+                .seed(u64::from(number))
+                .build();
+            relay::RelayCore::new(settings)
+        })
+        .collect();
+
+    let mut sent = 0;
+    for step in 1..=200 {
+        let now = at(step * 50);
+        for core in &mut cores {
+            sent += u32::from(core.take_repeats(now, &common::SHOP.into(), 1));
+        }
+        let news: Vec<_> = cores.iter_mut().map(|core| core.news(now)).collect();
+        let targets: Vec<_> = cores.iter().map(|core| core.news_targets(now)).collect();
+        for (news, targets) in news.iter().zip(targets) {
+            for (core, number) in cores.iter_mut().zip(1..) {
+                if targets.contains(&common::instance(number)) {
+                    core.heard(now, news.clone());
+                }
+            }
+        }
+
+        // The processes before may have sent four fifths of what is allowed, evenly.
+        let left_in_window = 1.0 - step as f64 / 200.0;
+        let lost = 0.8 * bound.slack * left_in_window;
+        let sum = f64::from(sent) + lost;
+        assert!(sum <= bound.slack, "{sum} in the window at step {step}");
+    }
+    assert!(f64::from(sent) >= bound.slack / 2.0, "{sent}");
+}
+
 fn failure(step: StreamStep, outcome: BackendOutcome) -> relay::StepFailure {
     relay::StepFailure::builder()
         .step(step)
