relay: spread prompts over prefill engines that cost the same

Cause: only the costs of decode engines were varied by chance. Prefill engines with nothing to do cost the same, so the first of the table was taken, by every instance that had not heard of the others yet. Ruled out: slow engines (those given up read other prompts meanwhile).

Change: the time of a prefill engine is varied too. What an engine costs a request is worked out once a choice, not once a pair.

--- a/components/relay/src/engine_choice.rs
+++ b/components/relay/src/engine_choice.rs
@@ -15,6 +15,10 @@
 /// What the fill of a decode engine costs, as time at a full engine.
 const FILL_COST: time::Duration = time::Duration::from_millis(80);
 
+/// What chance adds at the most to the time of a prefill engine, so that instances that haven't
+/// heard of each other's choices yet don't all choose the same one.
+const READER_SPREAD: time::Duration = time::Duration::from_millis(40);
+
 /// Longest time that a prompt waits at a prefill engine. Beyond it a request keeps its place in the
 /// line, where it holds no memory of a decode engine.
 const PREFILL_WAIT_LIMIT: time::Duration = time::Duration::from_millis(300);
@@ -33,6 +37,18 @@
     pub prefill_wait: time::Duration,
 }
 
+/// What a prefill engine costs a request, whichever engine generates.
+struct ReaderCost<'a> {
+    key: backend::BackendKey,
+    data_centre: &'a ids::DataCentreName,
+    /// Time until the prompt begins to be read.
+    wait: time::Duration,
+    /// Time until the prompt is read, varied.
+    time: time::Duration,
+    /// How much dearer the engine's failures make it.
+    factor: f64,
+}
+
 /// Chooses engines among those of a service.
 #[derive(Clone, Copy)]
 pub struct EngineChooser<'a> {
@@ -56,12 +72,13 @@
     /// Returns the cheapest pair of engines with room for a request, or `None` without room.
     #[must_use]
     pub fn choose(&self, ask: &stream_ask::StreamAsk) -> Option<EngineChoice> {
-        let prefills: Vec<_> = self
+        let readers: Vec<ReaderCost> = self
             .engines(ask, backend_entry::EngineStage::Prefill)
+            .map(|(key, engine)| self.reader_cost(key, engine, ask))
             .collect();
         self.engines(ask, backend_entry::EngineStage::Decode)
             .filter(|(_, engine)| self.has_room(engine, ask))
-            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills, ask))
+            .flat_map(|(decode, engine)| self.pairs(decode, engine, &readers))
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
             .map(|(_, choice)| choice)
     }
@@ -127,12 +144,11 @@
         &'b self,
         decode: backend::BackendKey,
         engine: &'b backend::Backend,
-        prefills: &'b [(backend::BackendKey, &'b backend::Backend)],
-        ask: &'b stream_ask::StreamAsk,
+        readers: &'b [ReaderCost<'b>],
     ) -> impl Iterator<Item = (f64, EngineChoice)> + 'b {
         let base = self.decode_cost(engine);
         let own_wait = engine.prefill_wait() * SELF_READ_FACTOR;
-        let reads_itself = prefills.is_empty() && own_wait <= PREFILL_WAIT_LIMIT;
+        let reads_itself = readers.is_empty() && own_wait <= PREFILL_WAIT_LIMIT;
         let alone = reads_itself.then_some((
             base + own_wait.as_secs_f64(),
             EngineChoice {
@@ -141,34 +157,49 @@
                 prefill_wait: own_wait,
             },
         ));
-        let free = prefills
+        let free = readers
             .iter()
-            .filter(|(_, reader)| reader.prefill_wait() <= PREFILL_WAIT_LIMIT);
-        let paired = free.map(move |(prefill, reader)| {
-            let prefill_wait = reader.prefill_wait();
-            let crosses = reader.entry.data_centre != engine.entry.data_centre;
+            .filter(|reader| reader.wait <= PREFILL_WAIT_LIMIT);
+        let paired = free.map(move |reader| {
+            let crosses = *reader.data_centre != engine.entry.data_centre;
             let transfer = if crosses {
                 CENTRE_COST
             } else {
                 time::Duration::ZERO
             };
-            let reading = if ask.warm_prefill == Some(*prefill) {
-                time::Duration::ZERO
-            } else {
-                reader.read_time(ask.prompt_tokens)
-            };
-            let time = prefill_wait + reading + transfer;
-            let cost = base + time.as_secs_f64() * reader.health.cost_factor(self.now);
+            let cost = base + (reader.time + transfer).as_secs_f64() * reader.factor;
             let choice = EngineChoice {
-                prefill: Some(*prefill),
+                prefill: Some(reader.key),
                 decode,
-                prefill_wait,
+                prefill_wait: reader.wait,
             };
             (cost, choice)
         });
         alone.into_iter().chain(paired)
     }
 
+    fn reader_cost<'b>(
+        &self,
+        key: backend::BackendKey,
+        engine: &'b backend::Backend,
+        ask: &stream_ask::StreamAsk,
+    ) -> ReaderCost<'b> {
+        let wait = engine.prefill_wait();
+        let reading = if ask.warm_prefill == Some(key) {
+            time::Duration::ZERO
+        } else {
+            engine.read_time(ask.prompt_tokens)
+        };
+        let varied = READER_SPREAD.mul_f64(self.variation * self.draw(engine));
+        ReaderCost {
+            key,
+            data_centre: &engine.entry.data_centre,
+            wait,
+            time: wait + reading + varied,
+            factor: engine.health.cost_factor(self.now),
+        }
+    }
+
     /// Returns a number in `0..1` that differs by engine and request.
     fn draw(&self, engine: &backend::Backend) -> f64 {
         let name = engine.entry.server.as_str().as_bytes();
