relay, gateway: leave an engine that several instances have filled at once, before the stream begins there

In that time several instances choose the engine that looks emptiest. Ruled out: sizes of news alone (changes are a third as large, the age fell by less than that), a line that isn't in one order.

Change: the prompt takes 90 ms and more to be read. When it has been read, an instance whose decode engine is overfilled meanwhile moves its stream, by chance with the share that has to leave, to another one with room; the line moved tells both fills. From 24 instances on engines are filled to 0.86, and to 0.8 for those that have waited.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -163,6 +163,19 @@
         /// Age of the view.
         view_age_ms: Option<u64>,
     },
+    /// A generation was moved to another decode engine before it was sent there.
+    Moved {
+        /// Name of the request.
+        id: &'a str,
+        /// Decode engine that it leaves.
+        from: &'a str,
+        /// Share of that engine's memory that is expected to be taken, with this generation.
+        from_fill: f64,
+        /// Decode engine that it goes to.
+        to: &'a str,
+        /// Share of that engine's memory in use before.
+        to_fill: f64,
+    },
     /// The prompt was read.
     PromptRead {
         /// Name of the request.
--- a/components/gateway/src/place_guard.rs
+++ b/components/gateway/src/place_guard.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::gateway;
+use crate::{decision_event, gateway};
 
 /// Holds a place at engines; a place that is dropped counts as abandoned.
 pub(crate) struct PlaceGuard {
@@ -64,6 +64,29 @@
         is_moved
     }
 
+    /// Moves the place away from a decode engine that several instances have filled at once, before
+    /// the request is sent there.
+    pub(crate) fn spread_decode(&mut self) {
+        let key = self.place.key;
+        let moved = self
+            .gateway
+            .port
+            .decide(|core, now| core.spread_decode(now, key));
+        let Some(moved) = moved else { return };
+        self.gateway.port.usage_changed.notify_one();
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::Moved {
+                id: &self.id,
+                from: self.place.decode.1.server.as_str(),
+                from_fill: moved.from_fill,
+                to: moved.decode.1.server.as_str(),
+                to_fill: moved.to_fill,
+            });
+        self.place.decode = moved.decode;
+        self.place.fill = moved.to_fill;
+    }
+
     /// Marks that the request was sent to the decode engine.
     pub(crate) fn sent(&mut self) {
         self.sent_at = Some(self.gateway.port.now());
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -11,6 +11,9 @@
         guard: &mut place_guard::PlaceGuard,
         prompt: &mut Option<prompt_step::ReadPrompt>,
     ) -> Result<stream_opening::OpenedStream, stream_opener::StepError> {
+        if prompt.is_some() && !self.stayed {
+            guard.spread_decode();
+        }
         let (key, entry) = guard.place.decode.clone();
         let time_left = self.routed.time_left(self.gateway.port.now());
         let source = prompt.as_ref().map(|prompt| prompt.source.clone());
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -50,7 +50,7 @@
 pub use order_gate::{OrderGate, OrderView};
 pub use refusal::{Refusal, RefusalReason};
 pub use relay_core::{
-    PlaceAnswer, RelayCore, RouteMatch, ServerPick, StageOrder, StreamEnd, StreamPlace,
+    MovedStream, PlaceAnswer, RelayCore, RouteMatch, ServerPick, StageOrder, StreamEnd, StreamPlace,
 };
 pub use request_kind::RequestKind;
 pub use retry::{FleetCount, RetryBound, RetryCount, RetryWindow};
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -19,7 +19,7 @@
 pub use core_calls::ServerPick;
 pub use core_line::PlaceAnswer;
 pub use core_orders::StageOrder;
-pub use core_streams::{StreamEnd, StreamPlace};
+pub use core_streams::{MovedStream, StreamEnd, StreamPlace};
 
 /// The route of a request.
 #[derive(Clone, Debug)]
--- a/components/relay/src/relay_core/core_line.rs
+++ b/components/relay/src/relay_core/core_line.rs
@@ -16,6 +16,31 @@
 
 use super::core_streams;
 
+/// Shares of a decode engine's memory that streams may be expected to take; the rest answers lengths
+/// that were guessed too short.
+#[derive(Clone, Copy, Debug)]
+struct FillLimits {
+    /// For a request before which none waits.
+    at_once: f64,
+    /// For a request that has waited: then all engines are nearly full.
+    waiting: f64,
+}
+
+/// Limits where news are there before the next choice is made.
+const CLOSE_LIMITS: FillLimits = FillLimits {
+    at_once: core_streams::FILL_LIMIT,
+    waiting: core_streams::FILL_LIMIT,
+};
+
+/// Limits where several instances may choose an engine before they hear of each other.
+const WIDE_LIMITS: FillLimits = FillLimits {
+    at_once: 0.86,
+    waiting: 0.8,
+};
+
+/// Instances from which on the news of one take longer to reach all others than choices are apart.
+const WIDE_FLEET: usize = 24;
+
 /// Share up to which requests that are late already are placed, so that room is left for others.
 const LATE_FILL_LIMIT: f64 = 0.6;
 
@@ -53,7 +78,7 @@
         let may_pass = ask.resumes || !self.timely_wait(now, &ask.service);
         if may_pass {
             self.choice_seed = self.choice_seed.wrapping_add(1);
-            let chooser = self.chooser(now, size, core_streams::FILL_LIMIT);
+            let chooser = self.chooser(now, size, self.fill_limits(now).at_once);
             if let Some(choice) = chooser.choose(&ask)
                 && let Some(place) = self.reserve(now, &ask, choice, size)
             {
@@ -177,7 +202,7 @@
         size: service_rule::EngineSize,
     ) -> Option<engine_choice::EngineChoice> {
         let limit = if waiting.is_timely(now) {
-            core_streams::FILL_LIMIT
+            self.fill_limits(now).waiting
         } else {
             LATE_FILL_LIMIT
         };
@@ -189,6 +214,14 @@
         chooser.choose(&waiting.ask)
     }
 
+    fn fill_limits(&self, now: clock::Moment) -> FillLimits {
+        if self.instances.live_count(now) < WIDE_FLEET {
+            CLOSE_LIMITS
+        } else {
+            WIDE_LIMITS
+        }
+    }
+
     /// Counts a request of another instance at the engines that it is expected to be given.
     fn expect(&mut self, ask: &stream_ask::StreamAsk, choice: engine_choice::EngineChoice) {
         if let Some(engine) = self.book.get_mut(choice.decode) {
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use rand::RngExt as _;
+
 use crate::{
     backend, backend_entry, backend_health, engine_choice, relay_core, service_rule, stream_ask,
     stream_lease,
@@ -11,6 +13,9 @@
 /// lengths that were guessed too short.
 pub(super) const FILL_LIMIT: f64 = 0.92;
 
+/// Share of a decode engine's memory from which on streams that haven't begun there go elsewhere.
+const OVERFILL: f64 = 0.96;
+
 /// Instances at which costs are varied most.
 const VARIED_FLEET: f64 = 90.0;
 
@@ -32,6 +37,17 @@
     pub fill: f64,
 }
 
+/// A stream that goes to another decode engine than was chosen first.
+#[derive(Clone, Debug)]
+pub struct MovedStream {
+    /// Engine that it goes to.
+    pub decode: (backend::BackendKey, backend_entry::BackendEntry),
+    /// Share of the memory expected to be taken at the engine that it leaves, the stream included.
+    pub from_fill: f64,
+    /// Share of the memory used before at the engine that it goes to.
+    pub to_fill: f64,
+}
+
 /// How a stream left its place.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StreamEnd {
@@ -131,14 +147,60 @@
         let chosen = self.chooser(now, size, FILL_LIMIT).choose_decode(&ask);
         // Without another engine the lease stays on the first one until it is released.
         let decode = chosen.unwrap_or(left);
+        let entry = self.occupy(key, decode, &ask)?;
+        chosen.map(|decode| (decode, entry))
+    }
+
+    /// Moves a stream whose prompt was read away from a decode engine that was given too many at
+    /// the same time by several instances; returns the engine that it moves to.
+    ///
+    /// All instances that chose the engine find it overfilled. Each moves its stream by chance, with
+    /// the share that has to leave.
+    pub fn spread_decode(
+        &mut self,
+        now: clock::Moment,
+        key: stream_lease::StreamKey,
+    ) -> Option<MovedStream> {
+        self.fresh_usage(now);
+        let lease = self.leases.get(key)?;
+        let (left, ask) = (lease.decode, lease.ask.clone());
+        let size = self.engine_size(&ask.service)?;
+        let draw = self.random.random::<f64>();
+        let chooser = self.chooser(now, size, FILL_LIMIT);
+        let from_fill = chooser.fill(self.book.get(left)?);
+        let excess = from_fill - OVERFILL;
+        let own = f64::from(ask.mean_tokens()) / f64::from(size.kv_tokens.max(1));
+        if excess <= 0.0 || draw >= excess / (excess + own) {
+            return None;
+        }
+        let chosen = chooser
+            .choose_decode(&ask)
+            .filter(|decode| *decode != left)?;
+        let to_fill = chooser.fill(self.book.get(chosen)?);
+        let engine = self.book.get_mut(left)?;
+        engine.own_running = engine.own_running.saturating_sub(1);
+        engine.own_streams.remove(&key);
+        let entry = self.occupy(key, chosen, &ask)?;
+        Some(MovedStream {
+            decode: (chosen, entry),
+            from_fill,
+            to_fill,
+        })
+    }
+
+    /// Counts a stream at the decode engine that it moves to.
+    fn occupy(
+        &mut self,
+        key: stream_lease::StreamKey,
+        decode: backend::BackendKey,
+        ask: &stream_ask::StreamAsk,
+    ) -> Option<backend_entry::BackendEntry> {
         let engine = self.book.get_mut(decode)?;
         engine.own_running += 1;
         engine.own_streams.insert(key, ask.load());
         let entry = engine.entry.clone();
-        if let Some(lease) = self.leases.get_mut(key) {
-            lease.decode = decode;
-        }
-        chosen.map(|decode| (decode, entry))
+        self.leases.get_mut(key)?.decode = decode;
+        Some(entry)
     }
 
     /// Returns the expected time from a place to the first token.
--- a/components/relay/tests/common/day.rs
+++ b/components/relay/tests/common/day.rs
@@ -98,7 +98,8 @@
     fn arrives(&mut self, now: u64, index: usize, request: &Planned) -> Option<Ways>;
     /// Returns requests that are placed now, and those that are refused.
     fn due(&mut self, now: u64) -> (Vec<(usize, Ways)>, Vec<usize>);
-    fn prompt_read(&mut self, now: u64, index: usize);
+    /// Takes in that a prompt was read; returns the decode engine if it is another one now.
+    fn prompt_read(&mut self, now: u64, index: usize) -> Option<usize>;
     fn generated(&mut self, now: u64, index: usize, tokens: u32);
     fn ended(&mut self, now: u64, index: usize);
 }
@@ -169,7 +170,9 @@
         }
         if !stream.has_read {
             stream.has_read = true;
-            placer.prompt_read(now, *index);
+            if let Some(decode) = placer.prompt_read(now, *index) {
+                stream.ways.decode = decode;
+            }
         }
         stream.first_token.get_or_insert(now);
         stream.generated += PACE * STEP_MILLIS as f64;
--- a/components/relay/tests/common/fleet.rs
+++ b/components/relay/tests/common/fleet.rs
@@ -160,10 +160,14 @@
         (placed, std::mem::take(&mut self.refused))
     }
 
-    fn prompt_read(&mut self, now: u64, index: usize) {
+    fn prompt_read(&mut self, now: u64, index: usize) -> Option<usize> {
         let outcome = relay::BackendOutcome::Succeeded;
         let key = self.keys[&index];
-        self.change(index, |core| core.prefill_ended(at(now), key, outcome));
+        let moved = self.change(index, |core| {
+            core.prefill_ended(at(now), key, outcome);
+            core.spread_decode(at(now), key)
+        });
+        moved.map(|moved| number_of(&moved.decode.1))
     }
 
     fn generated(&mut self, now: u64, index: usize, tokens: u32) {
--- a/components/relay/tests/fleet_start.rs
+++ b/components/relay/tests/fleet_start.rs
@@ -63,3 +63,49 @@
     assert!(most(&prompts) <= Some(15), "{prompts:?}");
     assert!(most(&streams) <= Some(15), "{streams:?}");
 }
+
+#[test]
+fn streams_that_instances_gave_one_engine_at_once_spread_before_they_begin() {
+    let mut entries = entries();
+    entries.retain(|entry| !entry.server.as_str().starts_with("db"));
+    let mut cores: Vec<relay::RelayCore> = (1..=8)
+        .map(|number| started_core(number, &entries))
+        .collect();
+    // The other decode engines take no work until the places are given.
+    let target = "da0";
+    let hide = |core: &mut relay::RelayCore, leaving: bool| {
+        let hidden = entries.iter().filter(|entry| {
+            entry.stage == Some(relay::EngineStage::Decode) && entry.server.as_str() != target
+        });
+        let changes = hidden.cloned().map(|mut entry| {
+            entry.leaving = leaving;
+            relay::ViewChange::Backend(entry)
+        });
+        let revision = if leaving { 11 } else { 12 };
+        let update = common::changes(revision, changes.collect());
+        core.view_read(at(100), at(100), update);
+    };
+    let mut keys = Vec::new();
+    for core in &mut cores {
+        hide(core, true);
+        let place = common::placed(core.place(at(100), common::ask(at(100), 18_000)));
+        assert_eq!(place.decode.1.server.as_str(), target);
+        keys.push(place.key);
+        hide(core, false);
+    }
+    let news: Vec<_> = cores.iter_mut().map(|core| core.news(at(110))).collect();
+    for core in &mut cores {
+        for told in &news {
+            core.heard(at(110), told.clone());
+        }
+    }
+
+    let moved = cores
+        .iter_mut()
+        .zip(&keys)
+        .filter_map(|(core, key)| core.spread_decode(at(200), *key))
+        .count();
+
+    // Four of the eight have room there; it needn't be left to nobody.
+    assert!((4..8).contains(&moved), "{moved}");
+}
--- a/components/relay/tests/heavy_day.rs
+++ b/components/relay/tests/heavy_day.rs
@@ -79,7 +79,9 @@
         (placed, refused)
     }
 
-    fn prompt_read(&mut self, _: u64, _: usize) {}
+    fn prompt_read(&mut self, _: u64, _: usize) -> Option<usize> {
+        None
+    }
 
     fn generated(&mut self, _: u64, _: usize, _: u32) {}
 
@@ -186,8 +188,8 @@
         self.placer.due(now)
     }
 
-    fn prompt_read(&mut self, now: u64, index: usize) {
-        self.placer.prompt_read(now, index);
+    fn prompt_read(&mut self, now: u64, index: usize) -> Option<usize> {
+        self.placer.prompt_read(now, index)
     }
 
     fn generated(&mut self, now: u64, index: usize, tokens: u32) {
--- a/components/relay/tests/heavy_fleet.rs
+++ b/components/relay/tests/heavy_fleet.rs
@@ -43,5 +43,5 @@
     println!("{many:?}");
 
     let answered = many.on_time + many.late;
-    assert!(many.preempted * 10 <= answered, "{many:?}");
+    assert!(many.preempted * 20 <= answered, "{many:?}");
 }
