relay, gateway: tell the others what a read of the store has changed in the list

Cause: one instance reads twice a second, but each change of the list that it tells of made all 77 or 89 others read at once.

Change: full news hold what the last read changed in the list, for 0.4 s and up to 4 KB. An instance takes it over when its own revision lies between and the result has the fingerprint of the teller's list, else it reads as before; so it does for a new configuration. What it takes over isn't told on at once.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -249,3 +249,16 @@
         )
     }
 }
+
+impl<'a> DecisionEvent<'a> {
+    /// Tells of a view that was taken over from `source`.
+    pub(crate) fn view_changed(source: &'a str, view: &relay::SiteView) -> Self {
+        Self::ViewChanged {
+            source,
+            revision: view.revision,
+            config_version: view.config_version(),
+            servers: view.backends.len(),
+            leaving: view.backends.values().filter(|entry| entry.leaving).count(),
+        }
+    }
+}
--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -95,9 +95,19 @@
         let Some(Ok(news)) = buffer.get(..length).map(peer_message::decode) else {
             return;
         };
-        if self.port.decide(|core, now| core.heard(now, news)) {
+        let (behind, before, after) = self.port.decide(|core, now| {
+            let before = core.keeper().fingerprint();
+            let behind = core.heard(now, news);
+            (behind, before, core.keeper().fingerprint())
+        });
+        if behind {
             self.port.view_behind.notify_one();
         }
+        if before != after {
+            let view = self.port.decide(|core, _| core.keeper().view().clone());
+            self.log
+                .write(&decision_event::DecisionEvent::view_changed("news", &view));
+        }
     }
 
     fn note_instances(&self, before: (usize, usize)) -> (usize, usize) {
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -2,6 +2,9 @@
 
 use std::{net, time};
 
+/// Largest change of the platform's list in news, in bytes.
+const DELTA_BYTES: usize = 4 * 1024;
+
 /// Use of one backend server.
 #[derive(Clone, PartialEq, prost::Message)]
 struct UsageMessage {
@@ -55,6 +58,9 @@
     counted_for_ms: u32,
     #[prost(bool, tag = "16")]
     partial: bool,
+    /// A change of the list as JSON; empty without one.
+    #[prost(bytes = "vec", tag = "17")]
+    delta: Vec<u8>,
 }
 
 /// A request that waits for a place.
@@ -99,6 +105,7 @@
         incarnation: news.incarnation,
         sequence: news.sequence,
         partial: news.partial,
+        delta: news.delta.as_ref().map(encode_delta).unwrap_or_default(),
         leaving: news.leaving,
         revision: news.revision,
         fingerprint: news.fingerprint,
@@ -145,6 +152,8 @@
         .incarnation(message.incarnation)
         .sequence(message.sequence)
         .partial(message.partial)
+        // Without a readable change the store is read.
+        .maybe_delta(serde_json::from_slice(&message.delta).ok())
         .leaving(message.leaving)
         .revision(message.revision)
         .fingerprint(message.fingerprint)
@@ -202,6 +211,15 @@
     }
 }
 
+/// Returns a change of the list as bytes, none when it is too large for a datagram: the others read
+/// the store then.
+fn encode_delta(delta: &relay::ListDelta) -> Vec<u8> {
+    serde_json::to_vec(delta)
+        .ok()
+        .filter(|bytes| bytes.len() <= DELTA_BYTES)
+        .unwrap_or_default()
+}
+
 fn encode_waiting(news: &relay::WaitNews) -> WaitMessage {
     WaitMessage {
         service: news.service,
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -182,13 +182,8 @@
             return;
         }
         self.port.usage_changed.notify_one();
-        self.log.write(&decision_event::DecisionEvent::ViewChanged {
-            source,
-            revision: view.revision,
-            config_version: view.config_version(),
-            servers: view.backends.len(),
-            leaving: view.backends.values().filter(|entry| entry.leaving).count(),
-        });
+        self.log
+            .write(&decision_event::DecisionEvent::view_changed(source, &view));
     }
 
     fn note_readiness(&mut self) {
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -103,6 +103,12 @@
             .incarnation(numbers[0])
             .sequence(numbers[1])
             .partial(!leaving)
+            .maybe_delta(leaving.then(|| relay::ListDelta {
+                base: numbers[0],
+                revision: numbers[1],
+                written: Vec::new(),
+                gone: vec!["e1".into()],
+            }))
             .leaving(leaving)
             .revision(numbers[2])
             .fingerprint(numbers[3])
--- a/components/relay/src/instance_news.rs
+++ b/components/relay/src/instance_news.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{engine_usage, wait_news};
+use crate::{engine_usage, list_delta, wait_news};
 
 /// What one instance tells the others, in one datagram.
 #[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
@@ -25,6 +25,8 @@
     /// Hash of its view, 0 when it has none.
     #[builder(default)]
     pub fingerprint: u64,
+    /// What it has lately read to be changed in the platform's list.
+    pub delta: Option<list_delta::ListDelta>,
     /// Time since it read the platform's store itself.
     #[builder(default)]
     pub view_age: time::Duration,
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -61,13 +61,21 @@
     }
 
     /// Takes in news of another instance; returns whether its view is newer and differs.
-    pub fn heard(&mut self, now: clock::Moment, news: instance_news::InstanceNews) -> bool {
+    ///
+    /// A change of the list that the news hold is taken over.
+    pub fn heard(&mut self, now: clock::Moment, mut news: instance_news::InstanceNews) -> bool {
+        let delta = news.delta.take();
         let (revision, fingerprint, age) = (news.revision, news.fingerprint, news.view_age);
         let tells_view = !news.partial && news.fingerprint != 0;
         if !self.instances.heard(now, news, self.pace) {
             return false;
         }
         self.usage_is_old = true;
+        if let Some(delta) = delta.filter(|_| tells_view)
+            && self.keeper.take_delta(&delta, fingerprint)
+        {
+            self.take_view();
+        }
         tells_view && self.keeper.heard(now, revision, fingerprint, age)
     }
 
@@ -138,6 +146,7 @@
             } else {
                 0
             })
+            .maybe_delta(self.keeper.recent_delta(now).cloned())
             .view_age(self.keeper.read_age(now))
             .usage(usage)
             .waiting(self.waiting_news(now))
--- a/components/relay/src/view_keeper.rs
+++ b/components/relay/src/view_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::{site_view, view_change};
+use crate::{list_delta, site_view, view_change};
 
 /// Time between reads of the instance that reads for all.
 const READ_INTERVAL: time::Duration = time::Duration::from_millis(500);
@@ -23,6 +23,9 @@
 /// themselves back after an outage of the store.
 const OUTAGE_AGE: time::Duration = time::Duration::from_millis(2_500);
 
+/// Time for which a change that was read is told to the others.
+const DELTA_TIME: time::Duration = time::Duration::from_millis(400);
+
 /// Time that entries are kept which vanished during an outage of the store.
 const RETURN_GRACE: time::Duration = time::Duration::from_millis(1_700);
 
@@ -41,6 +44,8 @@
     lapsed: collections::BTreeMap<ids::ServerName, clock::Moment>,
     /// Newer view that a peer has announced.
     behind: bool,
+    /// What the last read that changed the list has changed, with the moment of the read.
+    delta: Option<(clock::Moment, list_delta::ListDelta)>,
 }
 
 impl ViewKeeper {
@@ -101,6 +106,33 @@
         (as_of + wait).max(self.next_read)
     }
 
+    /// Returns what a read has changed lately, for news.
+    #[must_use]
+    pub fn recent_delta(&self, now: clock::Moment) -> Option<&list_delta::ListDelta> {
+        self.delta
+            .as_ref()
+            .filter(|(read_at, _)| now.since(*read_at) < DELTA_TIME)
+            .map(|(_, delta)| delta)
+    }
+
+    /// Takes over a change that a peer has read, when it leads to the list of that peer; returns
+    /// whether it did.
+    pub fn take_delta(&mut self, delta: &list_delta::ListDelta, fingerprint: u64) -> bool {
+        let fits = (delta.base..delta.revision).contains(&self.view.revision);
+        if self.as_of.is_none() || !fits || fingerprint == self.fingerprint {
+            return false;
+        }
+        let mut changed = self.view.clone();
+        delta.apply(&mut changed.backends);
+        let leads_there = changed.fingerprint() == fingerprint;
+        if leads_there {
+            self.view = changed;
+            self.lapsed.retain(|server, _| !delta.gone.contains(server));
+            self.settle();
+        }
+        leads_there
+    }
+
     /// Takes in a read that was sent at `asked`.
     pub fn read(
         &mut self,
@@ -111,7 +143,8 @@
         let after_outage = self
             .as_of
             .is_some_and(|as_of| asked.since(as_of) > OUTAGE_AGE);
-        let known: Vec<ids::ServerName> = self.view.backends.keys().cloned().collect();
+        let before = (self.view.revision, self.view.backends.clone());
+        let known: Vec<ids::ServerName> = before.1.keys().cloned().collect();
         let mut written = collections::BTreeSet::new();
         let mut gone = Vec::new();
         for change in update.changes {
@@ -141,6 +174,11 @@
         } else {
             self.view.revision.max(update.revision)
         };
+        let after = (self.view.revision, &self.view.backends);
+        let delta = list_delta::ListDelta::between((before.0, &before.1), after);
+        if self.as_of.is_some() && !delta.is_empty() {
+            self.delta = Some((now, delta));
+        }
         self.as_of = Some(asked);
         self.read_at = Some(asked);
         self.behind = false;
