relay: refuse on arrival what can't be on time while others wait that can

Ruled out: lengths that are guessed wrong (held times and tokens in the model are the true ones).

Change: three quarters of the memory serve requests that wait, and one that can't be on time is refused at once while others wait that can; it is told to come back in 3 to 4.5 s, as bursts last seconds.

--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -7,7 +7,7 @@
 mod core_streams;
 mod core_views;
 
-use std::{collections, sync, time};
+use std::{collections, sync};
 
 use rand::SeedableRng as _;
 
@@ -208,6 +208,3 @@
         self.windows.entry(service.clone()).or_default()
     }
 }
-
-/// Shortest time to come back that is told to a caller.
-const RETRY_FLOOR: time::Duration = time::Duration::from_millis(100);
--- a/components/relay/src/relay_core/core_line.rs
+++ b/components/relay/src/relay_core/core_line.rs
@@ -50,11 +50,30 @@
 /// Time after which a caller may come back when no engine takes work.
 const NO_ENGINE_RETRY: time::Duration = time::Duration::from_millis(700);
 
-/// Shortest time after which a caller that met a full site may come back.
-const OVERLOAD_RETRY: time::Duration = time::Duration::from_millis(1_500);
+/// Times after which callers that met a full site may come back.
+#[derive(Clone, Copy, Debug)]
+struct RetryTimes {
+    /// Shortest time.
+    least: time::Duration,
+    /// Span over which callers are spread.
+    spread: time::Duration,
+}
+
+/// For callers that are refused on arrival: bursts last some seconds, and who comes back within one
+/// is refused again.
+const ARRIVAL_RETRY: RetryTimes = RetryTimes {
+    least: time::Duration::from_millis(3_000),
+    spread: time::Duration::from_millis(1_500),
+};
+
+/// For callers that have waited in vain.
+const WAITED_RETRY: RetryTimes = RetryTimes {
+    least: time::Duration::from_millis(1_500),
+    spread: time::Duration::from_millis(2_000),
+};
 
-/// Span over which callers that met a full site are spread.
-const RETRY_SPREAD: time::Duration = time::Duration::from_millis(2_000);
+/// Share of the engines' memory that is in use on average while requests wait.
+const MEAN_FILL: f64 = 0.75;
 
 /// The answer to a request for a place.
 #[derive(Clone, Debug)]
@@ -93,13 +112,16 @@
             .first_token_due
             .before(self.time_to_first_token(now, &ask));
         let timely_wait = self.expected_wait(now, &ask, size, true);
-        let wait = if now + timely_wait <= timely_until {
+        let can_be_timely = ask.resumes || now + timely_wait <= timely_until;
+        let wait = if can_be_timely {
             timely_wait
         } else {
             self.expected_wait(now, &ask, size, false)
         };
-        if now + wait >= ask.wait_until {
-            let retry_after = self.overload_retry(wait);
+        // While others that can be on time wait, one that can't isn't placed.
+        let is_hopeless = !can_be_timely && self.timely_wait(now, &ask.service);
+        if is_hopeless || now + wait >= ask.wait_until {
+            let retry_after = self.overload_retry(ARRIVAL_RETRY);
             return PlaceAnswer::Refused(refuse(refusal::RefusalReason::Overload, retry_after));
         }
         let choice_seed = self.random.random();
@@ -121,7 +143,7 @@
     pub fn grants(&mut self, now: clock::Moment) -> Vec<(wait_line::WaitTicket, PlaceAnswer)> {
         let mut answers = Vec::new();
         for overdue in self.line.take_overdue(now) {
-            let retry_after = self.overload_retry(time::Duration::ZERO);
+            let retry_after = self.overload_retry(WAITED_RETRY);
             let refusal = refuse(refusal::RefusalReason::WaitedOut, retry_after);
             answers.extend(
                 overdue
@@ -276,12 +298,11 @@
         let total = f64::from(size.kv_tokens) * f64::from(u32::try_from(engines).unwrap_or(1));
         let held = self.held_millis(&ask.service);
         let waiting = f64::from(u32::try_from(waiting).unwrap_or(u32::MAX));
-        time::Duration::from_secs_f64(waiting / total.max(1.0) * held / 1_000.0)
+        time::Duration::from_secs_f64(waiting / (total.max(1.0) * MEAN_FILL) * held / 1_000.0)
     }
 
-    fn overload_retry(&mut self, wait: time::Duration) -> time::Duration {
-        let spread = RETRY_SPREAD.mul_f64(self.random.random::<f64>());
-        (wait + OVERLOAD_RETRY + spread).max(relay_core::RETRY_FLOOR)
+    fn overload_retry(&mut self, times: RetryTimes) -> time::Duration {
+        times.least + times.spread.mul_f64(self.random.random::<f64>())
     }
 }
 
--- a/components/relay/tests/heavy_day.rs
+++ b/components/relay/tests/heavy_day.rs
@@ -139,6 +139,22 @@
     }
 }
 
+#[test]
+fn most_callers_that_can_not_be_served_are_told_so_on_arrival() {
+    for seed in 1..=5 {
+        let requests = day::plan(seed, 26.0, 1.3);
+        let mut placer = fleet::FleetPlacer::new(SITE, 6);
+
+        let tally = day::play(SITE, &mut placer, &requests);
+
+        assert!(
+            placer.refused_at_once * 2 >= tally.refused,
+            "seed {seed}: {} of {tally:?}",
+            placer.refused_at_once
+        );
+    }
+}
+
 #[test]
 fn large_prompts_are_not_starved_above_capacity() {
     let requests = day::plan(3, 26.0, 1.3);
