gateway: metrics of orders, of the repeats that are left and of the instances that live

The view's age and the configuration's version were set at reads and copies alone, so that an instance that never reads showed those of its start.

Cause of the latter: the gauges were set by the reader. Ruled out: a view that is old (news keep it at 0.5 s).

Change: what the core believes is read when the metrics are asked for.

--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -35,6 +35,9 @@
     view_age: gauge::Gauge<f64, atomic::AtomicU64>,
     config_version: gauge::Gauge,
     log_lines_dropped: gauge::Gauge,
+    instances: gauge::Gauge,
+    repeats_left: family::Family<NameLabel, gauge::Gauge<f64, atomic::AtomicU64>>,
+    orders: family::Family<NameLabel, counter::Counter>,
 }
 
 impl Default for GatewayMetrics {
@@ -48,6 +51,9 @@
         let view_age = gauge::Gauge::default();
         let config_version = gauge::Gauge::default();
         let log_lines_dropped = gauge::Gauge::default();
+        let instances = gauge::Gauge::default();
+        let repeats_left = family::Family::default();
+        let orders = family::Family::default();
         registry.register(
             "relay_requests",
             "Requests by kind and outcome",
@@ -80,6 +86,21 @@
             "Log lines dropped since the start",
             log_lines_dropped.clone(),
         );
+        registry.register(
+            "relay_instances",
+            "Instances that live, this one included",
+            instances.clone(),
+        );
+        registry.register(
+            "relay_repeats_left",
+            "Repeats that this instance may still send to a service now",
+            repeats_left.clone(),
+        );
+        registry.register(
+            "relay_orders",
+            "Orders to engines by outcome",
+            orders.clone(),
+        );
         Self {
             registry,
             requests,
@@ -90,6 +111,9 @@
             view_age,
             config_version,
             log_lines_dropped,
+            instances,
+            repeats_left,
+            orders,
         }
     }
 }
@@ -128,18 +152,30 @@
         self.store_reads.get_or_create(&label(outcome)).inc();
     }
 
-    /// Sets what is known of the view of the platform.
-    pub fn set_view(&self, age: Option<time::Duration>, config_version: u64) {
+    /// Counts an order to an engine.
+    pub fn ordered(&self, outcome: &str) {
+        self.orders.get_or_create(&label(outcome)).inc();
+    }
+
+    /// Sets what the core believes now.
+    pub fn set_beliefs(&self, core: &mut relay::RelayCore, now: clock::Moment) {
+        let age = core.keeper().age(now);
         self.view_age
             .set(age.map_or(f64::INFINITY, |age| age.as_secs_f64()));
         self.config_version
-            .set(i64::try_from(config_version).unwrap_or(i64::MAX));
+            .set(signed(core.keeper().view().config_version()));
+        let live = core.instances().live_count(now);
+        self.instances.set(i64::try_from(live).unwrap_or(i64::MAX));
+        for (service, left) in core.repeats_left(now) {
+            self.repeats_left
+                .get_or_create(&label(service.as_str()))
+                .set(left.max(0.0));
+        }
     }
 
     /// Sets the number of log lines that were dropped.
     pub fn set_lines_dropped(&self, lines: u64) {
-        self.log_lines_dropped
-            .set(i64::try_from(lines).unwrap_or(i64::MAX));
+        self.log_lines_dropped.set(signed(lines));
     }
 
     /// Returns the metrics in the OpenMetrics format.
@@ -154,6 +190,10 @@
     }
 }
 
+fn signed(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
+
 fn label(name: &str) -> NameLabel {
     NameLabel {
         name: name.to_owned(),
--- a/components/gateway/src/order_giver.rs
+++ b/components/gateway/src/order_giver.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{core_port, decision_event, decision_log, relay_client};
+use crate::{core_port, decision_event, decision_log, gateway_metrics, relay_client};
 
 /// Time between looks whether an order is due.
 const LOOK_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -15,6 +15,7 @@
     port: sync::Arc<core_port::CorePort>,
     client: sync::Arc<dyn relay_client::RelayClient>,
     log: sync::Arc<decision_log::DecisionLog>,
+    metrics: sync::Arc<gateway_metrics::GatewayMetrics>,
     clock: sync::Arc<dyn clock::ClockSource>,
 ) {
     loop {
@@ -23,7 +24,8 @@
         let due = port.decide(|core, now| core.due_orders(now, wall_millis));
         for order in due {
             port.usage_changed.notify_one();
-            give(&port, &*client, &log, &order).await;
+            let outcome = give(&port, &*client, &log, &order).await;
+            metrics.ordered(outcome);
         }
     }
 }
@@ -33,9 +35,9 @@
     client: &dyn relay_client::RelayClient,
     log: &decision_log::DecisionLog,
     order: &relay::StageOrder,
-) {
+) -> &'static str {
     let answered = tokio::time::timeout(ORDER_TIMEOUT, client.order(order)).await;
-    let outcome: &str = match &answered {
+    let outcome: &'static str = match &answered {
         Ok(Ok(reply)) => reply.into(),
         Ok(Err(error)) => error.into(),
         Err(_) => "no_answer",
@@ -53,4 +55,5 @@
         decode_cost_ms: order.cost.decode_millis,
         outcome,
     });
+    outcome
 }
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -171,13 +171,11 @@
     }
 
     fn note_change(&mut self, source: &str, before: u64) {
-        let (view, fingerprint, age) = self.port.decide(|core, now| {
+        let (view, fingerprint) = self.port.decide(|core, _| {
             let keeper = core.keeper();
-            (keeper.view().clone(), keeper.fingerprint(), keeper.age(now))
+            (keeper.view().clone(), keeper.fingerprint())
         });
-        self.metrics.set_view(age, view.config_version());
         self.note_readiness();
-        self.metrics.set_lines_dropped(self.log.dropped());
         if fingerprint == before {
             return;
         }
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -198,6 +198,19 @@
         allowed
     }
 
+    /// Returns the repeats that this instance may send now, by service.
+    pub fn repeats_left(&mut self, now: clock::Moment) -> Vec<(ids::ServiceName, f64)> {
+        let bound = self.settings.retry_bound;
+        let instances = &self.instances;
+        self.windows
+            .iter_mut()
+            .map(|(service, window)| {
+                let fleet = instances.fleet_count(now, service, &bound);
+                (service.clone(), window.left(now, &bound, fleet))
+            })
+            .collect()
+    }
+
     /// Returns a backend server's entry.
     #[must_use]
     pub fn entry(&self, key: backend::BackendKey) -> Option<crate::BackendEntry> {
