--- a/tests/node_soak.rs
+++ b/tests/node_soak.rs
@@ -1,7 +1,8 @@
 //! A soak of real processes on the users' platform: faults come from outside, in series and
 //! overlapping, and the promises are checked from what callers and servers saw.
 //!
-//! `SOAK_SEEDS=1..50 cargo test --test node_soak -- --nocapture` plays other seeds.
+//! `SOAK_SEEDS=1..50 cargo test --test node_soak -- --nocapture` plays other seeds, and
+//! `SOAK_PROCESSES=40` a larger fleet.
 
 #[path = "../platform/tests/common/mod.rs"]
 mod common;
@@ -14,7 +15,7 @@
 /// Seeds that are always played; each one that ever failed is kept here with a line on the cause.
 const KEPT_SEEDS: [u64; 2] = [1, 2];
 
-/// Processes of the site.
+/// Processes of the site, when none are asked for.
 const PROCESSES: usize = 4;
 
 /// Time in which faults come.
@@ -116,7 +117,7 @@
             worker.list_at(proxy.address);
             proxies.push(proxy);
         }
-        let ips: Vec<_> = (0..PROCESSES).map(|_| site::next_address()).collect();
+        let ips: Vec<_> = (0..process_count()).map(|_| site::next_address()).collect();
         let processes = ips.iter().map(|ip| prepare(&site, *ip, &ips)).collect();
         let mut soak = Self {
             site,
@@ -152,7 +153,7 @@
             .map(|process| site::front_of(process.ip))
             .collect();
         let kinds = ["/order/x", "/price/x", "/draft/x", "/once/x"];
-        (0..CALLERS * kinds.len())
+        (0..(CALLERS * kinds.len()).max(fronts.len()))
             .map(|number| {
                 let path = kinds[number % kinds.len()];
                 let front = fronts[number % fronts.len()];
@@ -386,6 +387,10 @@
     panic!("{ip} did not become ready");
 }
 
+fn process_count() -> usize {
+    std::env::var("SOAK_PROCESSES").map_or(PROCESSES, |text| text.parse().expect("a number"))
+}
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("SOAK_SEEDS") else {
         return KEPT_SEEDS.to_vec();
