relay: keep a waiting request until its place is reserved; name what it asks

A request was taken out of the line before its engines were reserved; had that failed, its caller would have had no answer. It can't fail as things stand, since both engines were found under the same lock. A method and a local had the same name with two meanings.

--- a/components/relay/src/relay_core/core_line.rs
+++ b/components/relay/src/relay_core/core_line.rs
@@ -94,7 +94,7 @@
         };
         self.fresh_usage(now);
         ask.guessed_tokens = self.guess(&ask);
-        let may_pass = ask.resumes || !self.timely_wait(now, &ask.service);
+        let may_pass = ask.resumes || !self.has_timely_waiting(now, &ask.service);
         if may_pass {
             self.choice_seed = self.choice_seed.wrapping_add(1);
             let chooser = self.chooser(now, size, self.fill_limits(now).at_once);
@@ -119,7 +119,7 @@
             self.expected_wait(now, &ask, size, false)
         };
         // While others that can be on time wait, one that can't isn't placed.
-        let is_hopeless = !can_be_timely && self.timely_wait(now, &ask.service);
+        let is_hopeless = !can_be_timely && self.has_timely_waiting(now, &ask.service);
         if is_hopeless || now + wait >= ask.wait_until {
             let retry_after = self.overload_retry(ARRIVAL_RETRY);
             return PlaceAnswer::Refused(refuse(refusal::RefusalReason::Overload, retry_after));
@@ -207,10 +207,10 @@
             match next.ticket {
                 None => self.expect(&next.ask, choice),
                 Some(ticket) => {
-                    self.line.remove(ticket);
-                    let place = self.reserve(now, &next.ask, choice, size);
-                    answers
-                        .extend(place.map(|place| (ticket, PlaceAnswer::Placed(Box::new(place)))));
+                    if let Some(place) = self.reserve(now, &next.ask, choice, size) {
+                        self.line.remove(ticket);
+                        answers.push((ticket, PlaceAnswer::Placed(Box::new(place))));
+                    }
                 }
             }
         }
@@ -267,7 +267,7 @@
     }
 
     /// Returns whether a request waits somewhere that can be on time.
-    fn timely_wait(&self, now: clock::Moment, service: &ids::ServiceName) -> bool {
+    fn has_timely_waiting(&self, now: clock::Moment, service: &ids::ServiceName) -> bool {
         self.all_waiting(now)
             .any(|waiting| waiting.ask.service == *service && waiting.is_timely(now))
     }
