relay, platform: drop three settings that nothing used

The configured time for heads, the path of health checks and the limit on connections were decoded, told to other instances and never used: hyper counts one time for heads and idle connections, servers are judged by their answers, and their own resets tell when they have too many connections. No behaviour changes.

--- a/components/relay/src/service_rule.rs
+++ b/components/relay/src/service_rule.rs
@@ -19,10 +19,6 @@
 /// A service of the configuration in force.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct ServiceRule {
-    /// Path of the health check.
-    pub health_path: String,
-    /// Connections that one backend server accepts from all callers together.
-    pub connection_limit: u32,
     /// Sizes of the engines, when the service generates tokens.
     pub engine: Option<EngineSize>,
 }
--- a/components/relay/src/site_config.rs
+++ b/components/relay/src/site_config.rs
@@ -11,8 +11,6 @@
     pub head_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Time in which a head must be complete.
-    pub head_timeout: time::Duration,
     /// Time that an unused connection is kept.
     pub idle_timeout: time::Duration,
 }
@@ -22,7 +20,6 @@
         Self {
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
-            head_timeout: time::Duration::from_secs(3),
             idle_timeout: time::Duration::from_secs(15),
         }
     }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -110,11 +110,7 @@
         .tokens_per_event(50)
         .retention(ms(500))
         .build();
-    let rule = |engine| relay::ServiceRule {
-        health_path: "/health".to_owned(),
-        connection_limit: 100,
-        engine,
-    };
+    let rule = |engine| relay::ServiceRule { engine };
     sync::Arc::new(relay::SiteConfig {
         version,
         routes,
