relay: name all instances in one of eight full news, whatever partial news come between

Found by reading: every eighth number of the sequence names the other instances of a large fleet, and partial news take numbers too. With one of these between two full ones, full news have even numbers, and no instance is ever named to another.

Test: partial_news_between_full_ones_keep_no_instance_from_being_named, 0 named in 10 s before, now named.

--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -79,6 +79,8 @@
     choice_seed: u64,
     random: rand_chacha::ChaCha8Rng,
     news_sequence: u64,
+    /// News told in full.
+    full_news: u64,
     told: told_news::ToldNews,
     /// Moment as of which it is worked out what the other instances use.
     usage_as_of: clock::Moment,
@@ -111,6 +113,7 @@
             choice_seed,
             random,
             news_sequence: 0,
+            full_news: 0,
             told: told_news::ToldNews::default(),
             usage_as_of: clock::Moment::default(),
             usage_is_old: true,
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -129,6 +129,7 @@
     /// Returns all news of this instance.
     pub fn news(&mut self, now: clock::Moment) -> instance_news::InstanceNews {
         self.news_sequence += 1;
+        self.full_news += 1;
         let age = self.keeper.age(now);
         let window = self.settings.retry_bound.window;
         let usage = self.book.own_usage();
@@ -178,7 +179,7 @@
     fn told_instances(&self, now: clock::Moment) -> Vec<net::Ipv4Addr> {
         let alive: Vec<net::Ipv4Addr> = self.instances.alive(now).collect();
         let is_young = now.since(clock::Moment::default()) < MEETING_TIME;
-        if is_young || alive.len() <= SMALL_FLEET || self.news_sequence % TELLING_INTERVAL == 1 {
+        if is_young || alive.len() <= SMALL_FLEET || self.full_news % TELLING_INTERVAL == 1 {
             alive
         } else {
             Vec::new()
--- a/components/relay/tests/partial_news.rs
+++ b/components/relay/tests/partial_news.rs
@@ -112,3 +112,24 @@
 
     assert!(partial.iter().filter(|partial| !**partial).count() >= 3);
 }
+
+#[test]
+fn partial_news_between_full_ones_keep_no_instance_from_being_named() {
+    let (mut teller, _) = two_cores();
+
+    // From here on full news have even numbers.
+    teller.due_news(at(1));
+
+    let mut naming = 0;
+    for step in 1..=80_u32 {
+        let now = at(0) + ms(125) * step;
+        for number in 2..=30 {
+            teller.heard(now, common::news(number, u64::from(step)));
+        }
+        let news = teller.due_news(now);
+        // A young process names all in each of its news.
+        naming += u32::from(step > 20 && !news.known.is_empty());
+    }
+
+    assert!(naming > 0);
+}
