--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -1,19 +1,19 @@
 //! State that this instance keeps for one backend server or engine.
 
-use std::{collections, time};
+use std::{collections, ops, time};
 
-use crate::{backend_entry, backend_health, engine_usage, stream_lease};
+use crate::{backend_entry, backend_health, engine_usage, prefill_model, stream_lease};
 
 slotmap::new_key_type! {
     /// Key of a backend server in the registry.
     pub struct BackendKey;
 }
 
-/// Prefill rate of an engine until the first measurement, in tokens per millisecond.
-pub const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 50.0;
+/// Weight of a new sample in the moving average of the slowdown.
+const SLOWDOWN_SMOOTHING: f64 = 0.2;
 
-/// Weight of a new sample in the moving average of the prefill rate.
-const RATE_SMOOTHING: f64 = 0.2;
+/// Bounds of the slowdown.
+const SLOWDOWN_RANGE: ops::RangeInclusive<f64> = 0.25..=20.0;
 
 /// Pause before the next request to a decode engine that refused one for lack of memory.
 const DECODE_REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(150);
@@ -54,8 +54,10 @@
     pub expected_prefill_tokens: u32,
     /// Failure share, latency and ejection.
     pub health: backend_health::BackendHealth,
-    /// Prefill rate in tokens per millisecond.
-    pub prefill_rate: f64,
+    /// Duration of a prefill on an engine of the service.
+    prefill_model: prefill_model::PrefillModel,
+    /// Ratio of the duration of a prefill on this engine to that of the model.
+    slowdown: f64,
     /// End of the pause after a refusal, which applies only to this instance.
     refusal_pause_until: clock::Timestamp,
     /// Time until which the server has asked this instance to send nothing.
@@ -81,7 +83,8 @@
             expected: Vec::new(),
             expected_prefill_tokens: 0,
             health: backend_health::BackendHealth::default(),
-            prefill_rate: DEFAULT_PREFILL_TOKENS_PER_MS,
+            prefill_model: prefill_model::PrefillModel::default(),
+            slowdown: 1.0,
             refusal_pause_until: clock::Timestamp::default(),
             backoff_until: clock::Timestamp::default(),
             paused_for_all_until: clock::Timestamp::default(),
@@ -174,31 +177,44 @@
     /// Returns the time until the prefill of a prompt sent now starts.
     #[must_use]
     pub fn prefill_wait(&self) -> time::Duration {
-        self.prefill_duration(self.prefill_tokens())
+        self.prefill_model
+            .occupancy(self.prefill_tokens())
+            .mul_f64(self.slowdown)
     }
 
     /// Returns the duration of the prefill of `tokens` tokens.
     #[must_use]
     pub fn prefill_duration(&self, tokens: u32) -> time::Duration {
-        time::Duration::from_secs_f64(f64::from(tokens) / self.prefill_rate / 1_000.0)
+        self.prefill_model.duration(tokens).mul_f64(self.slowdown)
     }
 
-    /// Updates the prefill rate after a prompt of `tokens`, queued behind `tokens_ahead` tokens,
-    /// was prefilled in `duration`.
+    /// Sets the model of the prefill duration. The measured duration of a prompt of
+    /// `typical_tokens` tokens on this engine stays what it was.
+    pub fn set_prefill_model(&mut self, model: prefill_model::PrefillModel, typical_tokens: u32) {
+        if self.slowdown != 1.0 {
+            let before = self.prefill_model.duration(typical_tokens).as_secs_f64();
+            let after = model.duration(typical_tokens).as_secs_f64();
+            self.slowdown = clamp_slowdown(self.slowdown * before / after.max(f64::EPSILON));
+        }
+        self.prefill_model = model;
+    }
+
+    /// Updates the slowdown after a prompt of `tokens`, queued behind `tokens_ahead` tokens, was
+    /// prefilled in `duration`.
     ///
     /// The prefill of some tokens ahead may have finished before the measured interval began, so
-    /// the sample is an upper bound of the rate when `tokens_ahead` isn't zero.
+    /// the sample is a lower bound of the slowdown when `tokens_ahead` isn't zero.
     pub fn record_prefill(&mut self, tokens: u32, tokens_ahead: u32, duration: time::Duration) {
-        let millis = duration.as_secs_f64() * 1_000.0;
-        if millis < 1.0 {
+        let expected = self.prefill_model.duration(tokens + tokens_ahead);
+        if expected.is_zero() || duration.is_zero() {
             return;
         }
-        let rate = f64::from(tokens + tokens_ahead) / millis;
-        if tokens_ahead > 0 && rate > self.prefill_rate {
+        let slowdown = duration.as_secs_f64() / expected.as_secs_f64();
+        if tokens_ahead > 0 && slowdown < self.slowdown {
             return;
         }
-        self.prefill_rate += (rate - self.prefill_rate) * RATE_SMOOTHING;
-        self.prefill_rate = self.prefill_rate.max(1.0);
+        let average = self.slowdown + (slowdown - self.slowdown) * SLOWDOWN_SMOOTHING;
+        self.slowdown = clamp_slowdown(average);
     }
 
     /// Pauses requests of this instance to an engine that refused one for lack of capacity.
@@ -227,3 +243,7 @@
         self.listed = true;
     }
 }
+
+fn clamp_slowdown(slowdown: f64) -> f64 {
+    slowdown.clamp(*SLOWDOWN_RANGE.start(), *SLOWDOWN_RANGE.end())
+}
--- a/components/relay/src/backend_registry.rs
+++ b/components/relay/src/backend_registry.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{backend, engine_usage, instance_update, site_view};
+use crate::{backend, engine_usage, instance_update, prefill_model, site_view};
 
 /// Backend servers by key.
 pub type BackendTable = slotmap::SlotMap<backend::BackendKey, backend::Backend>;
@@ -115,6 +115,21 @@
         }
     }
 
+    /// Sets the model of the prefill duration of a service's engines, with the length of a typical
+    /// prompt in tokens.
+    pub fn set_prefill_model(
+        &mut self,
+        service: &ids::ServiceName,
+        model: prefill_model::PrefillModel,
+        typical_tokens: u32,
+    ) {
+        for (_, backend) in &mut self.backends {
+            if backend.entry.service == *service {
+                backend.set_prefill_model(model, typical_tokens);
+            }
+        }
+    }
+
     /// Clears the expected placements of requests that wait at other instances.
     pub fn clear_expected(&mut self) {
         for (_, backend) in &mut self.backends {
--- a/components/relay/src/engine_selector.rs
+++ b/components/relay/src/engine_selector.rs
@@ -28,6 +28,10 @@
 /// where it reserves no memory of a decode engine.
 const PREFILL_WAIT_LIMIT: time::Duration = time::Duration::from_millis(300);
 
+/// Margin of the forecast of memory, in standard deviations of the remaining output of an engine's
+/// streams.
+const MARGIN_DEVIATIONS: f64 = 3.0;
+
 /// Ratio of the prefill duration at a decode engine to that at a prefill engine.
 const DECODE_PREFILL_SLOWDOWN: u32 = 2;
 
@@ -61,6 +65,8 @@
     pub backends: &'a backend_registry::BackendTable,
     /// Capacity of one engine of the service.
     pub size: service_rule::EngineSize,
+    /// Standard deviation of the output length of a stream, relative to its estimate.
+    pub length_deviation: f64,
     /// Largest utilization of a decode engine after the placement, between 0 and 1.
     pub utilization_limit: f64,
     /// Amplitude of the cost jitter, between 0 and 1. It spreads the selections of many instances.
@@ -116,7 +122,7 @@
     }
 
     /// Returns the utilization of an engine: the peak share of its memory that its streams will
-    /// use, or the used share of its slots if that is larger.
+    /// use, with a margin for answers that are longer than estimated, or the used share of its slots if that is larger.
     #[must_use]
     pub fn utilization(&self, engine: &backend::Backend) -> f64 {
         self.utilization_with(engine, None)
@@ -128,9 +134,11 @@
         added: Option<engine_usage::StreamLoad>,
     ) -> f64 {
         let running = engine.running() + u32::from(added.is_some());
-        let peak = memory_forecast::peak_tokens(engine.streams().chain(added));
+        let streams = || engine.streams().chain(added);
+        let peak = memory_forecast::peak_tokens(streams());
         let peak = f64::from(u32::try_from(peak).unwrap_or(u32::MAX));
-        let memory = peak / f64::from(self.size.kv_tokens.max(1));
+        let deviation = memory_forecast::remaining_deviation(streams(), self.length_deviation);
+        let memory = (peak + MARGIN_DEVIATIONS * deviation) / f64::from(self.size.kv_tokens.max(1));
         let slots = f64::from(running) / f64::from(self.size.slots.max(1));
         memory.max(slots)
     }
--- a/components/relay/src/instance_registry.rs
+++ b/components/relay/src/instance_registry.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{engine_usage, instance_state, instance_update, wait_queue};
+use crate::{engine_usage, instance_state, instance_update, service_estimate, wait_queue};
 
 /// Time without state updates after which an instance's usage no longer counts, since its
 /// connections are closed by then.
@@ -96,7 +96,10 @@
         }
         self.states
             .retain(|_, state| now.since(state.received_at) < KNOWN_TIMEOUT);
-        let state = instance_state::InstanceState::new(now, update, &self.services);
+        let mut state = instance_state::InstanceState::new(now, update, &self.services);
+        if let Some(before) = self.states.remove(&state.update.address) {
+            state.keep_estimates(before);
+        }
         self.states.insert(state.update.address, state);
         true
     }
@@ -207,6 +210,21 @@
             .flat_map(|state| &state.waiting)
     }
 
+    /// Returns the estimates of a service by the other instances.
+    pub fn estimates(
+        &self,
+        now: clock::Timestamp,
+        service: &ids::ServiceName,
+    ) -> impl Iterator<Item = &service_estimate::ServiceEstimate> {
+        let hash = instance_update::service_hash(service);
+        self.states
+            .values()
+            .filter(move |state| now.since(state.received_at) < KNOWN_TIMEOUT)
+            .flat_map(|state| &state.update.estimates)
+            .filter(move |(other, _)| *other == hash)
+            .map(|(_, estimate)| estimate)
+    }
+
     /// Returns the engines that other instances report as paused, identified by
     /// [`crate::server_hash`].
     #[must_use]
--- a/components/relay/src/instance_state.rs
+++ b/components/relay/src/instance_state.rs
@@ -31,6 +31,13 @@
         }
     }
 
+    /// Keeps the estimates of the state `before` if the new update omits them.
+    pub(crate) fn keep_estimates(&mut self, before: Self) {
+        if self.update.estimates.is_empty() {
+            self.update.estimates = before.update.estimates;
+        }
+    }
+
     /// Applies a partial update.
     ///
     /// Streams that the update doesn't list are assumed to have generated `decode_rate` tokens per
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -3,11 +3,12 @@
 use std::{net, time};
 
 use crate::{
-    backend_entry, engine_usage, list_delta, queue_update, view_announcement, view_position,
+    backend_entry, engine_usage, list_delta, queue_update, service_estimate, view_announcement,
+    view_position,
 };
 
 /// State update of one instance, sent to the others in one datagram.
-#[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
+#[derive(Clone, Debug, PartialEq, bon::Builder)]
 pub struct InstanceUpdate {
     /// Address of the sender.
     pub address: net::Ipv4Addr,
@@ -65,6 +66,9 @@
     /// doesn't show as draining, by [`incarnation_hash`].
     #[builder(default)]
     pub draining: Vec<u64>,
+    /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
+    #[builder(default)]
+    pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
     /// Addresses of other instances that the sender considers alive. An update of a large fleet may
     /// omit them.
     #[builder(default)]
--- a/components/relay/src/memory_forecast.rs
+++ b/components/relay/src/memory_forecast.rs
@@ -24,3 +24,18 @@
     }
     peak
 }
+
+/// Returns the standard deviation of the total remaining output of streams, in tokens.
+///
+/// `relative` is the standard deviation of the output of one stream, relative to its estimate.
+#[must_use]
+pub fn remaining_deviation(
+    streams: impl IntoIterator<Item = engine_usage::StreamLoad>,
+    relative: f64,
+) -> f64 {
+    let variance: f64 = streams
+        .into_iter()
+        .map(|stream| (f64::from(stream.remaining) * relative).powi(2))
+        .sum();
+    variance.sqrt()
+}
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -13,8 +13,9 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_registry, core_settings, instance_registry, length_estimator, order_gate,
-    route_rule, sent_state, site_config, stage_planner, stream_lease, view_tracker, wait_queue,
+    backend, backend_registry, core_settings, instance_registry, order_gate, route_rule,
+    sent_state, service_estimate, site_config, stage_planner, stream_lease, view_tracker,
+    wait_queue,
 };
 
 pub use core_calls::ServerSelection;
@@ -43,22 +44,6 @@
     },
 }
 
-/// Moving averages of the streams of one service.
-#[derive(Clone, Copy, Debug)]
-struct StreamAverage {
-    /// Time from the reservation of a slot to its release, in milliseconds.
-    slot_millis: f64,
-    /// Prompt length in tokens.
-    prompt_tokens: f64,
-    /// Mean memory use of a stream over its duration, in tokens.
-    mean_tokens: f64,
-    /// Estimator of the output length.
-    lengths: length_estimator::LengthEstimator,
-}
-
-/// Decode rate of a stream until the first measurement, in tokens per millisecond.
-const DEFAULT_DECODE_TOKENS_PER_MS: f64 = 1.0;
-
 /// Makes the decisions about relayed requests.
 pub struct RelayCore {
     settings: core_settings::CoreSettings,
@@ -68,9 +53,12 @@
     leases: slotmap::SlotMap<stream_lease::StreamKey, stream_lease::StreamLease>,
     queue: wait_queue::WaitQueue,
     windows: collections::BTreeMap<ids::ServiceName, retry::RetryWindow>,
-    averages: collections::BTreeMap<ids::ServiceName, StreamAverage>,
-    /// Moving average of the decode rate of a stream, in tokens per millisecond.
-    decode_rate: f64,
+    /// Estimates from the streams of this instance.
+    estimates: collections::BTreeMap<ids::ServiceName, service_estimate::ServiceEstimate>,
+    /// Estimates from the streams of all instances.
+    combined_estimates: collections::BTreeMap<ids::ServiceName, service_estimate::ServiceEstimate>,
+    /// Time at which `combined_estimates` were computed.
+    estimates_combined_at: Option<clock::Timestamp>,
     order_gate: order_gate::OrderGate,
     planners: collections::BTreeMap<ids::ServiceName, stage_planner::StagePlanner>,
     /// Time and fencing number of this instance's last order.
@@ -107,8 +95,9 @@
             leases: slotmap::SlotMap::with_key(),
             queue: wait_queue::WaitQueue::default(),
             windows: collections::BTreeMap::new(),
-            averages: collections::BTreeMap::new(),
-            decode_rate: DEFAULT_DECODE_TOKENS_PER_MS,
+            estimates: collections::BTreeMap::new(),
+            combined_estimates: collections::BTreeMap::new(),
+            estimates_combined_at: None,
             order_gate: order_gate::OrderGate::default(),
             planners: collections::BTreeMap::new(),
             last_order: None,
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -33,7 +33,7 @@
             return Vec::new();
         }
         self.refresh_stale_usage(now);
-        let services: Vec<ids::ServiceName> = self.averages.keys().cloned().collect();
+        let services: Vec<ids::ServiceName> = self.combined_estimates.keys().cloned().collect();
         services
             .iter()
             .flat_map(|service| self.service_orders(now, wall_millis, service))
@@ -131,22 +131,11 @@
 
     fn engine_cost(&self, service: &ids::ServiceName) -> Option<stage_planner::EngineCost> {
         let size = self.engine_size(service)?;
-        let average = self.averages.get(service)?;
-        let mut rates: Vec<f64> = self
-            .backends
-            .table()
-            .values()
-            .filter(|engine| engine.entry.service == *service)
-            .filter(|engine| engine.entry.stage == Some(backend_entry::EngineStage::Prefill))
-            .map(|engine| engine.prefill_rate)
-            .collect();
-        rates.sort_by(f64::total_cmp);
-        let rate = rates.get(rates.len() / 2);
-        let rate = rate.unwrap_or(&backend::DEFAULT_PREFILL_TOKENS_PER_MS);
+        let estimate = self.estimate(service)?;
         let memory = f64::from(size.kv_tokens.max(1)) * MEMORY_UTILIZATION;
         Some(stage_planner::EngineCost {
-            prefill_millis: average.prompt_tokens / rate,
-            decode_millis: average.slot_millis * average.mean_tokens / memory,
+            prefill_millis: estimate.prompt_tokens * estimate.prefill_model().token_millis,
+            decode_millis: estimate.slot_millis * estimate.mean_tokens / memory,
         })
     }
 
--- a/components/relay/src/relay_core/core_queue.rs
+++ b/components/relay/src/relay_core/core_queue.rs
@@ -36,8 +36,8 @@
 /// Limits of a large fleet, where several instances may select the same engine before they receive
 /// each other's state updates.
 const LARGE_FLEET_LIMITS: UtilizationLimits = UtilizationLimits {
-    on_arrival: 0.86,
-    waiting: 0.8,
+    on_arrival: 0.95,
+    waiting: 0.93,
 };
 
 /// Number of instances from which a state update takes longer to reach all others than the time
@@ -108,7 +108,7 @@
         if let Some(refusal) = self.backoff_refusal(now, &request.service, decode) {
             return PlacementOutcome::Refused(refusal);
         }
-        request.estimated_tokens = self.estimate_output(&request);
+        request.estimated_tokens = self.estimate_output(now, &request);
         let may_place_now = request.resumes || !self.has_timely_waiting(now, &request.service);
         if may_place_now {
             self.selection_seed = self.selection_seed.wrapping_add(1);
@@ -126,9 +126,7 @@
                 NO_ENGINE_RETRY_DELAY,
             ));
         }
-        let timely_until = request
-            .first_token_due
-            .before(self.time_to_first_token(now, &request));
+        let timely_until = self.timely_until(now, &request);
         let timely_wait = self.expected_wait(now, &request, size, true);
         let can_be_timely = request.resumes || now + timely_wait <= timely_until;
         let wait = if can_be_timely {
@@ -353,7 +351,9 @@
             .sum();
         let demand = ahead + u64::from(request.mean_tokens());
         let capacity = f64::from(size.kv_tokens) * f64::from(u32::try_from(engines).unwrap_or(1));
-        let slot_millis = self.slot_millis(&request.service);
+        let slot_millis = self
+            .estimate(&request.service)
+            .map_or(0.0, |estimate| estimate.slot_millis);
         let demand = f64::from(u32::try_from(demand).unwrap_or(u32::MAX));
         time::Duration::from_secs_f64(
             demand / (capacity.max(1.0) * MEAN_UTILIZATION) * slot_millis / 1_000.0,
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -11,7 +11,7 @@
 
 /// Limit on the expected utilization of a decode engine. The remaining memory absorbs answers that
 /// exceed their estimated length.
-pub(super) const UTILIZATION_LIMIT: f64 = 0.92;
+pub(super) const UTILIZATION_LIMIT: f64 = 0.99;
 
 /// Utilization of a decode engine above which streams that haven't started there are moved to
 /// another engine.
@@ -20,10 +20,6 @@
 /// Number of alive instances from which the cost jitter has its full amplitude.
 const FULL_JITTER_INSTANCES: f64 = 90.0;
 
-/// Time from the end of the prefill to the first token at the caller, including the KV cache
-/// transfer.
-const HANDOFF_TIME: time::Duration = time::Duration::from_millis(80);
-
 /// Placement of a generation, with slots reserved on its engines.
 #[derive(Clone, Debug)]
 pub struct StreamPlacement {
@@ -73,6 +69,10 @@
         };
         lease.prefilling = false;
         let tokens = lease.request.prompt_tokens;
+        let request = lease.request.clone();
+        if outcome == backend_health::BackendOutcome::Succeeded {
+            lease.prefilled_at = Some(now);
+        }
         let tokens_ahead = lease.tokens_ahead;
         let duration = now.since(lease.reserved_at);
         let decode_prefills = lease.prefill.is_none();
@@ -91,7 +91,11 @@
         if outcome == backend_health::BackendOutcome::Refused {
             engine.record_refusal(now);
         }
-        engine.health.record(now, outcome, duration)
+        let ejected = engine.health.record(now, outcome, duration);
+        if outcome == backend_health::BackendOutcome::Succeeded && tokens_ahead == 0 {
+            self.observe_prefill(&request, duration);
+        }
+        ejected
     }
 
     /// Records that a decode engine with free capacity found a prefill result missing.
@@ -113,7 +117,7 @@
             return false;
         };
         if completion.outcome == backend_health::BackendOutcome::Succeeded {
-            self.update_averages(now, &lease);
+            self.observe_stream(now, &lease);
         }
         let Some(engine) = self.backends.get_mut(lease.decode) else {
             return false;
@@ -212,24 +216,6 @@
         Some(entry)
     }
 
-    /// Returns the expected time from the placement to the first token.
-    #[must_use]
-    pub fn time_to_first_token(
-        &self,
-        now: clock::Timestamp,
-        request: &stream_request::StreamRequest,
-    ) -> time::Duration {
-        let prefill_time = self
-            .backends
-            .table()
-            .values()
-            .filter(|engine| engine.entry.service == request.service && engine.accepts_work(now))
-            .filter(|engine| engine.entry.stage == Some(backend_entry::EngineStage::Prefill))
-            .map(|engine| engine.prefill_wait() + engine.prefill_duration(request.prompt_tokens))
-            .min();
-        prefill_time.unwrap_or_default() + HANDOFF_TIME
-    }
-
     /// Reserves slots on the selected engines.
     pub(super) fn reserve(
         &mut self,
@@ -251,6 +237,7 @@
             engine.own_running += 1;
             prefill = Some((key, engine.entry.clone()));
         }
+        let first_event_expected_at = now + prefill_time + self.handoff_time(&request.service);
         let key = self.leases.insert(stream_lease::StreamLease {
             prefill: selection.prefill,
             decode: selection.decode,
@@ -258,6 +245,8 @@
             reserved_at: now,
             tokens_ahead,
             generated: 0,
+            prefilled_at: None,
+            first_event_expected_at,
             first_token_at: None,
             prefilling: true,
         });
@@ -286,6 +275,7 @@
         engine_selector::EngineSelector {
             backends: self.backends.table(),
             size,
+            length_deviation: self.length_deviation(),
             utilization_limit,
             jitter: self.jitter(now),
             seed: self.selection_seed,
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::{instance_update, relay_core, sent_state, site_view, view_change};
+use crate::{instance_update, relay_core, sent_state, service_estimate, site_view, view_change};
 
 /// Largest number of other instances at which every full update lists all of them.
 const SMALL_FLEET_INSTANCES: usize = 16;
@@ -14,6 +14,9 @@
 /// that the instances of a restarted fleet discover each other.
 const DISCOVERY_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// One of this many full updates contains the sender's estimates.
+const ESTIMATE_UPDATE_PERIOD: u64 = 6;
+
 /// In a large fleet, one of this many full updates lists the other instances.
 const MEMBERSHIP_UPDATE_PERIOD: u64 = 8;
 
@@ -77,8 +80,9 @@
     ) -> bool {
         let delta = update.delta.take();
         let announcement = update.announcement();
+        let decode_rate = self.decode_rate();
         let has_view = !update.partial && update.fingerprint != 0;
-        if !self.instances.apply_update(now, update, self.decode_rate) {
+        if !self.instances.apply_update(now, update, decode_rate) {
             return false;
         }
         self.usage_stale = true;
@@ -96,6 +100,7 @@
     /// on it rather than after each state update, since updates are far more frequent than
     /// decisions.
     pub(super) fn refresh_stale_usage(&mut self, now: clock::Timestamp) {
+        self.refresh_estimates(now);
         if self.usage_stale || now.since(self.usage_refreshed_at) >= MAX_USAGE_AGE {
             self.refresh_usage(now);
         }
@@ -105,7 +110,7 @@
     pub fn refresh_usage(&mut self, now: clock::Timestamp) {
         self.usage_stale = false;
         self.usage_refreshed_at = now;
-        let usage = self.instances.usage(now, self.decode_rate);
+        let usage = self.instances.usage(now, self.decode_rate());
         self.backends.set_peer_usage(&usage);
         self.backends.set_peer_paused(&self.instances.paused(now));
         self.backends
@@ -181,10 +186,21 @@
                 self.last_order
                     .map_or(time::Duration::ZERO, |(at, _)| now.since(at)),
             )
+            .estimates(self.due_estimates())
             .known(self.reported_instances(now))
             .build()
     }
 
+    /// Returns the estimates for a full update: in one of [`ESTIMATE_UPDATE_PERIOD`] updates,
+    /// otherwise none.
+    fn due_estimates(&self) -> Vec<(u64, service_estimate::ServiceEstimate)> {
+        if self.full_updates % ESTIMATE_UPDATE_PERIOD == 1 {
+            self.own_estimates()
+        } else {
+            Vec::new()
+        }
+    }
+
     fn retry_counts(&mut self, now: clock::Timestamp) -> Vec<(u64, retry::RetryCount)> {
         let bound = self.settings.retry_bound;
         self.windows
--- a/components/relay/src/stage_planner.rs
+++ b/components/relay/src/stage_planner.rs
@@ -11,7 +11,7 @@
 const MIN_CHANGE_INTERVAL: time::Duration = time::Duration::from_secs(8);
 
 /// Smallest ratio of the throughput of a better split to the current one.
-const MIN_GAIN_RATIO: f64 = 1.08;
+const MIN_GAIN_RATIO: f64 = 1.05;
 
 /// Pool size from which at least two engines run prefill, so that prefill survives the loss of one.
 const LARGE_POOL_ENGINES: u32 = 6;
--- a/components/relay/src/stream_lease.rs
+++ b/components/relay/src/stream_lease.rs
@@ -22,6 +22,10 @@
     pub tokens_ahead: u32,
     /// Tokens generated so far.
     pub generated: u32,
+    /// Time at which the prefill ended.
+    pub prefilled_at: Option<clock::Timestamp>,
+    /// Time at which the first event was expected when the slot was reserved.
+    pub first_event_expected_at: clock::Timestamp,
     /// Time of the first token.
     pub first_token_at: Option<clock::Timestamp>,
     /// Whether the prefill is still pending.
--- a/components/relay/tests/common/fleet.rs
+++ b/components/relay/tests/common/fleet.rs
@@ -32,6 +32,8 @@
     keys: collections::BTreeMap<usize, relay::StreamKey>,
     tickets: collections::BTreeMap<(usize, relay::QueueTicket), usize>,
     refused: Vec<usize>,
+    /// Limit on the output length in tokens.
+    output_limit: u32,
     /// Requests that were refused on arrival.
     pub refused_on_arrival: u32,
 }
@@ -45,7 +47,12 @@
             .chain(decodes)
             .map(|(name, number, stage)| super::engine(&format!("{name}{number}"), stage, "a"))
             .collect();
-        let config = super::config_of(site.kv_tokens, 1, vec![super::draft_route()]);
+        let config = super::config_with(
+            site.kv_tokens,
+            site.speed.event_tokens,
+            1,
+            vec![super::draft_route()],
+        );
         let members = (1..=instances).map(|number| {
             let mut core = super::core_of(number);
             core.apply_store_read(at(0), at(0), super::full_view_update(10, &config, &entries));
@@ -61,6 +68,7 @@
             keys: collections::BTreeMap::new(),
             tickets: collections::BTreeMap::new(),
             refused: Vec::new(),
+            output_limit: site.lengths.output_limit,
             refused_on_arrival: 0,
         }
     }
@@ -151,7 +159,7 @@
         request: &simulation::SimulatedRequest,
     ) -> Option<simulation::EnginePair> {
         let mut placement_request = super::request(at(now), request.prompt);
-        placement_request.output_tokens = simulation::MAX_OUTPUT_TOKENS;
+        placement_request.output_tokens = self.output_limit;
         placement_request.expected_tokens = Some(request.hint);
         let outcome = self.change(index, |core| core.place(at(now), placement_request));
         let refused_before = self.refused.len();
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -103,11 +103,22 @@
     kv_tokens: u32,
     version: u64,
     routes: Vec<relay::RouteRule>,
+) -> sync::Arc<relay::SiteConfig> {
+    config_with(kv_tokens, 50, version, routes)
+}
+
+/// Returns a configuration whose engines have a KV cache of `kv_tokens` tokens and send events of
+/// `event_tokens` tokens.
+pub fn config_with(
+    kv_tokens: u32,
+    event_tokens: u32,
+    version: u64,
+    routes: Vec<relay::RouteRule>,
 ) -> sync::Arc<relay::SiteConfig> {
     let engine = relay::EngineSize::builder()
         .slots(64)
         .kv_tokens(kv_tokens)
-        .tokens_per_event(50)
+        .tokens_per_event(event_tokens)
         .retention(ms(500))
         .build();
     let rule = |engine| relay::ServiceRule { engine };
--- a/components/relay/tests/common/simulation.rs
+++ b/components/relay/tests/common/simulation.rs
@@ -9,17 +9,63 @@
 /// Time step of the simulation in milliseconds.
 const STEP_MILLIS: u64 = 5;
 
-/// Prefill rate of an engine in tokens per millisecond.
-const PREFILL_RATE: f64 = 55.0;
+/// Speed of simulated engines.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpeed {
+    /// Time that a prefill takes besides the processing of its tokens, in milliseconds.
+    pub prefill_overhead: u64,
+    /// Prefill rate in tokens per millisecond.
+    pub prefill_rate: f64,
+    /// Decode rate of a stream in tokens per millisecond.
+    pub decode_rate: f64,
+    /// Number of tokens in one event.
+    pub event_tokens: u32,
+}
 
-/// Decode rate of a stream in tokens per millisecond.
-const DECODE_RATE: f64 = 1.05;
+/// Engines of a small model.
+pub const FAST_ENGINES: EngineSpeed = EngineSpeed {
+    prefill_overhead: 0,
+    prefill_rate: 55.0,
+    decode_rate: 1.05,
+    event_tokens: 50,
+};
 
-/// Number of tokens in one event.
-const EVENT_TOKENS: u32 = 50;
+/// Engines of a large model.
+pub const SLOW_ENGINES: EngineSpeed = EngineSpeed {
+    prefill_overhead: 45,
+    prefill_rate: 28.0,
+    decode_rate: 0.24,
+    event_tokens: 12,
+};
 
-/// Limit on the output length in tokens.
-pub const MAX_OUTPUT_TOKENS: u32 = 6_500;
+/// Prompts and answers of a simulated load.
+#[derive(Clone, Copy, Debug)]
+pub struct TokenLengths {
+    /// Mean prompt length in tokens.
+    pub prompt: f64,
+    /// Mean output length in tokens.
+    pub output: f64,
+    /// Standard deviation of the logarithm of the output length.
+    pub output_deviation: f64,
+    /// Limit on the output length in tokens.
+    pub output_limit: u32,
+}
+
+/// Long prompts with long answers.
+pub const LONG_ANSWERS: TokenLengths = TokenLengths {
+    prompt: 5_000.0,
+    output: 3_500.0,
+    output_deviation: 0.5,
+    output_limit: 6_500,
+};
+
+/// Shorter prompts with short answers of very different lengths.
+pub const SHORT_ANSWERS: TokenLengths = TokenLengths {
+    prompt: 3_200.0,
+    output: 850.0,
+    output_deviation: 0.7,
+    output_limit: 2_040,
+};
 
 /// Engines of a simulated site.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +74,8 @@
     pub decodes: u8,
     /// KV cache capacity of one engine in tokens.
     pub kv_tokens: u32,
+    pub speed: EngineSpeed,
+    pub lengths: TokenLengths,
 }
 
 /// One request of the simulated load.
@@ -70,7 +118,12 @@
 /// Returns a load of 30 s with a burst between 10 s and 15 s.
 ///
 /// The arrival rate is `calm_per_s` per second, multiplied by `burst` during the burst.
-pub fn generate_load(seed: u64, calm_per_s: f64, burst: f64) -> Vec<SimulatedRequest> {
+pub fn generate_load(
+    lengths: TokenLengths,
+    seed: u64,
+    calm_per_s: f64,
+    burst: f64,
+) -> Vec<SimulatedRequest> {
     let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
     let mut requests = Vec::new();
     for step in 0..30_000 / STEP_MILLIS {
@@ -80,16 +133,21 @@
         if random.random::<f64>() >= rate * STEP_MILLIS as f64 / 1_000.0 {
             continue;
         }
-        let output = draw_tokens(&mut random, 3_500.0, 0.5, f64::from(MAX_OUTPUT_TOKENS));
+        let output = draw_tokens(
+            &mut random,
+            lengths.output,
+            lengths.output_deviation,
+            f64::from(lengths.output_limit),
+        );
         requests.push(SimulatedRequest {
             arrival: millis,
-            prompt: draw_tokens(&mut random, 5_000.0, 0.5, 11_000.0),
+            prompt: draw_tokens(&mut random, lengths.prompt, 0.5, lengths.prompt * 2.2),
             output,
             hint: draw_tokens(
                 &mut random,
                 f64::from(output),
                 0.5,
-                f64::from(MAX_OUTPUT_TOKENS),
+                f64::from(lengths.output_limit),
             ),
         });
     }
@@ -158,14 +216,15 @@
         let (placed_from_queue, refused) = policy.poll(now);
         counts.refused += u32::try_from(refused.len()).expect("request count fits in u32");
         for (index, engines) in placed.into_iter().chain(placed_from_queue) {
-            let prefill_millis = (f64::from(requests[index].prompt) / PREFILL_RATE) as u64;
+            let speed = site.speed;
+            let prefill_millis = (f64::from(requests[index].prompt) / speed.prefill_rate) as u64;
             let free_at = &mut prefill_free[engines.prefill];
             *free_at = (*free_at).max(now) + prefill_millis;
             running.insert(
                 index,
                 RunningStream {
                     engines,
-                    prefilled_at: *free_at,
+                    prefilled_at: *free_at + speed.prefill_overhead,
                     is_prefilled: false,
                     first_token_at: None,
                     generated: 0.0,
@@ -174,7 +233,7 @@
                 },
             );
         }
-        advance(policy, requests, &mut running, now, &mut counts);
+        advance(site, policy, requests, &mut running, now, &mut counts);
         preempt(site, requests, &mut running, now, &mut counts);
     }
     assert!(running.is_empty());
@@ -183,12 +242,14 @@
 
 /// Advances each stream by one time step and counts the completed ones.
 fn advance(
+    site: SimulatedSite,
     policy: &mut dyn PlacementPolicy,
     requests: &[SimulatedRequest],
     running: &mut collections::BTreeMap<usize, RunningStream>,
     now: u64,
     counts: &mut OutcomeCounts,
 ) {
+    let event_tokens = site.speed.event_tokens;
     let mut ended = Vec::new();
     for (index, stream) in running.iter_mut() {
         if now < stream.prefilled_at {
@@ -201,10 +262,10 @@
             }
         }
         stream.first_token_at.get_or_insert(now);
-        stream.generated += DECODE_RATE * STEP_MILLIS as f64;
-        while stream.generated >= f64::from(stream.reported + EVENT_TOKENS) {
-            stream.reported += EVENT_TOKENS;
-            policy.tokens_generated(now, *index, EVENT_TOKENS);
+        stream.generated += site.speed.decode_rate * STEP_MILLIS as f64;
+        while stream.generated >= f64::from(stream.reported + event_tokens) {
+            stream.reported += event_tokens;
+            policy.tokens_generated(now, *index, event_tokens);
         }
         if stream.generated >= f64::from(requests[*index].output) {
             ended.push(*index);
@@ -248,7 +309,7 @@
                 .max_by_key(|(_, stream)| stream.first_token_at);
             let Some((index, stream)) = newest else { break };
             let tokens = f64::from(requests[*index].prompt) + stream.generated;
-            stream.prefilled_at = now + (tokens / PREFILL_RATE * 2.0) as u64 + 300;
+            stream.prefilled_at = now + (tokens / site.speed.prefill_rate * 2.0) as u64 + 300;
             stream.preempted = true;
             counts.preempted += 1;
         }
--- a/components/relay/tests/fleet_simulation.rs
+++ b/components/relay/tests/fleet_simulation.rs
@@ -13,6 +13,8 @@
     prefills: 7,
     decodes: 12,
     kv_tokens: 56_917,
+    speed: simulation::FAST_ENGINES,
+    lengths: simulation::LONG_ANSWERS,
 };
 
 /// Number of instances that receive requests in turn.
@@ -24,7 +26,7 @@
     calm_per_s: f64,
     burst: f64,
 ) -> (simulation::OutcomeCounts, simulation::OutcomeCounts) {
-    let requests = simulation::generate_load(seed, calm_per_s, burst);
+    let requests = simulation::generate_load(SITE.lengths, seed, calm_per_s, burst);
     let mut many = fleet::FleetPolicy::new(SITE, INSTANCES);
     let mut one = fleet::FleetPolicy::new(SITE, 1);
     let many = simulation::run(SITE, &mut many, &requests);
--- a/components/relay/tests/forecasts.rs
+++ b/components/relay/tests/forecasts.rs
@@ -15,8 +15,8 @@
 #[test]
 fn estimate_is_between_hint_and_mean() {
     let mut estimator = relay::LengthEstimator::new(6_500);
-    for _ in 0..400 {
-        estimator.observe(3_000);
+    for answers in 0..400 {
+        estimator.observe(3_000, None, answers);
     }
 
     let without_hint = estimator.expected(None, 6_500);
--- a/components/relay/tests/overload_simulation.rs
+++ b/components/relay/tests/overload_simulation.rs
@@ -15,6 +15,8 @@
     prefills: 3,
     decodes: 6,
     kv_tokens: common::KV_TOKENS,
+    speed: simulation::FAST_ENGINES,
+    lengths: simulation::LONG_ANSWERS,
 };
 
 /// Streams per decode engine under the baseline policy: as many as fit with answers of the largest
@@ -104,7 +106,7 @@
     calm_per_s: f64,
     burst: f64,
 ) -> (simulation::OutcomeCounts, simulation::OutcomeCounts, usize) {
-    let requests = simulation::generate_load(seed, calm_per_s, burst);
+    let requests = simulation::generate_load(SITE.lengths, seed, calm_per_s, burst);
     let core = simulation::run(SITE, &mut fleet::FleetPolicy::new(SITE, 1), &requests);
     let fixed = simulation::run(SITE, &mut FixedPolicy::default(), &requests);
     (core, fixed, requests.len())
@@ -155,7 +157,7 @@
 #[test]
 fn refuses_most_unservable_requests_on_arrival() {
     for seed in 1..=5 {
-        let requests = simulation::generate_load(seed, 26.0, 1.3);
+        let requests = simulation::generate_load(SITE.lengths, seed, 26.0, 1.3);
         let mut policy = fleet::FleetPolicy::new(SITE, 6);
 
         let counts = simulation::run(SITE, &mut policy, &requests);
@@ -170,7 +172,7 @@
 
 #[test]
 fn does_not_starve_large_prompts_above_capacity() {
-    let requests = simulation::generate_load(3, 26.0, 1.3);
+    let requests = simulation::generate_load(SITE.lengths, 3, 26.0, 1.3);
     let mut policy = fleet::FleetPolicy::new(SITE, 1);
     let mut served = collections::BTreeSet::new();
     let mut recorder = RecordingPolicy {
--- a/components/relay/tests/prefill_engines.rs
+++ b/components/relay/tests/prefill_engines.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::at;
+use common::{at, ms};
 
 #[test]
 fn limits_wait_for_prefill() {
@@ -141,7 +141,9 @@
         .backends()
         .get(key_of(&core, "p1"))
         .expect("the engine is listed");
-    assert!(engine.prefill_rate <= 50.0, "{}", engine.prefill_rate);
+    // The duration at 50 tokens per millisecond, the rate without measurements.
+    let duration = engine.prefill_duration(5_000);
+    assert!(duration >= ms(100), "{duration:?}");
 }
 
 #[test]
@@ -160,7 +162,9 @@
         .backends()
         .get(key_of(&core, "p1"))
         .expect("the engine is listed");
-    assert!(engine.prefill_rate < 40.0, "{}", engine.prefill_rate);
+    // The duration at 40 tokens per millisecond.
+    let duration = engine.prefill_duration(5_000);
+    assert!(duration > ms(125), "{duration:?}");
 }
 
 #[test]
