--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -2,14 +2,21 @@
 
 use std::{io, net, sync, time};
 
-use crate::{decision_event, decision_log, peer_message, shared_core};
+use crate::{decision_event, decision_log, peer_forwarder, peer_message, shared_core};
 
 /// Interval between state updates while nothing changes.
 const UPDATE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
+/// Interval between the datagrams of a forwarder while there is nothing to forward, by which the
+/// other instances notice its failure.
+const FORWARDER_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
 /// Time for which changes are collected into one datagram.
 const BATCH_WINDOW: time::Duration = time::Duration::from_millis(2);
 
+/// Time for which a forwarder collects updates into one datagram.
+const FORWARDER_WINDOW: time::Duration = time::Duration::from_millis(8);
+
 /// Minimum time between checks of the wait queue while state updates arrive.
 const QUEUE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(3);
 
@@ -22,6 +29,9 @@
     log: sync::Arc<decision_log::DecisionLog>,
     socket: tokio::net::UdpSocket,
     peer_port: u16,
+    forwarder: sync::Mutex<peer_forwarder::PeerForwarder>,
+    /// Whether this instance forwards the updates of others.
+    is_forwarding: sync::atomic::AtomicBool,
 }
 
 impl PeerLink {
@@ -40,18 +50,62 @@
             log,
             socket: tokio::net::UdpSocket::bind(address).await?,
             peer_port: address.port(),
+            forwarder: sync::Mutex::default(),
+            is_forwarding: sync::atomic::AtomicBool::new(false),
         })
     }
 
-    /// Sends the state update that is due now.
+    /// Sends the state update that is due now, with those that are to be forwarded.
     pub async fn send_update(&self) {
-        let (update, targets) = self
-            .core
-            .decide(|core, now| (core.due_update(now), core.update_targets(now)));
-        let bytes = peer_message::encode(&update);
-        for target in targets {
+        let (routes, update, greetings) = self.core.decide(|core, now| {
+            let routes = core.update_routes(now);
+            (routes, core.due_update(now), core.due_greetings(now))
+        });
+        self.is_forwarding
+            .store(routes.is_forwarding(), sync::atomic::Ordering::Relaxed);
+        if !routes.direct.is_empty() {
+            let bytes = peer_message::encode(&update);
+            self.send_to_all(&bytes, routes.direct.iter()).await;
+        }
+        if routes.is_forwarding() {
+            let (for_members, for_forwarders) = {
+                let mut forwarder = self.lock_forwarder();
+                (
+                    forwarder.take_for_members(),
+                    forwarder.take_for_forwarders(),
+                )
+            };
+            self.forward(&update, for_members, &routes.members).await;
+            self.forward(&update, for_forwarders, &routes.forwarders)
+                .await;
+        }
+        for (newcomer, greeting) in greetings {
+            let bytes = peer_message::encode(&greeting);
+            self.send_to_all(&bytes, std::iter::once(&newcomer)).await;
+        }
+    }
+
+    /// Sends the own update with batches of forwarded ones. The receivers ignore the repeated own
+    /// update of further datagrams.
+    async fn forward(
+        &self,
+        update: &relay::InstanceUpdate,
+        batches: Vec<peer_forwarder::UpdateBatch>,
+        receivers: &[net::Ipv4Addr],
+    ) {
+        for batch in batches {
+            let bytes = peer_message::encode_forwarding(update, batch);
+            self.send_to_all(&bytes, receivers.iter()).await;
+        }
+    }
+
+    async fn send_to_all(&self, bytes: &[u8], receivers: impl Iterator<Item = &net::Ipv4Addr>) {
+        for receiver in receivers {
             // The next state update replaces one that can't be sent.
-            let _sent = self.socket.send_to(&bytes, (target, self.peer_port)).await;
+            let _sent = self
+                .socket
+                .send_to(bytes, (*receiver, self.peer_port))
+                .await;
         }
     }
 
@@ -61,9 +115,14 @@
         loop {
             self.send_update().await;
             count_and_rank = self.log_instance_change(count_and_rank);
+            let (interval, window) = if self.is_forwarding.load(sync::atomic::Ordering::Relaxed) {
+                (FORWARDER_INTERVAL, FORWARDER_WINDOW)
+            } else {
+                (UPDATE_INTERVAL, BATCH_WINDOW)
+            };
             let changed = self.core.state_changed.notified();
-            if tokio::time::timeout(UPDATE_INTERVAL, changed).await.is_ok() {
-                tokio::time::sleep(BATCH_WINDOW).await;
+            if tokio::time::timeout(interval, changed).await.is_ok() {
+                tokio::time::sleep(window).await;
             }
             self.core.decide_and_poll_queue(|_, _| ());
         }
@@ -93,12 +152,12 @@
             // unreachable.
             return;
         };
-        let Some(Ok(update)) = buffer.get(..length).map(peer_message::decode) else {
+        let Some(Ok(datagram)) = buffer.get(..length).map(peer_message::decode_datagram) else {
             return;
         };
         let (behind, before, after) = self.core.decide(|core, now| {
             let before = core.tracker().fingerprint();
-            let behind = core.apply_update(now, update);
+            let behind = self.apply_datagram(core, now, &buffer[..length], datagram);
             (behind, before, core.tracker().fingerprint())
         });
         if behind {
@@ -111,6 +170,47 @@
         }
     }
 
+    /// Applies the state updates of a datagram and collects those that are to be forwarded; returns
+    /// whether a sender's view differs and is newer.
+    fn apply_datagram(
+        &self,
+        core: &mut relay::RelayCore,
+        now: clock::Timestamp,
+        bytes: &[u8],
+        datagram: peer_message::PeerDatagram,
+    ) -> bool {
+        let forwards = self.is_forwarding.load(sync::atomic::Ordering::Relaxed);
+        let own_bytes = (forwards && !datagram.forwarded.is_empty())
+            .then(|| peer_message::encode(&datagram.update));
+        let (mut behind, scope) =
+            core.apply_direct_update(now, datagram.update, datagram.forwarding);
+        let mut to_forward = vec![(scope, own_bytes.unwrap_or_else(|| bytes.to_vec()))];
+        for bytes in datagram.forwarded {
+            let Ok(update) = peer_message::decode(&bytes) else {
+                continue;
+            };
+            let (is_newer, scope) = core.apply_forwarded_update(now, update);
+            behind |= is_newer;
+            to_forward.push((scope, bytes));
+        }
+        if forwards {
+            let mut forwarder = self.lock_forwarder();
+            for (scope, bytes) in &to_forward {
+                forwarder.push(*scope, bytes);
+            }
+            self.core.state_changed.notify_one();
+        } else if core.has_newcomers() {
+            self.core.state_changed.notify_one();
+        }
+        behind
+    }
+
+    fn lock_forwarder(&self) -> sync::MutexGuard<'_, peer_forwarder::PeerForwarder> {
+        self.forwarder
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn log_instance_change(&self, before: (usize, usize)) -> (usize, usize) {
         let current = self.core.decide(|core, now| {
             let instances = core.instances();
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -2,6 +2,8 @@
 
 use std::{net, time};
 
+use crate::{estimate_message, queue_message};
+
 /// Maximum size of a change of the platform's list of backend servers in a state update, in bytes.
 const MAX_DELTA_BYTES: usize = 4 * 1024;
 
@@ -56,7 +58,7 @@
     #[prost(fixed64, repeated, tag = "13")]
     paused: Vec<u64>,
     #[prost(message, repeated, tag = "14")]
-    waiting: Vec<QueueMessage>,
+    waiting: Vec<queue_message::QueueMessage>,
     /// Time covered by the counts in `retries`.
     #[prost(uint32, tag = "15")]
     count_window_ms: u32,
@@ -77,75 +79,26 @@
     #[prost(fixed64, repeated, tag = "20")]
     draining: Vec<u64>,
     #[prost(message, repeated, tag = "21")]
-    estimates: Vec<EstimateMessage>,
-}
-
-/// Averages over the streams of one service.
-#[derive(Clone, PartialEq, prost::Message)]
-struct EstimateMessage {
-    /// Hash of the service's name.
-    #[prost(fixed64, tag = "1")]
-    service: u64,
-    #[prost(uint32, tag = "2")]
-    streams: u32,
-    /// Sums of the fit of the prefill durations in milliseconds to the numbers of tokens.
-    #[prost(float, tag = "3")]
-    prefill_weight: f32,
-    #[prost(float, tag = "4")]
-    prefill_input: f32,
-    #[prost(float, tag = "5")]
-    prefill_value: f32,
-    #[prost(double, tag = "6")]
-    prefill_squared_input: f64,
-    #[prost(double, tag = "7")]
-    prefill_product: f64,
-    #[prost(float, tag = "8")]
-    handoff_ms: f32,
-    #[prost(float, tag = "9")]
-    deviation_ms: f32,
-    /// Tokens per millisecond.
-    #[prost(float, tag = "10")]
-    decode_rate: f32,
-    #[prost(float, tag = "11")]
-    slot_ms: f32,
-    #[prost(float, tag = "12")]
-    prompt_tokens: f32,
-    #[prost(float, tag = "13")]
-    mean_tokens: f32,
-    /// Mean of the logarithm of the output length, and variances of that and of hints.
-    #[prost(float, tag = "14")]
-    log_mean: f32,
-    #[prost(float, tag = "15")]
-    log_variance: f32,
-    #[prost(float, tag = "16")]
-    hint_variance: f32,
-    #[prost(uint32, tag = "17")]
-    requests: u32,
-}
-
-/// A request in the wait queue of an instance.
-#[derive(Clone, PartialEq, prost::Message)]
-struct QueueMessage {
-    /// Hash of the service's name.
-    #[prost(fixed64, tag = "1")]
-    service: u64,
-    #[prost(bool, tag = "2")]
-    resumes: bool,
-    #[prost(uint32, tag = "3")]
-    priority: u32,
-    #[prost(uint32, tag = "4")]
-    held: u32,
-    #[prost(uint32, tag = "5")]
-    remaining: u32,
-    /// Time until the first token is due; negative when it is overdue.
-    #[prost(sint32, tag = "6")]
-    due_in_ms: i32,
-    /// Time within which a placement still leads to a first token on time.
-    #[prost(uint32, tag = "7")]
-    timely_for_ms: u32,
-    /// Seed of the engine selection, the same on all instances.
-    #[prost(fixed32, tag = "8")]
-    selection_seed: u32,
+    estimates: Vec<estimate_message::EstimateMessage>,
+    /// State updates of other instances that the sender forwards, each encoded as this message.
+    #[prost(bytes = "vec", repeated, tag = "22")]
+    forwarded: Vec<Vec<u8>>,
+    /// Hash of the name of the sender's data centre, 0 from instances that don't send it.
+    #[prost(fixed32, tag = "23")]
+    data_centre: u32,
+    #[prost(uint32, tag = "24")]
+    capacity: u32,
+    #[prost(bool, tag = "25")]
+    discovering: bool,
+    /// Data centres of the instances in `known`, in the same order.
+    #[prost(fixed32, repeated, tag = "26")]
+    known_centres: Vec<u32>,
+    /// Capacities of the instances in `known`, in the same order.
+    #[prost(uint32, repeated, tag = "27")]
+    known_capacities: Vec<u32>,
+    /// Whether the sender forwards the updates of others to the receiver.
+    #[prost(bool, tag = "28")]
+    forwarding: bool,
 }
 
 /// Number of requests and retries of one service.
@@ -160,10 +113,36 @@
     retries: u32,
 }
 
+/// A datagram of another instance.
+pub(crate) struct PeerDatagram {
+    /// State update of the sender.
+    pub(crate) update: relay::InstanceUpdate,
+    /// Whether the sender forwards the updates of others to the receiver.
+    pub(crate) forwarding: bool,
+    /// Encoded state updates that the sender forwards.
+    pub(crate) forwarded: Vec<Vec<u8>>,
+}
+
 /// Encodes a state update.
 #[must_use]
 pub fn encode(update: &relay::InstanceUpdate) -> Vec<u8> {
-    let message = UpdateMessage {
+    prost::Message::encode_to_vec(&update_message(update))
+}
+
+/// Encodes the datagram of an instance that forwards state updates of others with its own.
+pub(crate) fn encode_forwarding(
+    update: &relay::InstanceUpdate,
+    forwarded: Vec<Vec<u8>>,
+) -> Vec<u8> {
+    prost::Message::encode_to_vec(&UpdateMessage {
+        forwarding: true,
+        forwarded,
+        ..update_message(update)
+    })
+}
+
+fn update_message(update: &relay::InstanceUpdate) -> UpdateMessage {
+    UpdateMessage {
         address: update.address.to_bits(),
         incarnation: update.incarnation,
         sequence: update.sequence,
@@ -195,30 +174,60 @@
                 retries: count.retries,
             })
             .collect(),
-        waiting: update.waiting.iter().map(encode_queue_update).collect(),
+        waiting: update.waiting.iter().map(queue_message::encode).collect(),
         count_window_ms: whole_millis(update.count_window),
         last_fence: update.last_fence,
         paused: update.paused.clone(),
         draining: update.draining.clone(),
-        estimates: update.estimates.iter().map(encode_estimate).collect(),
+        estimates: update
+            .estimates
+            .iter()
+            .map(estimate_message::encode)
+            .collect(),
         last_order_age_ms: whole_millis(update.last_order_age),
         known: update
             .known
             .iter()
-            .map(|address| address.to_bits())
+            .map(|known| known.address.to_bits())
             .collect(),
-    };
-    prost::Message::encode_to_vec(&message)
+        known_centres: update.known.iter().map(|known| known.data_centre).collect(),
+        known_capacities: update.known.iter().map(|known| known.capacity).collect(),
+        data_centre: update.data_centre,
+        capacity: update.capacity,
+        discovering: update.discovering,
+        forwarded: Vec::new(),
+        forwarding: false,
+    }
 }
 
-/// Decodes a state update.
+/// Decodes a state update without those that its sender forwards with it.
 ///
 /// # Errors
 ///
 /// Returns the codec's error when the bytes aren't a valid state update.
 pub fn decode(bytes: &[u8]) -> Result<relay::InstanceUpdate, prost::DecodeError> {
     let message = <UpdateMessage as prost::Message>::decode(bytes)?;
-    Ok(relay::InstanceUpdate::builder()
+    Ok(instance_update(message))
+}
+
+/// Decodes a datagram.
+///
+/// # Errors
+///
+/// Returns the codec's error when the bytes aren't a valid datagram.
+pub(crate) fn decode_datagram(bytes: &[u8]) -> Result<PeerDatagram, prost::DecodeError> {
+    let mut message = <UpdateMessage as prost::Message>::decode(bytes)?;
+    let forwarded = std::mem::take(&mut message.forwarded);
+    Ok(PeerDatagram {
+        forwarding: message.forwarding,
+        forwarded,
+        update: instance_update(message),
+    })
+}
+
+fn instance_update(message: UpdateMessage) -> relay::InstanceUpdate {
+    let known = known_instances(&message);
+    relay::InstanceUpdate::builder()
         .address(net::Ipv4Addr::from_bits(message.address))
         .incarnation(message.incarnation)
         .sequence(message.sequence)
@@ -237,14 +246,20 @@
                 .map(|usage| (usage.server, decode_usage(usage)))
                 .collect(),
         )
-        .waiting(message.waiting.iter().map(decode_queue_update).collect())
+        .waiting(message.waiting.iter().map(queue_message::decode).collect())
         .count_window(time::Duration::from_millis(u64::from(
             message.count_window_ms,
         )))
         .last_fence(message.last_fence)
         .paused(message.paused)
         .draining(message.draining)
-        .estimates(message.estimates.iter().map(decode_estimate).collect())
+        .estimates(
+            message
+                .estimates
+                .iter()
+                .map(estimate_message::decode)
+                .collect(),
+        )
         .last_order_age(time::Duration::from_millis(u64::from(
             message.last_order_age_ms,
         )))
@@ -261,14 +276,26 @@
                 })
                 .collect(),
         )
-        .known(
-            message
-                .known
-                .iter()
-                .map(|address| net::Ipv4Addr::from_bits(*address))
-                .collect(),
-        )
-        .build())
+        .data_centre(message.data_centre)
+        .capacity(message.capacity)
+        .discovering(message.discovering)
+        .known(known)
+        .build()
+}
+
+/// Returns the instances that a message reports; one that omits their data centres and capacities
+/// leaves these unknown.
+fn known_instances(message: &UpdateMessage) -> Vec<relay::KnownInstance> {
+    message
+        .known
+        .iter()
+        .enumerate()
+        .map(|(index, address)| relay::KnownInstance {
+            address: net::Ipv4Addr::from_bits(*address),
+            data_centre: message.known_centres.get(index).copied().unwrap_or(0),
+            capacity: message.known_capacities.get(index).copied().unwrap_or(0),
+        })
+        .collect()
 }
 
 fn decode_usage(message: &UsageMessage) -> relay::EngineUsage {
@@ -294,84 +321,7 @@
         .unwrap_or_default()
 }
 
-fn encode_estimate((service, estimate): &(u64, relay::ServiceEstimate)) -> EstimateMessage {
-    EstimateMessage {
-        service: *service,
-        requests: estimate.requests,
-        streams: estimate.streams,
-        prefill_weight: estimate.prefill.weight as f32,
-        prefill_input: estimate.prefill.input as f32,
-        prefill_value: estimate.prefill.value as f32,
-        prefill_squared_input: estimate.prefill.squared_input,
-        prefill_product: estimate.prefill.product,
-        handoff_ms: estimate.handoff_millis as f32,
-        deviation_ms: estimate.deviation_millis as f32,
-        decode_rate: estimate.decode_rate as f32,
-        slot_ms: estimate.slot_millis as f32,
-        prompt_tokens: estimate.prompt_tokens as f32,
-        mean_tokens: estimate.mean_tokens as f32,
-        log_mean: estimate.lengths.log_mean as f32,
-        log_variance: estimate.lengths.log_variance as f32,
-        hint_variance: estimate.lengths.hint_variance as f32,
-    }
-}
-
-fn decode_estimate(message: &EstimateMessage) -> (u64, relay::ServiceEstimate) {
-    let estimate = relay::ServiceEstimate {
-        requests: message.requests,
-        streams: message.streams,
-        prefill: relay::LinearFit {
-            weight: f64::from(message.prefill_weight),
-            input: f64::from(message.prefill_input),
-            value: f64::from(message.prefill_value),
-            squared_input: message.prefill_squared_input,
-            product: message.prefill_product,
-        },
-        handoff_millis: f64::from(message.handoff_ms),
-        deviation_millis: f64::from(message.deviation_ms),
-        decode_rate: f64::from(message.decode_rate),
-        slot_millis: f64::from(message.slot_ms),
-        prompt_tokens: f64::from(message.prompt_tokens),
-        mean_tokens: f64::from(message.mean_tokens),
-        lengths: relay::LengthEstimator {
-            log_mean: f64::from(message.log_mean),
-            log_variance: f64::from(message.log_variance),
-            hint_variance: f64::from(message.hint_variance),
-        },
-    };
-    (message.service, estimate)
-}
-
-fn encode_queue_update(update: &relay::QueueUpdate) -> QueueMessage {
-    QueueMessage {
-        service: update.service,
-        resumes: update.resumes,
-        priority: u32::from(update.priority),
-        held: update.load.held,
-        remaining: update.load.remaining,
-        due_in_ms: update.due_in_millis,
-        timely_for_ms: whole_millis(update.timely_for),
-        selection_seed: update.selection_seed,
-    }
-}
-
-fn decode_queue_update(message: &QueueMessage) -> relay::QueueUpdate {
-    relay::QueueUpdate::builder()
-        .service(message.service)
-        .resumes(message.resumes)
-        .priority(u8::try_from(message.priority).unwrap_or(u8::MAX))
-        .load(relay::StreamLoad {
-            held: message.held,
-            remaining: message.remaining,
-        })
-        .due_in_millis(message.due_in_ms)
-        .timely_for(time::Duration::from_millis(u64::from(
-            message.timely_for_ms,
-        )))
-        .selection_seed(message.selection_seed)
-        .build()
-}
-
-fn whole_millis(duration: time::Duration) -> u32 {
+/// Returns a duration in whole milliseconds.
+pub(crate) fn whole_millis(duration: time::Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
--- a/components/gateway/src/shared_core.rs
+++ b/components/gateway/src/shared_core.rs
@@ -4,6 +4,13 @@
 
 use tokio::sync::oneshot;
 
+/// View as sent to other instances.
+struct EncodedView {
+    position: relay::ViewPosition,
+    fingerprint: u64,
+    bytes: bytes::Bytes,
+}
+
 /// Shares the relay core among the tasks of an instance.
 ///
 /// The lock is held for one decision at a time and never across an await point.
@@ -13,6 +20,8 @@
     waiting: sync::Mutex<
         collections::BTreeMap<relay::QueueTicket, oneshot::Sender<relay::PlacementOutcome>>,
     >,
+    /// Last view that was sent to another instance.
+    encoded_view: sync::Mutex<Option<EncodedView>>,
     /// Wakes the task that sends state updates to the other instances.
     pub(crate) state_changed: tokio::sync::Notify,
     /// Wakes the task that reads the platform's store.
@@ -29,6 +38,7 @@
             clock,
             core: sync::Mutex::new(core),
             waiting: sync::Mutex::default(),
+            encoded_view: sync::Mutex::default(),
             state_changed: tokio::sync::Notify::new(),
             view_behind: tokio::sync::Notify::new(),
             queue_changed: tokio::sync::Notify::new(),
@@ -50,6 +60,33 @@
         decision(&mut lock(&self.core), now)
     }
 
+    /// Returns the view as JSON. Views are encoded once, since many instances copy the same one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the codec's error when the view can't be encoded.
+    pub fn encoded_view(&self) -> Result<bytes::Bytes, serde_json::Error> {
+        let (position, fingerprint) = self.decide(|core, _| {
+            let tracker = core.tracker();
+            (tracker.view().position, tracker.fingerprint())
+        });
+        let mut encoded = lock(&self.encoded_view);
+        let current = encoded
+            .as_ref()
+            .filter(|view| (view.position, view.fingerprint) == (position, fingerprint));
+        if let Some(view) = current {
+            return Ok(view.bytes.clone());
+        }
+        let view = self.decide(|core, _| core.tracker().view().clone());
+        let bytes = bytes::Bytes::from(serde_json::to_vec(&view)?);
+        *encoded = Some(EncodedView {
+            position,
+            fingerprint,
+            bytes: bytes.clone(),
+        });
+        Ok(bytes)
+    }
+
     /// Runs a decision that may free capacity, then answers the queued requests that can be placed
     /// or have to be refused.
     pub fn decide_and_poll_queue<T>(
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -72,19 +72,27 @@
         }
     }
 
-    /// Reads the store whenever a read is due; runs until the process exits.
+    /// Reads the store and copies newer views of other instances when that is due; runs until the
+    /// process exits.
     pub async fn run(mut self) {
         loop {
-            self.wait_until_due().await;
-            self.read_once().await;
+            match self.wait_for_step().await {
+                relay::ViewStep::Read => self.read_once().await,
+                relay::ViewStep::Copy(source) => {
+                    let before = self.core.decide(|core, _| ViewIdentity::of(core.tracker()));
+                    self.copy_view(source, before).await;
+                }
+            }
         }
     }
 
-    async fn wait_until_due(&self) {
+    async fn wait_for_step(&self) -> relay::ViewStep {
         loop {
-            let (due, now) = self.core.decide(|core, now| (core.next_read(now), now));
+            let ((due, step), now) = self
+                .core
+                .decide(|core, now| (core.next_view_step(now), now));
             if due <= now {
-                return;
+                return step;
             }
             let view_behind = self.core.view_behind.notified();
             // State updates may have refreshed the view, which postpones the read.
@@ -116,7 +124,7 @@
                 self.core
                     .decide_and_poll_queue(|core, now| core.record_read_failure(now));
                 self.mark_store_lost(&error);
-                self.copy_view(before).await;
+                self.copy_newer_view(before).await;
             }
         }
     }
@@ -140,30 +148,37 @@
             };
             tokio::select! {
                 result = read.as_mut() => return result,
-                () = copy_due => self.copy_view(before).await,
+                () = copy_due => self.copy_newer_view(before).await,
             }
         }
     }
 
-    /// Copies the view of another instance, if that view is newer or this instance has none.
-    async fn copy_view(&mut self, before: ViewIdentity) {
-        let target = self.core.decide(|core, now| {
-            let known = core.tracker().is_known();
-            core.instances()
-                .newest_view_source(now, core.tracker().view().config_version())
-                .filter(|_| !known || core.is_behind())
+    /// Copies the view of another instance, if one has a newer view or this instance has none.
+    async fn copy_newer_view(&mut self, before: ViewIdentity) {
+        let source = self.core.decide(|core, now| {
+            let is_outdated = !core.tracker().is_known() || core.is_behind();
+            core.copy_source(now).filter(|_| is_outdated)
         });
-        let Some(target) = target else { return };
-        let address = net::SocketAddr::from((target, self.peer_port));
+        if let Some(source) = source {
+            self.copy_view(source, before).await;
+        }
+    }
+
+    /// Copies the view of another instance.
+    async fn copy_view(&mut self, source: net::Ipv4Addr, before: ViewIdentity) {
+        let address = net::SocketAddr::from((source, self.peer_port));
         let copied = tokio::time::timeout(PEER_COPY_TIMEOUT, self.fetch(address)).await;
-        let (view, age) = match copied {
-            Ok(Ok(copied)) => copied,
-            Ok(Err(error)) => return self.log_dependency_lost("instance", &error.to_string()),
-            Err(_) => return self.log_dependency_lost("instance", "no view within the timeout"),
+        let error = match copied {
+            Ok(Ok((view, age))) => {
+                self.core
+                    .decide_and_poll_queue(|core, now| core.apply_peer_view(now, view, age));
+                return self.log_view_change("instance", before);
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "no view within the timeout".to_owned(),
         };
-        self.core
-            .decide_and_poll_queue(|core, now| core.apply_peer_view(now, view, age));
-        self.log_view_change("instance", before);
+        self.core.decide(|core, now| core.record_copy_failure(now));
+        self.log_dependency_lost("instance", &error);
     }
 
     async fn fetch(
@@ -257,16 +272,13 @@
     let is_view = request.uri().path() == VIEW_PATH;
     // The body is ignored, but has to be read before the connection can be reused.
     let _body = request.into_body().collect().await;
-    let (view, age) = core.decide(|core, now| {
-        let tracker = core.tracker();
-        (tracker.view().clone(), tracker.age(now))
-    });
+    let age = core.decide(|core, now| core.tracker().age(now));
     let mut response = http::Response::new(http_body_util::Full::default());
     let Some(age) = age.filter(|_| is_view) else {
         *response.status_mut() = http::StatusCode::NOT_FOUND;
         return Ok(response);
     };
-    *response.body_mut() = bytes::Bytes::from(serde_json::to_vec(&view)?).into();
+    *response.body_mut() = core.encoded_view()?.into();
     response.headers_mut().insert(
         AGE_HEADER,
         http::HeaderValue::from(crate::gateway::millis(age)),
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -122,7 +122,14 @@
             .count_window(time::Duration::from_millis(9_000))
             .paused(vec![numbers[1]])
             .last_order_age(time::Duration::from_millis(40))
-            .known(vec![net::Ipv4Addr::from_bits(address_bits)])
+            .data_centre(10)
+            .capacity(7)
+            .discovering(leaving)
+            .known(vec![relay::KnownInstance {
+                address: net::Ipv4Addr::from_bits(address_bits),
+                data_centre: 11,
+                capacity: 12,
+            }])
             .build();
 
         let decoded = gateway::decode_update(&gateway::encode_update(&update));
--- a/components/relay/src/core_settings.rs
+++ b/components/relay/src/core_settings.rs
@@ -11,6 +11,9 @@
     pub incarnation: u64,
     /// Data centre of this instance.
     pub data_centre: ids::DataCentreName,
+    /// Capacity of this instance for forwarding state updates, relative to the others.
+    #[builder(default = 1)]
+    pub capacity: u32,
     /// Addresses of instances from which the other instances are discovered.
     #[builder(default)]
     pub seeds: Vec<net::Ipv4Addr>,
--- a/components/relay/src/instance_registry.rs
+++ b/components/relay/src/instance_registry.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, net, sync, time};
 
-use crate::{engine_usage, instance_state, instance_update, service_estimate, wait_queue};
+use crate::{
+    engine_usage, instance_state, instance_update, known_instance, service_estimate, wait_queue,
+};
 
 /// Time without state updates after which an instance's usage no longer counts, since its
 /// connections are closed by then.
@@ -26,14 +28,32 @@
 /// Time without state updates after which an instance is no longer sent any.
 const TARGET_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Time for which an instance that another one has reported counts as alive without a state update
+/// of its own.
+const REPORTED_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// Interval of greetings to an instance that discovers the fleet.
+const GREETING_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Instance that another one has reported.
+#[derive(Clone, Copy, Debug)]
+struct ReportedInstance {
+    instance: known_instance::KnownInstance,
+    reported_at: clock::Timestamp,
+}
+
 /// Registry of the other instances, built from their state updates.
 #[derive(Debug)]
 pub struct InstanceRegistry {
     own: net::Ipv4Addr,
     seeds: Vec<net::Ipv4Addr>,
     states: collections::BTreeMap<net::Ipv4Addr, instance_state::InstanceState>,
-    /// Addresses that other instances have reported, with the time of the last report.
-    reported: collections::BTreeMap<net::Ipv4Addr, clock::Timestamp>,
+    /// Instances that others have reported.
+    reported: collections::BTreeMap<net::Ipv4Addr, ReportedInstance>,
+    /// Instances that discover the fleet, with the time of their next greeting.
+    newcomers: collections::BTreeMap<net::Ipv4Addr, clock::Timestamp>,
+    /// Instances that wait for a greeting.
+    ungreeted: collections::BTreeSet<net::Ipv4Addr>,
     services: instance_state::ServiceNames,
 }
 
@@ -46,6 +66,8 @@
             seeds,
             states: collections::BTreeMap::new(),
             reported: collections::BTreeMap::new(),
+            newcomers: collections::BTreeMap::new(),
+            ungreeted: collections::BTreeSet::new(),
             services: instance_state::ServiceNames::new(),
         }
     }
@@ -74,6 +96,7 @@
         if update.address == self.own {
             return false;
         }
+        self.record_reported(now, &update.known);
         if update.partial {
             return self.apply_partial_update(now, update, decode_rate);
         }
@@ -89,13 +112,6 @@
         if !newer {
             return false;
         }
-        for address in &update.known {
-            if *address != self.own {
-                self.reported.insert(*address, now);
-            }
-        }
-        self.states
-            .retain(|_, state| now.since(state.received_at) < KNOWN_TIMEOUT);
         let mut state = instance_state::InstanceState::new(now, update, &self.services);
         if let Some(before) = self.states.remove(&state.update.address) {
             state.keep_estimates(before);
@@ -104,6 +120,24 @@
         true
     }
 
+    /// Removes the instances that have been silent for long.
+    pub fn remove_silent(&mut self, now: clock::Timestamp) {
+        self.states
+            .retain(|_, state| now.since(state.received_at) < KNOWN_TIMEOUT);
+        self.reported
+            .retain(|_, reported| now.since(reported.reported_at) < TARGET_TIMEOUT);
+    }
+
+    fn record_reported(&mut self, now: clock::Timestamp, known: &[known_instance::KnownInstance]) {
+        for instance in known.iter().filter(|known| known.address != self.own) {
+            let reported = ReportedInstance {
+                instance: *instance,
+                reported_at: now,
+            };
+            self.reported.insert(instance.address, reported);
+        }
+    }
+
     /// Applies a partial update; one of an unknown process is ignored until its first full update.
     fn apply_partial_update(
         &mut self,
@@ -133,7 +167,7 @@
         let reported = self
             .reported
             .iter()
-            .filter(|(_, at)| now.since(**at) < TARGET_TIMEOUT)
+            .filter(|(_, reported)| now.since(reported.reported_at) < TARGET_TIMEOUT)
             .map(|(address, _)| *address);
         let mut targets: collections::BTreeSet<net::Ipv4Addr> = direct
             .chain(reported)
@@ -143,6 +177,77 @@
         targets
     }
 
+    /// Returns the addresses of the seeds, without this instance.
+    pub fn seeds(&self) -> impl Iterator<Item = net::Ipv4Addr> {
+        let own = self.own;
+        self.seeds.iter().copied().filter(move |seed| *seed != own)
+    }
+
+    fn is_alive(&self, now: clock::Timestamp, address: net::Ipv4Addr) -> bool {
+        self.states
+            .get(&address)
+            .is_some_and(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
+    }
+
+    /// Returns the instances that are alive, also draining ones, and those that have been reported
+    /// without being heard of since.
+    pub fn known(
+        &self,
+        now: clock::Timestamp,
+    ) -> impl Iterator<Item = known_instance::KnownInstance> {
+        let alive = self
+            .states
+            .values()
+            .filter(move |state| now.since(state.received_at) < ALIVE_TIMEOUT)
+            .map(instance_state::InstanceState::known_instance);
+        let reported = self
+            .reported
+            .values()
+            .filter(move |reported| now.since(reported.reported_at) < REPORTED_TIMEOUT)
+            .map(|reported| reported.instance)
+            .filter(move |instance| !self.is_alive(now, instance.address));
+        alive.chain(reported)
+    }
+
+    /// Returns the data centre of an instance, by [`crate::data_centre_hash`]; `None` if the
+    /// instance is unknown.
+    #[must_use]
+    pub fn data_centre(&self, address: net::Ipv4Addr) -> Option<u32> {
+        self.states
+            .get(&address)
+            .map(|state| state.update.data_centre)
+    }
+
+    /// Returns the incarnation and the sequence number of the last update of an instance.
+    #[must_use]
+    pub fn last_sequence(&self, address: net::Ipv4Addr) -> Option<(u64, u64)> {
+        self.states
+            .get(&address)
+            .map(|state| (state.update.incarnation, state.update.sequence))
+    }
+
+    /// Records that an instance discovers the fleet.
+    pub fn record_newcomer(&mut self, now: clock::Timestamp, address: net::Ipv4Addr) {
+        let next_greeting = self.newcomers.get(&address).copied();
+        if next_greeting.is_none_or(|at| now >= at) {
+            self.newcomers
+                .retain(|_, at| now.since(*at) < GREETING_INTERVAL);
+            self.newcomers.insert(address, now + GREETING_INTERVAL);
+            self.ungreeted.insert(address);
+        }
+    }
+
+    /// Returns whether instances wait for a greeting.
+    #[must_use]
+    pub fn has_newcomers(&self) -> bool {
+        !self.ungreeted.is_empty()
+    }
+
+    /// Returns and removes the instances to greet now.
+    pub fn take_newcomers(&mut self) -> collections::BTreeSet<net::Ipv4Addr> {
+        std::mem::take(&mut self.ungreeted)
+    }
+
     /// Returns the instances that are alive and not draining, without this one.
     pub fn alive(&self, now: clock::Timestamp) -> impl Iterator<Item = net::Ipv4Addr> {
         self.states
@@ -153,6 +258,20 @@
             .map(|(address, _)| *address)
     }
 
+    /// Returns the instances that are alive and not draining, without this one, with their data
+    /// centres.
+    pub fn alive_known(
+        &self,
+        now: clock::Timestamp,
+    ) -> impl Iterator<Item = known_instance::KnownInstance> {
+        self.states
+            .values()
+            .filter(move |state| {
+                !state.update.leaving && now.since(state.received_at) < ALIVE_TIMEOUT
+            })
+            .map(instance_state::InstanceState::known_instance)
+    }
+
     /// Returns the number of instances that share the load, including this one.
     #[must_use]
     pub fn live_count(&self, now: clock::Timestamp) -> usize {
@@ -327,23 +446,33 @@
             .unwrap_or(0)
     }
 
-    /// Returns the alive instance with the newest view, from which the view can be copied. An
-    /// instance whose configuration is newer than `config_version` goes first.
+    /// Returns the alive instances with the newest view, from which the view can be copied: those of
+    /// `data_centre` if it has any, otherwise those elsewhere.
+    ///
+    /// A configuration that is newer than `config_version` goes before a newer list.
     #[must_use]
-    pub fn newest_view_source(
+    pub fn newest_view_sources(
         &self,
         now: clock::Timestamp,
         config_version: u64,
-    ) -> Option<net::Ipv4Addr> {
-        self.states
+        data_centre: u32,
+    ) -> Vec<net::Ipv4Addr> {
+        let sources: Vec<&instance_update::InstanceUpdate> = self
+            .states
             .values()
             .filter(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
-            .filter(|state| state.update.fingerprint != 0)
-            .max_by_key(|state| {
-                let version = state.update.config_version.max(config_version);
-                let read_at = state.received_at.before(state.update.view_age);
-                (version, state.update.position, read_at)
-            })
-            .map(|state| state.update.address)
+            .map(|state| &state.update)
+            .filter(|update| update.fingerprint != 0)
+            .collect();
+        let age = |update: &instance_update::InstanceUpdate| {
+            (update.config_version.max(config_version), update.position)
+        };
+        let newest = sources.iter().map(|update| age(update)).max();
+        let (near, far): (Vec<_>, Vec<_>) = sources
+            .into_iter()
+            .filter(|update| Some(age(update)) == newest)
+            .partition(|update| update.data_centre == data_centre);
+        let nearest = if near.is_empty() { far } else { near };
+        nearest.into_iter().map(|update| update.address).collect()
     }
 }
--- a/components/relay/src/instance_state.rs
+++ b/components/relay/src/instance_state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync};
 
-use crate::{instance_update, wait_queue};
+use crate::{instance_update, known_instance, wait_queue};
 
 /// Services by [`crate::service_hash`].
 pub(crate) type ServiceNames = collections::BTreeMap<u64, ids::ServiceName>;
@@ -31,6 +31,19 @@
         }
     }
 
+    /// Returns the instance by which the others choose forwarders. A draining one is chosen last.
+    pub(crate) fn known_instance(&self) -> known_instance::KnownInstance {
+        known_instance::KnownInstance {
+            address: self.update.address,
+            data_centre: self.update.data_centre,
+            capacity: if self.update.leaving {
+                0
+            } else {
+                self.update.capacity
+            },
+        }
+    }
+
     /// Keeps the estimates of the state `before` if the new update omits them.
     pub(crate) fn keep_estimates(&mut self, before: Self) {
         if self.update.estimates.is_empty() {
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -3,8 +3,8 @@
 use std::{net, time};
 
 use crate::{
-    backend_entry, engine_usage, list_delta, queue_update, service_estimate, view_announcement,
-    view_position,
+    backend_entry, engine_usage, known_instance, list_delta, queue_update, service_estimate,
+    view_announcement, view_position,
 };
 
 /// State update of one instance, sent to the others in one datagram.
@@ -69,10 +69,19 @@
     /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
     #[builder(default)]
     pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
-    /// Addresses of other instances that the sender considers alive. An update of a large fleet may
-    /// omit them.
+    /// Hash of the sender's data centre from [`crate::data_centre_hash`], 0 if unknown. Partial
+    /// updates omit it.
     #[builder(default)]
-    pub known: Vec<net::Ipv4Addr>,
+    pub data_centre: u32,
+    /// The sender's capacity for forwarding. Partial updates omit it.
+    #[builder(default)]
+    pub capacity: u32,
+    /// Whether the sender looks for the other instances of a large fleet.
+    #[builder(default)]
+    pub discovering: bool,
+    /// Other instances that the sender considers alive. Most updates in a large fleet omit them.
+    #[builder(default)]
+    pub known: Vec<known_instance::KnownInstance>,
 }
 
 impl InstanceUpdate {
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -5,6 +5,7 @@
 mod core_notices;
 mod core_orders;
 mod core_queue;
+mod core_routes;
 mod core_streams;
 mod core_views;
 
@@ -13,9 +14,9 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_registry, core_settings, instance_registry, order_gate, route_rule,
-    sent_state, service_estimate, site_config, stage_planner, stream_lease, view_tracker,
-    wait_queue,
+    backend, backend_registry, core_settings, fleet_topology, instance_registry, known_instance,
+    order_gate, route_rule, sent_state, service_estimate, site_config, stage_planner, stream_lease,
+    view_tracker, wait_queue,
 };
 
 pub use core_calls::ServerSelection;
@@ -77,6 +78,17 @@
     /// Whether a state update was received after `usage_refreshed_at`.
     usage_stale: bool,
     draining: bool,
+    /// Hash of the name of this instance's data centre.
+    data_centre_hash: u32,
+    topology: fleet_topology::FleetTopology,
+    /// Time at which `topology` was computed.
+    topology_at: Option<clock::Timestamp>,
+    /// Time of the last datagram from a forwarder, at first the start of the process.
+    forwarded_at: clock::Timestamp,
+    /// Whether a forwarder has ever sent a datagram.
+    has_been_forwarded: bool,
+    /// Time of the last update to the seeds.
+    seeds_updated_at: clock::Timestamp,
 }
 
 impl RelayCore {
@@ -85,6 +97,7 @@
     pub fn new(settings: core_settings::CoreSettings) -> Self {
         let random = rand_chacha::ChaCha8Rng::seed_from_u64(settings.seed);
         let selection_seed = settings.seed;
+        let data_centre_hash = known_instance::data_centre_hash(&settings.data_centre);
         let instances =
             instance_registry::InstanceRegistry::new(settings.address, settings.seeds.clone());
         Self {
@@ -110,6 +123,12 @@
             usage_refreshed_at: clock::Timestamp::default(),
             usage_stale: true,
             draining: false,
+            data_centre_hash,
+            topology: fleet_topology::FleetTopology::default(),
+            topology_at: None,
+            forwarded_at: clock::Timestamp::default(),
+            has_been_forwarded: false,
+            seeds_updated_at: clock::Timestamp::default(),
         }
     }
 
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -1,8 +1,11 @@
 //! View of the platform and state updates between instances.
 
-use std::{collections, net, time};
+use std::{net, time};
 
-use crate::{instance_update, relay_core, sent_state, service_estimate, site_view, view_change};
+use crate::{
+    instance_update, known_instance, read_schedule, relay_core, sent_state, service_estimate,
+    site_view, view_change,
+};
 
 /// Largest number of other instances at which every full update lists all of them.
 const SMALL_FLEET_INSTANCES: usize = 16;
@@ -10,10 +13,26 @@
 /// Age at which the usage by other instances is recomputed, since their streams keep growing.
 const MAX_USAGE_AGE: time::Duration = time::Duration::from_millis(50);
 
+/// Time after its start for which a process without a view waits for that of another instance
+/// before it reads the platform's store.
+const FIRST_READ_DELAY: time::Duration = time::Duration::from_millis(300);
+
 /// Time after the start of a process during which every full update lists all other instances, so
 /// that the instances of a restarted fleet discover each other.
 const DISCOVERY_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Interval of full updates in a small fleet, which repair the loss of partial ones.
+const FULL_UPDATE_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// Number of instances from which the interval of full updates grows in proportion.
+const FULL_UPDATE_INSTANCES: f64 = 50.0;
+
+/// Largest factor by which the interval of full updates grows.
+const MAX_INTERVAL_FACTOR: f64 = 4.0;
+
+/// Time since its last read of the platform's store for which an instance counts as a reader.
+const READER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
 /// One of this many full updates contains the sender's estimates.
 const ESTIMATE_UPDATE_PERIOD: u64 = 6;
 
@@ -21,10 +40,65 @@
 const MEMBERSHIP_UPDATE_PERIOD: u64 = 8;
 
 impl relay_core::RelayCore {
-    /// Returns the time of the next read of the platform's store.
-    #[must_use]
-    pub fn next_read(&self, now: clock::Timestamp) -> clock::Timestamp {
-        self.tracker.next_read_at(self.instances.rank(now))
+    /// Returns the time of the next step that keeps the view up to date, and the step.
+    ///
+    /// A newer view of another instance is copied; the store is read by few instances, and by
+    /// the others if no copy succeeds.
+    pub fn next_view_step(
+        &mut self,
+        now: clock::Timestamp,
+    ) -> (clock::Timestamp, read_schedule::ViewStep) {
+        self.refresh_topology(now);
+        let own = self.settings.address;
+        let rank = self.topology.reader_rank(own);
+        let position = self.topology.position(self.data_centre_hash, own);
+        let read_at = self
+            .first_read_at()
+            .unwrap_or_else(|| self.tracker.next_read_at(rank));
+        let read = (read_at, read_schedule::ViewStep::Read);
+        if !self.tracker.is_behind() {
+            return read;
+        }
+        let copy_at = self.tracker.next_copy_at(now, position);
+        let source = self.copy_source(now);
+        match copy_at.zip(source) {
+            Some((copy_at, source)) if copy_at <= read_at || read_at > now => {
+                (copy_at, read_schedule::ViewStep::Copy(source))
+            }
+            _ => {
+                let instead_at = self.tracker.read_instead_at(rank);
+                (
+                    instead_at.map_or(read_at, |at| at.min(read_at)),
+                    read_schedule::ViewStep::Read,
+                )
+            }
+        }
+    }
+
+    /// Returns the time of the first read of a process that may copy the view of another instance
+    /// instead; `None` once the process has a view, or if it is one of those that others ask.
+    fn first_read_at(&self) -> Option<clock::Timestamp> {
+        let is_first = self.tracker.read_age(clock::Timestamp::default()) == time::Duration::MAX
+            && !self.tracker.is_known()
+            && !self.tracker.has_failed();
+        let asks_others = self.instances.seeds().next().is_some()
+            && !self.settings.seeds.contains(&self.settings.address);
+        (is_first && asks_others).then(|| clock::Timestamp::default() + FIRST_READ_DELAY)
+    }
+
+    /// Returns the instance whose view is copied.
+    pub fn copy_source(&mut self, now: clock::Timestamp) -> Option<net::Ipv4Addr> {
+        let version = self.tracker.view().config_version();
+        let sources = self
+            .instances
+            .newest_view_sources(now, version, self.data_centre_hash);
+        let index = rand::RngExt::random_range(&mut self.random, 0..sources.len().max(1));
+        sources.get(index).copied()
+    }
+
+    /// Records a failed copy of another instance's view.
+    pub const fn record_copy_failure(&mut self, now: clock::Timestamp) {
+        self.tracker.record_copy_failure(now);
     }
 
     /// Returns whether another instance has a newer view.
@@ -132,7 +206,8 @@
             paused: self.backends.own_paused(now),
             draining: self.backends.reported_draining(),
         };
-        if self.sent_state.needs_full_update(now, &state) || self.draining {
+        let interval = self.full_update_interval(now);
+        if self.sent_state.needs_full_update(now, interval, &state) || self.draining {
             self.sent_state.record_full_update(now, state);
             return self.full_update(now);
         }
@@ -145,18 +220,29 @@
             .incarnation(self.settings.incarnation)
             .sequence(self.update_sequence)
             .partial(true)
+            .discovering(self.is_discovering(now))
             .usage(usage)
             .waiting(self.queue_updates(now))
             .retries(if has_retried { retries } else { Vec::new() })
             .build()
     }
 
+    /// Returns the interval of full updates. It grows with the fleet, but not for an instance that
+    /// reads the platform's store, since the others take the age of their views from its updates.
+    fn full_update_interval(&self, now: clock::Timestamp) -> time::Duration {
+        let is_reader = self.tracker.read_age(now) < READER_TIMEOUT;
+        let instances = if is_reader { 0 } else { self.topology.len() };
+        let factor = instances as f64 / FULL_UPDATE_INSTANCES;
+        FULL_UPDATE_INTERVAL.mul_f64(factor.clamp(1.0, MAX_INTERVAL_FACTOR))
+    }
+
     /// Returns a full state update of this instance.
     pub fn full_update(&mut self, now: clock::Timestamp) -> instance_update::InstanceUpdate {
         self.update_sequence += 1;
         self.full_updates += 1;
         let age = self.tracker.age(now);
         let window = self.settings.retry_bound.window;
+        let own = self.own_instance(now);
         let usage = self.backends.own_usage();
         let retries = self.retry_counts(now);
         self.sent_state.record_usage(usage.clone());
@@ -187,6 +273,9 @@
                     .map_or(time::Duration::ZERO, |(at, _)| now.since(at)),
             )
             .estimates(self.due_estimates())
+            .data_centre(own.data_centre)
+            .capacity(own.capacity)
+            .discovering(self.is_discovering(now))
             .known(self.reported_instances(now))
             .build()
     }
@@ -212,11 +301,14 @@
             .collect()
     }
 
-    /// Returns the addresses of other instances for a full update: all alive ones in a small fleet,
-    /// shortly after the start, and in one of [`MEMBERSHIP_UPDATE_PERIOD`] updates of a large
-    /// fleet, otherwise none.
-    fn reported_instances(&self, now: clock::Timestamp) -> Vec<net::Ipv4Addr> {
-        let alive: Vec<net::Ipv4Addr> = self.instances.alive(now).collect();
+    /// Returns other instances for a full update: all alive ones in a small fleet, shortly after the
+    /// start, and in one of [`MEMBERSHIP_UPDATE_PERIOD`] updates of a larger one, otherwise none. A
+    /// fleet with forwarders greets newcomers instead.
+    fn reported_instances(&self, now: clock::Timestamp) -> Vec<known_instance::KnownInstance> {
+        if !self.topology.is_direct() {
+            return Vec::new();
+        }
+        let alive: Vec<known_instance::KnownInstance> = self.instances.alive_known(now).collect();
         let is_new = now.since(clock::Timestamp::default()) < DISCOVERY_TIME;
         if is_new
             || alive.len() <= SMALL_FLEET_INSTANCES
@@ -228,12 +320,6 @@
         }
     }
 
-    /// Returns the addresses to which state updates are sent.
-    #[must_use]
-    pub fn update_targets(&self, now: clock::Timestamp) -> collections::BTreeSet<net::Ipv4Addr> {
-        self.instances.targets(now)
-    }
-
     fn apply_view(&mut self, now: clock::Timestamp) {
         self.backends.apply_view(now, &self.tracker.view().backends);
         let config = self.tracker.view().config.as_ref();
--- a/components/relay/src/sent_state.rs
+++ b/components/relay/src/sent_state.rs
@@ -4,9 +4,6 @@
 
 use crate::engine_usage;
 
-/// Interval of full updates, which repair the loss of partial ones.
-const FULL_UPDATE_INTERVAL: time::Duration = time::Duration::from_millis(250);
-
 /// State that only full updates contain; a change of it makes a full update due.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct FullState {
@@ -33,10 +30,15 @@
 impl SentState {
     /// Returns whether a full update is due: after the interval, or when state has changed that a
     /// partial update doesn't contain.
-    pub(crate) fn needs_full_update(&self, now: clock::Timestamp, state: &FullState) -> bool {
+    pub(crate) fn needs_full_update(
+        &self,
+        now: clock::Timestamp,
+        interval: time::Duration,
+        state: &FullState,
+    ) -> bool {
         let is_due = self
             .full_update_at
-            .is_none_or(|sent_at| now.since(sent_at) >= FULL_UPDATE_INTERVAL);
+            .is_none_or(|sent_at| now.since(sent_at) >= interval);
         is_due || self.full_state != *state
     }
 
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -1,26 +1,12 @@
-//! Tracks the view of the platform and schedules the reads of the store.
+//! Tracks the view of the platform.
 
 use std::{collections, sync, time};
 
 use crate::{
-    backend_entry, list_delta, removed_entries, site_view, view_announcement, view_change,
+    backend_entry, list_delta, read_schedule, removed_entries, site_view, view_announcement,
+    view_change,
 };
 
-/// Interval between the reads of the instance of rank 0, which reads the store for all.
-const READ_INTERVAL: time::Duration = time::Duration::from_millis(500);
-
-/// Base age of the view at which an instance of a rank other than 0 reads the store itself.
-const STANDBY_AGE: time::Duration = time::Duration::from_millis(900);
-
-/// Additional age per rank, which keeps the instances from reading at the same time.
-const RANK_STEP: time::Duration = time::Duration::from_millis(100);
-
-/// Largest rank with a separate age; instances of a larger rank read at the same age.
-const MAX_STANDBY_RANK: u32 = 5;
-
-/// Delay before the next read after a failed one.
-const READ_FAILURE_PAUSE: time::Duration = time::Duration::from_millis(300);
-
 /// Age of the view from which the next read counts as one after an outage of the store. Entries
 /// that expired during an outage are kept for a grace period, since live servers register again
 /// after it.
@@ -32,7 +18,7 @@
 /// Grace period of entries that expired during an outage of the store.
 const EXPIRY_GRACE: time::Duration = time::Duration::from_millis(1_700);
 
-/// Tracks the view of the platform and schedules the reads of the store.
+/// Tracks the view of the platform, its age, and whether it is outdated.
 #[derive(Debug, Default)]
 pub struct ViewTracker {
     view: site_view::SiteView,
@@ -41,14 +27,19 @@
     as_of: Option<clock::Timestamp>,
     /// Time at which the last successful read of this instance was sent.
     read_at: Option<clock::Timestamp>,
-    /// Earliest time of the next read.
-    next_read: clock::Timestamp,
+    /// Time of the last failed read, if none has succeeded since.
+    read_failed_at: Option<clock::Timestamp>,
+    /// Time of the last failed copy, if none has succeeded since.
+    copy_failed_at: Option<clock::Timestamp>,
     /// Entries that expired during an outage of the store, with the end of their grace period.
     expiring: collections::BTreeMap<ids::ServerName, clock::Timestamp>,
     /// Entries that were removed from the list.
     removed: removed_entries::RemovedEntries,
-    /// Whether another instance has announced a newer view.
-    behind: bool,
+    /// Time since which another instance has announced a newer view.
+    behind_since: Option<clock::Timestamp>,
+    /// Whether the store was restored from a copy since the last read, so that the next one is due
+    /// at once.
+    is_restored: bool,
     /// Whether the next read has to be complete: the view was copied, the store has compacted its
     /// history, or it was restored from a copy.
     needs_complete_read: bool,
@@ -94,28 +85,56 @@
     /// Returns whether another instance has a newer view.
     #[must_use]
     pub const fn is_behind(&self) -> bool {
-        self.behind
+        self.behind_since.is_some()
     }
 
-    /// Returns the time of the next read of the platform's store by an instance of `rank`.
+    /// Returns the time of the next read of the platform's store by an instance of `rank` among the
+    /// readers.
     #[must_use]
     pub fn next_read_at(&self, rank: usize) -> clock::Timestamp {
-        let Some(as_of) = self.as_of else {
-            return self.next_read;
-        };
-        if self.behind || !self.expiring.is_empty() {
-            return self.next_read;
+        let after_failure = self
+            .read_failed_at
+            .map_or_else(clock::Timestamp::default, |failed_at| {
+                failed_at + read_schedule::failure_pause(rank)
+            });
+        let is_due = self.is_restored || !self.expiring.is_empty();
+        match self.as_of.filter(|_| !is_due) {
+            Some(as_of) => (as_of + read_schedule::read_age(rank)).max(after_failure),
+            None => after_failure,
         }
-        let wait = if rank == 0 {
-            READ_INTERVAL
-        } else {
-            STANDBY_AGE
-                + RANK_STEP
-                    * u32::try_from(rank)
-                        .unwrap_or(MAX_STANDBY_RANK)
-                        .min(MAX_STANDBY_RANK)
-        };
-        (as_of + wait).max(self.next_read)
+    }
+
+    /// Returns the time of the next copy of another instance's newer view by an instance at
+    /// `position` in its data centre; `None` if the view isn't outdated, or if no copy has succeeded
+    /// for long.
+    #[must_use]
+    pub fn next_copy_at(&self, now: clock::Timestamp, position: usize) -> Option<clock::Timestamp> {
+        let behind_since = self.behind_since?;
+        let copy_at = read_schedule::copy_at(behind_since, position, self.copy_failed_at);
+        let gives_up = now >= read_schedule::read_instead_at(behind_since);
+        Some(copy_at).filter(|_| !gives_up)
+    }
+
+    /// Returns the time from which this instance reads the store because it couldn't copy a newer
+    /// view; `None` if the view isn't outdated.
+    #[must_use]
+    pub fn read_instead_at(&self, rank: usize) -> Option<clock::Timestamp> {
+        let instead = read_schedule::read_instead_at(self.behind_since?);
+        let after_failure = self
+            .read_failed_at
+            .map(|failed_at| failed_at + read_schedule::failure_pause(rank));
+        Some(after_failure.map_or(instead, |at| instead.max(at)))
+    }
+
+    /// Returns whether the last read of this instance failed.
+    #[must_use]
+    pub const fn has_failed(&self) -> bool {
+        self.read_failed_at.is_some()
+    }
+
+    /// Records a failed copy of another instance's view.
+    pub const fn record_copy_failure(&mut self, now: clock::Timestamp) {
+        self.copy_failed_at = Some(now);
     }
 
     /// Returns the last change of the list by a recent read, for state updates.
@@ -178,9 +197,8 @@
             return false;
         }
         if is_restored && !update.complete {
-            self.behind = true;
+            self.is_restored = true;
             self.needs_complete_read = true;
-            self.next_read = now;
             return false;
         }
         let after_outage = is_restored
@@ -202,9 +220,11 @@
         }
         self.as_of = Some(sent_at);
         self.read_at = Some(sent_at);
-        self.behind = false;
+        self.behind_since = None;
+        self.read_failed_at = None;
+        self.copy_failed_at = None;
+        self.is_restored = false;
         self.needs_complete_read &= !update.complete;
-        self.next_read = now;
         self.update_fingerprint()
     }
 
@@ -251,7 +271,7 @@
 
     /// Records a failed read.
     pub fn record_read_failure(&mut self, now: clock::Timestamp) {
-        self.next_read = now + READ_FAILURE_PAUSE;
+        self.read_failed_at = Some(now);
     }
 
     /// Applies the announcement of another instance's view; returns whether the announced view
@@ -272,7 +292,9 @@
         }
         let newer =
             announcement.position > own || announcement.config_version > self.view.config_version();
-        self.behind |= newer;
+        if newer {
+            self.behind_since.get_or_insert(now);
+        }
         newer
     }
 
@@ -288,7 +310,8 @@
         if let Some(config) = &view.config {
             self.apply_config(config);
         }
-        self.behind = false;
+        self.behind_since = None;
+        self.copy_failed_at = None;
         let is_fresher = self.as_of.is_none_or(|own| as_of > own);
         let is_newer = view.position > self.view.position;
         if is_newer || (is_fresher && view.position == self.view.position) {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
 pub mod fleet;
+pub mod network;
 pub mod simulation;
 
 use std::{collections, net, sync, time};
@@ -30,6 +31,15 @@
     net::Ipv4Addr::new(10, 0, 0, number)
 }
 
+/// Returns an instance of data centre `a` as others know it.
+pub fn known_instance(number: u8) -> relay::KnownInstance {
+    relay::KnownInstance {
+        address: instance(number),
+        data_centre: relay::data_centre_hash(&"a".into()),
+        capacity: 1,
+    }
+}
+
 /// Returns the retry bound of a small site.
 pub fn bound() -> relay::RetryBound {
     relay::RetryBound::builder()
--- a/components/relay/tests/instances.rs
+++ b/components/relay/tests/instances.rs
@@ -26,7 +26,7 @@
 fn discovers_instance_through_common_peer() {
     let mut registry = relay::InstanceRegistry::new(common::instance(1), vec![common::instance(9)]);
     let mut update = common::instance_update(9, 1);
-    update.known = vec![common::instance(3), common::instance(1)];
+    update.known = [3, 1].map(common::known_instance).to_vec();
 
     registry.apply_update(at(0), update, DECODE_RATE);
 
--- a/components/relay/tests/retries.rs
+++ b/components/relay/tests/retries.rs
@@ -5,7 +5,7 @@
 
 mod common;
 
-use common::at;
+use common::{at, network};
 
 fn fleet(requests: u32, retries: u32) -> relay::FleetCount {
     relay::FleetCount {
@@ -107,34 +107,21 @@
         slack: 220.0,
         ..common::bound()
     };
-    let mut cores: Vec<relay::RelayCore> = (1..=40)
-        .map(|number| {
-            let settings = relay::CoreSettings::builder()
-                .address(common::instance(number))
-                .incarnation(1_000 + u64::from(number))
-                .data_centre("a".into())
-                .seeds((1..=3).map(common::instance).collect())
-                .retry_bound(bound)
-                .seed(u64::from(number))
-                .build();
-            relay::RelayCore::new(settings)
-        })
-        .collect();
+    let mut fleet = network::FleetNetwork::start(network::FleetLayout {
+        instances: 40,
+        data_centres: 1,
+        bound,
+    });
 
     let mut sent = 0;
     for step in 1..=200 {
-        let now = at(step * 50);
-        for core in &mut cores {
-            sent += u32::from(core.consume_retries(now, &common::PLAIN_SERVICE.into(), 1));
-        }
-        let updates: Vec<_> = cores.iter_mut().map(|core| core.full_update(now)).collect();
-        let targets: Vec<_> = cores.iter().map(|core| core.update_targets(now)).collect();
-        for (update, targets) in updates.iter().zip(targets) {
-            for (core, number) in cores.iter_mut().zip(1..) {
-                if targets.contains(&common::instance(number)) {
-                    core.apply_update(now, update.clone());
-                }
-            }
+        fleet.run(50);
+        for index in 0..40 {
+            let granted = fleet.decide(index, |core, now| {
+                core.consume_retries(now, &common::PLAIN_SERVICE.into(), 1)
+            });
+            sent += u32::from(granted);
+            fleet.notify_change(index);
         }
 
         // The processes before the restart may have sent four fifths of the allowed retries, evenly
--- a/components/relay/tests/store_eras.rs
+++ b/components/relay/tests/store_eras.rs
@@ -88,7 +88,9 @@
 
     assert_eq!(position(&core), relay::ViewPosition::new(OLD_ERA, 50));
     assert_eq!(core.tracker().read_base(), None);
-    assert!(core.next_read(at(1_400)) <= at(1_400));
+    let (due, step) = core.next_view_step(at(1_400));
+    assert!(due <= at(1_400));
+    assert_eq!(step, relay::ViewStep::Read);
 }
 
 #[test]
@@ -276,9 +278,7 @@
     );
 
     let behind = cut_off.apply_update(at(9_100), reader.full_update(at(9_100)));
-    let source = cut_off
-        .instances()
-        .newest_view_source(at(9_100), cut_off.tracker().view().config_version());
+    let source = cut_off.copy_source(at(9_100));
     cut_off.apply_peer_view(at(9_110), reader.tracker().view().clone(), ms(100));
 
     assert!(behind);
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -133,7 +133,7 @@
 }
 
 #[test]
-fn equal_view_refreshes_the_age_and_newer_view_causes_a_read() {
+fn equal_view_refreshes_the_age_and_newer_view_is_copied() {
     let mut tracker = tracker_with(&[]);
 
     let same =
@@ -146,7 +146,8 @@
 
     assert!(!same && newer);
     assert_eq!(age, Some(ms(100)));
-    assert!(tracker.next_read_at(3) <= at(900));
+    assert_eq!(tracker.next_copy_at(at(900), 0), Some(at(900)));
+    assert!(tracker.read_instead_at(3) <= Some(at(1_900)));
 }
 
 #[test]
@@ -243,10 +244,10 @@
         }
     }
 
-    for core in &cores {
+    for core in &mut cores {
         let age = core.tracker().age(at(2_000)).expect("the core has a view");
         assert!(age >= ms(1_950), "{age:?}");
-        assert!(core.next_read(at(2_000)) <= at(2_000));
+        assert!(core.next_view_step(at(2_000)).0 <= at(2_000));
     }
 }
 
