relay, gateway, platform: tell other instances which servers can't be reached

Cause: when a quarter of the engines of the large site crashed, each of 295 instances failed at each of them itself: 1,517 prefills and 1,371 decode requests met refused connections, 255 prompts that had been read were given up because no repeat was granted (1.4 M tokens), 222 requests ran out of attempts. With 295 instances a repeat was granted by chance whenever fewer than 295 were left, a third of all. Status 421 of a prefill, which another server at the address gives, counted as a refusal instead of a lost engine.

Change: updates contain the servers to which the sender can't open connections (field 29); those that instances of two data centres report (two instances of a fleet with one) receive nothing until the reports end. One data centre alone may be cut off from a server. The chance of a repeat is drawn for a quarter of the instances above 24, as state updates of a large fleet are now 10 to 20 ms old. 421 ejects the server, and a call answered 421 counts as a repeat.

--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -40,8 +40,20 @@
 /// Returns the outcome of a request that failed with an error.
 pub(crate) const fn outcome_of(error: &border::BorderError) -> relay::BackendOutcome {
     match error {
-        border::BorderError::NotSent { .. } => relay::BackendOutcome::Unreachable,
+        border::BorderError::NotSent { .. } | border::BorderError::Gone { .. } => {
+            relay::BackendOutcome::Unreachable
+        }
         border::BorderError::Refused { .. } => relay::BackendOutcome::Refused,
         _ => relay::BackendOutcome::Broken,
     }
 }
+
+/// Returns the outcome of a request that a server didn't run, from the status of its answer.
+pub(crate) fn refusal_outcome(status: http::StatusCode) -> relay::BackendOutcome {
+    // Another server runs at the address: the expected one is gone.
+    if status == http::StatusCode::MISDIRECTED_REQUEST {
+        relay::BackendOutcome::Unreachable
+    } else {
+        relay::BackendOutcome::Refused
+    }
+}
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -52,6 +52,8 @@
     Failed {
         outcome: relay::BackendOutcome,
         not_run: bool,
+        /// Whether the request may have reached the server.
+        was_sent: bool,
         error: String,
         /// Whether a retry was already granted when the attempt timed out.
         granted: bool,
@@ -111,21 +113,22 @@
             let key = selection.key;
             let started = self.gateway.core.now();
             let (result, server) = self.attempt(selection).await;
-            let (outcome, not_run, error, granted, reply) = match result {
+            let (outcome, not_run, was_sent, error, granted, reply) = match result {
                 AttemptResult::Reply(reply) => return self.answer(reply),
                 AttemptResult::Failed {
                     outcome,
                     not_run,
+                    was_sent,
                     error,
                     granted,
                     reply,
-                } => (outcome, not_run, error, granted, reply),
+                } => (outcome, not_run, was_sent, error, granted, reply),
             };
             self.excluded.push(key);
             if !not_run {
                 self.runs += 1;
             }
-            let will_retry = granted || self.may_retry(outcome, not_run);
+            let will_retry = granted || self.may_retry(not_run, was_sent);
             let took = self.gateway.core.now().since(started);
             self.log_failure(&server, outcome, not_run, &error, took, will_retry);
             if !will_retry {
@@ -192,6 +195,7 @@
         AttemptResult::Failed {
             outcome: relay::BackendOutcome::TimedOut,
             not_run: false,
+            was_sent: true,
             error: "no answer within the timeout".to_owned(),
             granted,
             reply: None,
@@ -211,8 +215,9 @@
         match buffered_reply::collect(reply).await {
             Err(error) => failed_attempt(&error),
             Ok(reply) if reply.not_run => AttemptResult::Failed {
-                outcome: relay::BackendOutcome::Refused,
+                outcome: buffered_reply::refusal_outcome(reply.status),
                 not_run: true,
+                was_sent: true,
                 error: format!("refused with status {}", reply.status),
                 granted: false,
                 reply: None,
@@ -220,6 +225,7 @@
             Ok(reply) if reply.status.is_server_error() => AttemptResult::Failed {
                 outcome: relay::BackendOutcome::Failed,
                 not_run: false,
+                was_sent: true,
                 error: format!("status {}", reply.status),
                 granted: false,
                 reply: Some(reply),
@@ -242,7 +248,7 @@
         call_timeout.min(time_left)
     }
 
-    fn may_retry(&self, outcome: relay::BackendOutcome, not_run: bool) -> bool {
+    fn may_retry(&self, not_run: bool, was_sent: bool) -> bool {
         let now = self.gateway.core.now();
         if self.routed.time_left(now).is_zero() || self.attempts >= ATTEMPT_LIMIT {
             return false;
@@ -255,7 +261,7 @@
         }
         // A server that was unreachable received nothing, so the next attempt doesn't count as a
         // retry.
-        outcome == relay::BackendOutcome::Unreachable || self.consume_retry()
+        !was_sent || self.consume_retry()
     }
 
     fn consume_retry(&self) -> bool {
@@ -380,6 +386,7 @@
     AttemptResult::Failed {
         outcome: buffered_reply::outcome_of(error),
         not_run: error.proves_not_run(),
+        was_sent: !matches!(error, border::BorderError::NotSent { .. }),
         error: error.to_string(),
         granted: false,
         reply: None,
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -99,6 +99,9 @@
     /// Whether the sender forwards the updates of others to the receiver.
     #[prost(bool, tag = "28")]
     forwarding: bool,
+    /// Hashes of the incarnations of servers that the sender can't reach.
+    #[prost(fixed64, repeated, tag = "29")]
+    unreachable: Vec<u64>,
 }
 
 /// Number of requests and retries of one service.
@@ -179,6 +182,7 @@
         last_fence: update.last_fence,
         paused: update.paused.clone(),
         draining: update.draining.clone(),
+        unreachable: update.unreachable.clone(),
         estimates: update
             .estimates
             .iter()
@@ -253,6 +257,7 @@
         .last_fence(message.last_fence)
         .paused(message.paused)
         .draining(message.draining)
+        .unreachable(message.unreachable)
         .estimates(
             message
                 .estimates
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -64,12 +64,7 @@
     let body = String::from_utf8_lossy(&reply.body);
     let error = format!("status {}: {}", reply.status, body.trim());
     if reply.not_run {
-        // Status 421 means that another engine runs at the address: the expected one is gone.
-        let outcome = if reply.status == http::StatusCode::MISDIRECTED_REQUEST {
-            relay::BackendOutcome::Unreachable
-        } else {
-            relay::BackendOutcome::Refused
-        };
+        let outcome = buffered_reply::refusal_outcome(reply.status);
         return StartFailure {
             outcome,
             not_run: true,
--- a/components/gateway/src/stream_opener/prefill_step.rs
+++ b/components/gateway/src/stream_opener/prefill_step.rs
@@ -48,6 +48,7 @@
         let prefill = self.gateway.client.prefill(&self.routed.request, options);
         let result = tokio::time::timeout(timeout, prefill).await;
         let now = self.gateway.core.now();
+        let was_sent = !matches!(result, Ok(Err(border::BorderError::NotSent { .. })));
         let (outcome, error) = match result {
             Ok(Ok(source)) => {
                 guard.record_prefill_outcome(relay::BackendOutcome::Succeeded);
@@ -67,7 +68,7 @@
             ),
         };
         guard.record_prefill_outcome(outcome);
-        if outcome != relay::BackendOutcome::Unreachable {
+        if was_sent {
             self.counts.prefills += 1;
         }
         Err(stream_opener::StepError {
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -66,6 +66,10 @@
     paused_for_all_until: clock::Timestamp,
     /// Whether another instance reports a pause that applies to all instances.
     pub paused_by_peer: bool,
+    /// Time until which this instance reports the server as unreachable.
+    unreachable_until: clock::Timestamp,
+    /// Whether instances of several data centres report the server as unreachable.
+    pub unreachable_by_peers: bool,
 }
 
 impl Backend {
@@ -89,6 +93,8 @@
             backoff_until: clock::Timestamp::default(),
             paused_for_all_until: clock::Timestamp::default(),
             paused_by_peer: false,
+            unreachable_until: clock::Timestamp::default(),
+            unreachable_by_peers: false,
         }
     }
 
@@ -100,6 +106,7 @@
             && self.health.is_usable(now)
             && now >= self.refusal_pause_until
             && !is_paused
+            && !self.unreachable_by_peers
     }
 
     /// Returns whether the server is willing to receive requests from this instance, whatever its
@@ -120,6 +127,28 @@
         self.backoff_until = self.backoff_until.max(now + wait);
     }
 
+    /// Records the outcome of a request that took `latency`; returns whether the outcome ejected the
+    /// server.
+    pub fn record_outcome(
+        &mut self,
+        now: clock::Timestamp,
+        outcome: backend_health::BackendOutcome,
+        latency: time::Duration,
+    ) -> bool {
+        let ejected = self.health.record(now, outcome, latency);
+        if ejected && outcome == backend_health::BackendOutcome::Unreachable {
+            self.unreachable_until = self.health.ejected_until(now).unwrap_or(now);
+        }
+        ejected
+    }
+
+    /// Returns whether this instance found that no connection to the server can be opened, and
+    /// sends it nothing for that reason.
+    #[must_use]
+    pub fn is_unreachable(&self, now: clock::Timestamp) -> bool {
+        now < self.unreachable_until
+    }
+
     /// Returns whether this instance has started a pause that applies to all instances.
     #[must_use]
     pub fn is_paused_for_all(&self, now: clock::Timestamp) -> bool {
--- a/components/relay/src/backend_health.rs
+++ b/components/relay/src/backend_health.rs
@@ -55,6 +55,12 @@
         self.ejection.ejected_until(now).is_none()
     }
 
+    /// Returns the end of the current ejection, if the server is ejected.
+    #[must_use]
+    pub fn ejected_until(&self, now: clock::Timestamp) -> Option<clock::Timestamp> {
+        self.ejection.ejected_until(now)
+    }
+
     /// Returns the failure share, decayed since the last outcome.
     #[must_use]
     pub fn failure_share(&self, now: clock::Timestamp) -> f64 {
--- a/components/relay/src/backend_registry.rs
+++ b/components/relay/src/backend_registry.rs
@@ -158,6 +158,26 @@
             .collect()
     }
 
+    /// Returns the servers that this instance can't reach, by [`crate::incarnation_hash`], for its
+    /// state updates.
+    #[must_use]
+    pub fn own_unreachable(&self, now: clock::Timestamp) -> Vec<u64> {
+        self.backends
+            .values()
+            .filter(|backend| backend.listed && backend.is_unreachable(now))
+            .map(|backend| instance_update::incarnation_hash(&backend.entry))
+            .collect()
+    }
+
+    /// Sets the servers that several data centres report as unreachable, by
+    /// [`crate::incarnation_hash`].
+    pub fn set_peer_unreachable(&mut self, unreachable: &collections::BTreeSet<u64>) {
+        for (_, backend) in &mut self.backends {
+            let hash = instance_update::incarnation_hash(&backend.entry);
+            backend.unreachable_by_peers = unreachable.contains(&hash);
+        }
+    }
+
     /// Returns the usage by this instance, for its state updates.
     #[must_use]
     pub fn own_usage(&self) -> Vec<(u64, engine_usage::EngineUsage)> {
--- a/components/relay/src/instance_registry.rs
+++ b/components/relay/src/instance_registry.rs
@@ -366,6 +366,41 @@
             .collect()
     }
 
+    /// Returns the servers that other instances of at least two data centres report as unreachable,
+    /// by [`crate::incarnation_hash`]; of at least two instances if the fleet has one data centre.
+    ///
+    /// A server that only one data centre can't reach may be cut off from that one alone.
+    #[must_use]
+    pub fn unreachable(&self, now: clock::Timestamp) -> collections::BTreeSet<u64> {
+        let alive: Vec<&instance_update::InstanceUpdate> = self
+            .states
+            .values()
+            .filter(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
+            .map(|state| &state.update)
+            .collect();
+        let first_centre = alive.first().map(|update| update.data_centre);
+        let is_single = alive
+            .iter()
+            .all(|update| Some(update.data_centre) == first_centre);
+        let mut reports: collections::BTreeMap<u64, collections::BTreeSet<u64>> =
+            collections::BTreeMap::new();
+        for update in alive {
+            let reporter = if is_single {
+                u64::from(update.address.to_bits())
+            } else {
+                u64::from(update.data_centre)
+            };
+            for server in &update.unreachable {
+                reports.entry(*server).or_default().insert(reporter);
+            }
+        }
+        reports
+            .into_iter()
+            .filter(|(_, reporters)| reporters.len() >= 2)
+            .map(|(server, _)| server)
+            .collect()
+    }
+
     /// Returns the requests and retries of a service counted by the other instances.
     #[must_use]
     pub fn fleet_count(
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -66,6 +66,9 @@
     /// doesn't show as draining, by [`incarnation_hash`].
     #[builder(default)]
     pub draining: Vec<u64>,
+    /// Servers to which the sender can't open connections, by [`incarnation_hash`].
+    #[builder(default)]
+    pub unreachable: Vec<u64>,
     /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
     #[builder(default)]
     pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -45,6 +45,12 @@
     },
 }
 
+/// Number of instances of which each may send a retry at the same time.
+const SMALL_FLEET_INSTANCES: f64 = 24.0;
+
+/// Share of the instances of a large fleet that send a retry at the same time.
+const CONCURRENT_SHARE: f64 = 0.25;
+
 /// Makes the decisions about relayed requests.
 pub struct RelayCore {
     settings: core_settings::CoreSettings,
@@ -191,8 +197,8 @@
 
     /// Consumes retries from the bound of a service; returns whether enough were left.
     ///
-    /// When fewer retries are left than instances are alive, a random draw decides, since several
-    /// instances may consume them before they receive each other's state updates.
+    /// When few retries are left, a random draw decides, since several instances may consume them
+    /// before they receive each other's state updates.
     pub fn consume_retries(
         &mut self,
         now: clock::Timestamp,
@@ -204,7 +210,7 @@
         let draw = rand::RngExt::random::<f64>(&mut self.random);
         let window = self.window(service);
         let available = window.available(now, &bound, fleet);
-        let wins_draw = draw * f64::from(fleet.live) < available;
+        let wins_draw = draw * concurrent_retries(fleet.live) < available;
         let allowed = retries == 0 || (available >= f64::from(retries) && wins_draw);
         if allowed {
             window.count_retries(now, retries);
@@ -235,3 +241,10 @@
         self.windows.entry(service.clone()).or_default()
     }
 }
+
+/// Returns the number of retries that a fleet of `live` instances may send at about the same time,
+/// before the instances receive each other's state updates.
+fn concurrent_retries(live: u32) -> f64 {
+    let live = f64::from(live);
+    live.min(SMALL_FLEET_INSTANCES).max(live * CONCURRENT_SHARE)
+}
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -123,7 +123,7 @@
             backend_health::BackendOutcome::TimedOut => backend_health::BackendOutcome::Failed,
             other => other,
         };
-        let ejected = backend.health.record(now, outcome, latency);
+        let ejected = backend.record_outcome(now, outcome, latency);
         if !backend.listed {
             self.backends.remove_unlisted();
         }
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -91,7 +91,7 @@
         if outcome == backend_health::BackendOutcome::Refused {
             engine.record_refusal(now);
         }
-        let ejected = engine.health.record(now, outcome, duration);
+        let ejected = engine.record_outcome(now, outcome, duration);
         if outcome == backend_health::BackendOutcome::Succeeded && tokens_ahead == 0 {
             self.observe_prefill(&request, duration);
         }
@@ -127,9 +127,7 @@
         if completion.outcome == backend_health::BackendOutcome::Refused {
             engine.record_refusal(now);
         }
-        let ejected = engine
-            .health
-            .record(now, completion.outcome, completion.first_token);
+        let ejected = engine.record_outcome(now, completion.outcome, completion.first_token);
         self.backends.remove_unlisted();
         ejected
     }
@@ -150,7 +148,7 @@
         if let Some(engine) = self.backends.get_mut(previous) {
             engine.own_running = engine.own_running.saturating_sub(1);
             engine.own_streams.remove(&key);
-            engine.health.record(now, outcome, time::Duration::ZERO);
+            engine.record_outcome(now, outcome, time::Duration::ZERO);
         }
         let size = self.engine_size(&request.service)?;
         let selected = self
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -187,6 +187,8 @@
         let usage = self.instances.usage(now, self.decode_rate());
         self.backends.set_peer_usage(&usage);
         self.backends.set_peer_paused(&self.instances.paused(now));
+        self.backends
+            .set_peer_unreachable(&self.instances.unreachable(now));
         self.backends
             .add_peer_draining(now, &self.instances.draining(now));
     }
@@ -205,6 +207,7 @@
             fence: self.last_order.map_or(0, |(_, fence)| fence),
             paused: self.backends.own_paused(now),
             draining: self.backends.reported_draining(),
+            unreachable: self.backends.own_unreachable(now),
         };
         let interval = self.full_update_interval(now);
         if self.sent_state.needs_full_update(now, interval, &state) || self.draining {
@@ -267,6 +270,7 @@
             .count_window(now.since(clock::Timestamp::default()).min(window))
             .paused(self.backends.own_paused(now))
             .draining(self.backends.reported_draining())
+            .unreachable(self.backends.own_unreachable(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
                 self.last_order
--- a/components/relay/src/sent_state.rs
+++ b/components/relay/src/sent_state.rs
@@ -15,6 +15,8 @@
     pub(crate) paused: Vec<u64>,
     /// Servers that are draining.
     pub(crate) draining: Vec<u64>,
+    /// Servers that can't be reached.
+    pub(crate) unreachable: Vec<u64>,
 }
 
 /// State that this instance has last sent to the others, from which partial updates are computed.
