relay, gateway: forward heartbeats less often, collect forwarded updates for 12 ms

Change: an update without changes is forwarded only when the last forwarded one of its instance is 350 ms old; forwarders collect for 12 ms instead of 8.

--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -15,7 +15,7 @@
 const BATCH_WINDOW: time::Duration = time::Duration::from_millis(2);
 
 /// Time for which a forwarder collects updates into one datagram.
-const FORWARDER_WINDOW: time::Duration = time::Duration::from_millis(8);
+const FORWARDER_WINDOW: time::Duration = time::Duration::from_millis(12);
 
 /// Minimum time between checks of the wait queue while state updates arrive.
 const QUEUE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(3);
--- a/components/relay/src/instance_registry.rs
+++ b/components/relay/src/instance_registry.rs
@@ -35,6 +35,9 @@
 /// Interval of greetings to an instance that discovers the fleet.
 const GREETING_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
+/// Interval at which updates without changes are forwarded.
+const HEARTBEAT_FORWARD_INTERVAL: time::Duration = time::Duration::from_millis(350);
+
 /// Instance that another one has reported.
 #[derive(Clone, Copy, Debug)]
 struct ReportedInstance {
@@ -226,6 +229,28 @@
             .map(|state| (state.update.incarnation, state.update.sequence))
     }
 
+    /// Returns whether an update that is to be applied changes what is known of its instance, or
+    /// the instance's last forwarded update is so old that the others would miss it.
+    #[must_use]
+    pub fn is_worth_forwarding(
+        &self,
+        now: clock::Timestamp,
+        update: &instance_update::InstanceUpdate,
+    ) -> bool {
+        self.states.get(&update.address).is_none_or(|state| {
+            !update.is_heartbeat()
+                || !state.waiting.is_empty()
+                || now.since(state.forwarded_at) >= HEARTBEAT_FORWARD_INTERVAL
+        })
+    }
+
+    /// Records that an update of an instance is forwarded.
+    pub fn record_forwarded(&mut self, now: clock::Timestamp, address: net::Ipv4Addr) {
+        if let Some(state) = self.states.get_mut(&address) {
+            state.forwarded_at = now;
+        }
+    }
+
     /// Records that an instance discovers the fleet.
     pub fn record_newcomer(&mut self, now: clock::Timestamp, address: net::Ipv4Addr) {
         let next_greeting = self.newcomers.get(&address).copied();
--- a/components/relay/src/instance_state.rs
+++ b/components/relay/src/instance_state.rs
@@ -13,6 +13,8 @@
     /// Merged state updates, as of `received_at`.
     pub(crate) update: instance_update::InstanceUpdate,
     pub(crate) received_at: clock::Timestamp,
+    /// Time at which this instance last forwarded an update of the instance.
+    pub(crate) forwarded_at: clock::Timestamp,
     /// Requests that wait at the instance.
     pub(crate) waiting: Vec<sync::Arc<wait_queue::WaitingRequest>>,
 }
@@ -27,6 +29,7 @@
         Self {
             waiting: waiting_requests(now, &update, services),
             received_at: now,
+            forwarded_at: now,
             update,
         }
     }
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -88,6 +88,13 @@
 }
 
 impl InstanceUpdate {
+    /// Returns whether the update contains no changes, apart from waiting requests that are no
+    /// longer listed.
+    #[must_use]
+    pub const fn is_heartbeat(&self) -> bool {
+        self.partial && self.usage.is_empty() && self.waiting.is_empty() && self.retries.is_empty()
+    }
+
     /// Returns the announcement of the sender's view.
     #[must_use]
     pub const fn announcement(&self) -> view_announcement::ViewAnnouncement {
--- a/components/relay/src/relay_core/core_routes.rs
+++ b/components/relay/src/relay_core/core_routes.rs
@@ -130,16 +130,20 @@
         let sender = update.address;
         let sequence = Some((update.incarnation, update.sequence));
         let was_known = self.instances.last_sequence(sender) == sequence;
+        let is_worthwhile = self.instances.is_worth_forwarding(now, &update);
         let behind = self.apply_update(now, update);
         let is_new = !was_known && self.instances.last_sequence(sender) == sequence;
         let is_own_centre = self.instances.data_centre(sender) == Some(self.data_centre_hash);
-        let scope = if !is_new {
+        let scope = if !is_new || !is_worthwhile {
             update_routes::ForwardScope::Nowhere
         } else if is_own_centre {
             update_routes::ForwardScope::Everywhere
         } else {
             update_routes::ForwardScope::Members
         };
+        if scope != update_routes::ForwardScope::Nowhere {
+            self.instances.record_forwarded(now, sender);
+        }
         (behind, scope)
     }
 
--- a/components/relay/tests/common/network.rs
+++ b/components/relay/tests/common/network.rs
@@ -12,7 +12,7 @@
 const FORWARDER_INTERVAL: u64 = 50;
 
 /// Time for which a forwarder collects updates, in milliseconds.
-const FORWARDER_WINDOW: u64 = 8;
+const FORWARDER_WINDOW: u64 = 12;
 
 /// Delay of a datagram in milliseconds.
 const DELAY_MILLIS: u64 = 2;
