--- a/components/relay/tests/common/network.rs
+++ b/components/relay/tests/common/network.rs
@@ -216,12 +216,13 @@
         let update = member.core.due_update(time);
         let greetings = member.core.due_greetings(time);
         let pending = std::mem::take(&mut member.pending);
-        let for_forwarders = pending
+        let for_forwarders: Vec<relay::InstanceUpdate> = pending
             .iter()
             .filter(|(scope, _)| *scope == relay::ForwardScope::Everywhere)
             .map(|(_, update)| update.clone())
             .collect();
-        let for_members = pending.into_iter().map(|(_, update)| update).collect();
+        let for_members: Vec<relay::InstanceUpdate> =
+            pending.into_iter().map(|(_, update)| update).collect();
         member.next_send = now
             + if routes.is_forwarding() {
                 FORWARDER_INTERVAL
@@ -229,11 +230,11 @@
                 UPDATE_INTERVAL
             };
         let direct: Vec<net::Ipv4Addr> = routes.direct.into_iter().collect();
-        self.transmit(index, &direct, &update, false, &Vec::new());
+        self.transmit(index, &direct, &update, false, &[]);
         self.transmit(index, &routes.members, &update, true, &for_members);
         self.transmit(index, &routes.forwarders, &update, true, &for_forwarders);
         for (newcomer, greeting) in greetings {
-            self.transmit(index, &[newcomer], &greeting, false, &Vec::new());
+            self.transmit(index, &[newcomer], &greeting, false, &[]);
         }
     }
 
@@ -243,7 +244,7 @@
         receivers: &[net::Ipv4Addr],
         update: &relay::InstanceUpdate,
         forwarding: bool,
-        forwarded: &Vec<relay::InstanceUpdate>,
+        forwarded: &[relay::InstanceUpdate],
     ) {
         if self.members[index].is_cut_off {
             return;
@@ -255,7 +256,7 @@
                 to: *receiver,
                 update: update.clone(),
                 forwarding,
-                forwarded: forwarded.clone(),
+                forwarded: forwarded.to_vec(),
             });
         }
     }
