relay: a change of the list keeps the grace periods of other servers

Change: only the entries of the change are applied. The routes of state updates are split into those of a forwarder and of other instances, and named types replace tuples.

Measured: change_read_by_another_instance_keeps_the_grace_periods_of_other_servers fails before (s1 and s2 stay) and passes now; the tests of relay pass.

--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -79,9 +79,10 @@
             self.forward(&update, for_forwarders, &routes.forwarders)
                 .await;
         }
-        for (newcomer, greeting) in greetings {
-            let bytes = peer_message::encode(&greeting);
-            self.send_to_all(&bytes, std::iter::once(&newcomer)).await;
+        for greeting in greetings {
+            let bytes = peer_message::encode(&greeting.update);
+            self.send_to_all(&bytes, std::iter::once(&greeting.newcomer))
+                .await;
         }
     }
 
@@ -182,16 +183,16 @@
         let forwards = self.is_forwarding.load(sync::atomic::Ordering::Relaxed);
         let own_bytes = (forwards && !datagram.forwarded.is_empty())
             .then(|| peer_message::encode(&datagram.update));
-        let (mut behind, scope) =
-            core.apply_direct_update(now, datagram.update, datagram.forwarding);
-        let mut to_forward = vec![(scope, own_bytes.unwrap_or_else(|| bytes.to_vec()))];
+        let direct = core.apply_direct_update(now, datagram.update, datagram.forwarding);
+        let mut is_behind = direct.is_behind;
+        let mut to_forward = vec![(direct.scope, own_bytes.unwrap_or_else(|| bytes.to_vec()))];
         for bytes in datagram.forwarded {
             let Ok(update) = peer_message::decode(&bytes) else {
                 continue;
             };
-            let (is_newer, scope) = core.apply_forwarded_update(now, update);
-            behind |= is_newer;
-            to_forward.push((scope, bytes));
+            let effect = core.apply_forwarded_update(now, update);
+            is_behind |= effect.is_behind;
+            to_forward.push((effect.scope, bytes));
         }
         if forwards {
             let mut forwarder = self.lock_forwarder();
@@ -202,7 +203,7 @@
         } else if core.has_newcomers() {
             self.core.state_changed.notify_one();
         }
-        behind
+        is_behind
     }
 
     fn lock_forwarder(&self) -> sync::MutexGuard<'_, peer_forwarder::PeerForwarder> {
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -82,7 +82,7 @@
 pub use stage_planner::{EngineCost, PoolSplit, StageChange, StagePlanner};
 pub use stream_lease::{StreamKey, StreamLease};
 pub use stream_request::StreamRequest;
-pub use update_routes::{ForwardScope, UpdateRoutes};
+pub use update_routes::{ForwardScope, GreetingUpdate, UpdateEffect, UpdateRoutes};
 pub use view_announcement::ViewAnnouncement;
 pub use view_change::{ViewChange, ViewUpdate};
 pub use view_position::ViewPosition;
--- a/components/relay/src/relay_core/core_routes.rs
+++ b/components/relay/src/relay_core/core_routes.rs
@@ -35,39 +35,52 @@
                 ..update_routes::UpdateRoutes::default()
             };
         }
-        let own = self.settings.address;
-        let centre = self.data_centre_hash;
-        let mut routes = update_routes::UpdateRoutes::default();
-        if self.is_forwarder(now) {
-            routes.members = self
-                .topology
-                .members(centre)
-                .filter(|member| *member != own)
-                .collect();
-            routes.forwarders = self.topology.forwarders_elsewhere(centre).collect();
+        let mut routes = if self.is_forwarder(now) {
+            self.forwarder_routes()
         } else {
-            let silent_forwarders =
-                self.forwarder_silence(now).as_millis() / FORWARDER_TIMEOUT.as_millis();
-            let receivers = fleet_topology::FORWARDERS_PER_CENTRE
-                + usize::try_from(silent_forwarders).unwrap_or(usize::MAX / 2);
-            let members = self
-                .topology
-                .members(centre)
-                .filter(|member| *member != own);
-            routes.direct = members.take(receivers).collect();
-            routes.direct.extend(self.topology.members(0));
-        }
+            self.member_routes(now)
+        };
         if self.is_discovering(now) || self.is_seed_update_due(now) {
             routes.direct.extend(self.instances.seeds());
         }
         routes.direct.retain(|address| {
-            *address != own
-                && !routes.members.contains(address)
-                && !routes.forwarders.contains(address)
+            !routes.members.contains(address) && !routes.forwarders.contains(address)
         });
         routes
     }
 
+    /// Returns the receivers of a forwarder's updates.
+    fn forwarder_routes(&self) -> update_routes::UpdateRoutes {
+        let centre = self.data_centre_hash;
+        update_routes::UpdateRoutes {
+            members: self.other_members().collect(),
+            forwarders: self.topology.forwarders_elsewhere(centre).collect(),
+            ..update_routes::UpdateRoutes::default()
+        }
+    }
+
+    /// Returns the receivers of the updates of an instance that doesn't forward: the forwarder, the
+    /// next instance, and one more for each forwarder that may have failed since. Instances of an
+    /// unknown data centre don't know of forwarders and receive the updates directly.
+    fn member_routes(&self, now: clock::Timestamp) -> update_routes::UpdateRoutes {
+        let failed = self.forwarder_silence(now).as_millis() / FORWARDER_TIMEOUT.as_millis();
+        let receivers = fleet_topology::FORWARDERS_PER_CENTRE
+            + usize::try_from(failed).unwrap_or(usize::MAX / 2);
+        let direct = self.other_members().take(receivers);
+        update_routes::UpdateRoutes {
+            direct: direct.chain(self.topology.members(0)).collect(),
+            ..update_routes::UpdateRoutes::default()
+        }
+    }
+
+    /// Returns the other instances of the own data centre in the order in which they become
+    /// forwarders.
+    fn other_members(&self) -> impl Iterator<Item = net::Ipv4Addr> {
+        let own = self.settings.address;
+        let members = self.topology.members(self.data_centre_hash);
+        members.filter(move |member| *member != own)
+    }
+
     /// Returns whether this instance forwards the updates of others: it is the first of its data
     /// centre, or those before it have been silent.
     fn is_forwarder(&self, now: clock::Timestamp) -> bool {
@@ -100,38 +113,37 @@
         is_due
     }
 
-    /// Applies a state update that its sender has sent to this instance itself; returns whether the
-    /// sender's view differs and is newer, and how the update is forwarded.
+    /// Applies a state update that its sender has sent to this instance itself. `forwards` is whether
+    /// the sender forwards the updates of others to this instance.
     pub fn apply_direct_update(
         &mut self,
         now: clock::Timestamp,
         update: instance_update::InstanceUpdate,
         forwards: bool,
-    ) -> (bool, update_routes::ForwardScope) {
+    ) -> update_routes::UpdateEffect {
         let sender = update.address;
         let discovers = update.discovering;
-        let (behind, scope) = self.apply_forwarded_update(now, update);
+        let effect = self.apply_forwarded_update(now, update);
         if discovers {
             self.instances.record_newcomer(now, sender);
         }
         if forwards {
             self.record_forwarder(now, sender);
         }
-        (behind, scope)
+        effect
     }
 
-    /// Applies a state update that a forwarder has sent to this instance; returns whether the
-    /// sender's view differs and is newer, and how the update is forwarded.
+    /// Applies a state update that a forwarder has sent to this instance.
     pub fn apply_forwarded_update(
         &mut self,
         now: clock::Timestamp,
         update: instance_update::InstanceUpdate,
-    ) -> (bool, update_routes::ForwardScope) {
+    ) -> update_routes::UpdateEffect {
         let sender = update.address;
         let sequence = Some((update.incarnation, update.sequence));
         let was_known = self.instances.last_sequence(sender) == sequence;
         let is_worthwhile = self.instances.is_worth_forwarding(now, &update);
-        let behind = self.apply_update(now, update);
+        let is_behind = self.apply_update(now, update);
         let is_new = !was_known && self.instances.last_sequence(sender) == sequence;
         let is_own_centre = self.instances.data_centre(sender) == Some(self.data_centre_hash);
         let scope = if !is_new || !is_worthwhile {
@@ -144,7 +156,7 @@
         if scope != update_routes::ForwardScope::Nowhere {
             self.instances.record_forwarded(now, sender);
         }
-        (behind, scope)
+        update_routes::UpdateEffect { is_behind, scope }
     }
 
     /// Records a datagram of a forwarder of the own data centre. One that comes after this instance
@@ -161,13 +173,8 @@
         }
     }
 
-    /// Returns the updates to send now to instances that discover the fleet, with their receivers.
-    ///
-    /// They contain only the instances to which the newcomer sends its own updates.
-    pub fn due_greetings(
-        &mut self,
-        now: clock::Timestamp,
-    ) -> Vec<(net::Ipv4Addr, instance_update::InstanceUpdate)> {
+    /// Returns the updates to send now to instances that discover the fleet.
+    pub fn due_greetings(&mut self, now: clock::Timestamp) -> Vec<update_routes::GreetingUpdate> {
         self.refresh_topology(now);
         if self.topology.is_direct() {
             return Vec::new();
@@ -175,7 +182,10 @@
         let newcomers = self.instances.take_newcomers();
         newcomers
             .into_iter()
-            .map(|newcomer| (newcomer, self.greeting(newcomer)))
+            .map(|newcomer| update_routes::GreetingUpdate {
+                newcomer,
+                update: self.greeting(newcomer),
+            })
             .collect()
     }
 
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -53,7 +53,7 @@
         let rank = self.topology.reader_rank(own);
         let position = self.topology.position(self.data_centre_hash, own);
         let read_at = self
-            .first_read_at()
+            .first_read_at(now)
             .unwrap_or_else(|| self.tracker.next_read_at(rank));
         let read = (read_at, read_schedule::ViewStep::Read);
         if !self.tracker.is_behind() {
@@ -76,13 +76,12 @@
     }
 
     /// Returns the time of the first read of a process that may copy the view of another instance
-    /// instead; `None` once the process has a view, or if it is one of those that others ask.
-    fn first_read_at(&self) -> Option<clock::Timestamp> {
-        let is_first = self.tracker.read_age(clock::Timestamp::default()) == time::Duration::MAX
-            && !self.tracker.is_known()
-            && !self.tracker.has_failed();
-        let asks_others = self.instances.seeds().next().is_some()
-            && !self.settings.seeds.contains(&self.settings.address);
+    /// instead; `None` once the process has a view or has failed to read, or if it is one of those
+    /// that others ask.
+    fn first_read_at(&self, now: clock::Timestamp) -> Option<clock::Timestamp> {
+        let is_first = self.tracker.age(now).is_none() && !self.tracker.has_failed();
+        let is_seed = self.settings.seeds.contains(&self.settings.address);
+        let asks_others = !is_seed && self.instances.seeds().next().is_some();
         (is_first && asks_others).then(|| clock::Timestamp::default() + FIRST_READ_DELAY)
     }
 
--- a/components/relay/src/update_routes.rs
+++ b/components/relay/src/update_routes.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, net};
 
+use crate::instance_update;
+
 /// Receivers of the state updates that an instance sends.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct UpdateRoutes {
@@ -33,3 +35,21 @@
     /// To the instances of this data centre and the forwarders of the others.
     Everywhere,
 }
+
+/// Effect of a received state update.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UpdateEffect {
+    /// Whether the sender's view differs from this instance's and is newer.
+    pub is_behind: bool,
+    /// How the update is forwarded.
+    pub scope: ForwardScope,
+}
+
+/// Update for an instance that discovers the fleet.
+#[derive(Clone, Debug)]
+pub struct GreetingUpdate {
+    /// Address of the instance.
+    pub newcomer: net::Ipv4Addr,
+    /// Update that contains the instances to which the newcomer sends its own updates.
+    pub update: instance_update::InstanceUpdate,
+}
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -110,9 +110,12 @@
         delta.apply(&mut changed.backends);
         let matches = changed.fingerprint() == fingerprint;
         if matches {
-            self.replace_list(now, changed.backends);
-            self.expiring
-                .retain(|server, _| !delta.gone.contains(server));
+            for server in &delta.gone {
+                self.drop_entry(now, server);
+            }
+            for entry in &delta.written {
+                self.list_entry(now, entry.clone());
+            }
             self.update_fingerprint();
         }
         matches
--- a/components/relay/tests/common/network.rs
+++ b/components/relay/tests/common/network.rs
@@ -193,12 +193,12 @@
             member.count.from_elsewhere += u32::from(sender_centre != member.data_centre);
             let time = member.now(now);
             let core = &mut member.core;
-            let (_, scope) =
+            let direct =
                 core.apply_direct_update(time, datagram.update.clone(), datagram.forwarding);
-            let mut updates = vec![(scope, datagram.update)];
+            let mut updates = vec![(direct.scope, datagram.update)];
             for update in datagram.forwarded {
-                let (_, scope) = core.apply_forwarded_update(time, update.clone());
-                updates.push((scope, update));
+                let effect = core.apply_forwarded_update(time, update.clone());
+                updates.push((effect.scope, update));
             }
             updates.retain(|(scope, _)| *scope != relay::ForwardScope::Nowhere);
             if core.update_routes(time).is_forwarding() {
@@ -233,8 +233,8 @@
         self.transmit(index, &direct, &update, false, &[]);
         self.transmit(index, &routes.members, &update, true, &for_members);
         self.transmit(index, &routes.forwarders, &update, true, &for_forwarders);
-        for (newcomer, greeting) in greetings {
-            self.transmit(index, &[newcomer], &greeting, false, &[]);
+        for greeting in greetings {
+            self.transmit(index, &[greeting.newcomer], &greeting.update, false, &[]);
         }
     }
 
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -262,3 +262,31 @@
 
     assert!(behind);
 }
+
+#[test]
+fn change_read_by_another_instance_keeps_the_grace_periods_of_other_servers() {
+    let entries = [common::server("s1", "a"), common::server("s2", "b")];
+    let mut tracker = tracker_with(&entries);
+    let config = common::config(5, vec![]);
+    // Both servers expired during an outage of the store.
+    tracker.apply_read(
+        at(5_000),
+        at(5_000),
+        common::full_view_update(12, &config, &[]),
+    );
+    let mut sender_view = tracker.view().clone();
+    let added = common::server("s3", "a");
+    let delta = relay::ListDelta {
+        base: 12,
+        revision: 13,
+        written: vec![added],
+        ..relay::ListDelta::default()
+    };
+    delta.apply(&mut sender_view.backends);
+
+    let applied = tracker.apply_delta(at(5_500), &delta, sender_view.fingerprint());
+    tracker.expire(at(6_800));
+
+    assert!(applied);
+    assert_eq!(listed_servers(&tracker), ["s3"]);
+}
