relay: copy a newer view from any instance with the same content

Cause, found by reading: instances that copied a newer view all asked the reader of the store, since only its revision was the newest; the tree along which a view was to spread in each data centre didn't form, and a configuration of 1,400 routes would have crossed data centres 236 times.

Change: each instance whose view has the fingerprint of the newest one is a source, those of the own data centre first.

Measured: the new test in instances.rs fails before and passes now; the tests of relay pass.

--- a/components/relay/src/instance_registry/fleet_reports.rs
+++ b/components/relay/src/instance_registry/fleet_reports.rs
@@ -173,8 +173,8 @@
             .min()
     }
 
-    /// Returns the alive instances with the newest view, from which the view can be copied: those of
-    /// `data_centre` if it has any, otherwise those elsewhere.
+    /// Returns the alive instances from which the newest view can be copied: those with a view of the
+    /// same content in `data_centre` if there are any, otherwise those elsewhere.
     ///
     /// A configuration that is newer than `config_version` goes before a newer list.
     #[must_use]
@@ -191,13 +191,13 @@
             .map(|state| &state.update)
             .filter(|update| update.fingerprint != 0)
             .collect();
-        let age = |update: &instance_update::InstanceUpdate| {
-            (update.config_version.max(config_version), update.position)
-        };
-        let newest = sources.iter().map(|update| age(update)).max();
+        let newest = sources
+            .iter()
+            .max_by_key(|update| (update.config_version.max(config_version), update.position))
+            .map(|update| (update.fingerprint, update.position.era));
         let (near, far): (Vec<_>, Vec<_>) = sources
             .into_iter()
-            .filter(|update| Some(age(update)) == newest)
+            .filter(|update| Some((update.fingerprint, update.position.era)) == newest)
             .partition(|update| update.data_centre == data_centre);
         let nearest = if near.is_empty() { far } else { near };
         nearest.into_iter().map(|update| update.address).collect()
--- a/components/relay/tests/instances.rs
+++ b/components/relay/tests/instances.rs
@@ -51,3 +51,23 @@
         (1, 0)
     );
 }
+
+#[test]
+fn view_is_copied_in_the_own_data_centre_from_an_instance_with_an_equal_view() {
+    let [near, far] = ["a", "b"].map(|name| relay::data_centre_hash(&name.into()));
+    let mut registry = relay::InstanceRegistry::new(common::instance(1), vec![]);
+    // The reader of the store is far away; its revision is newer, but the content is the same.
+    for (number, data_centre, revision, fingerprint) in
+        [(2, far, 90, 7), (3, near, 84, 7), (4, near, 80, 6)]
+    {
+        let mut update = common::instance_update(number, 1);
+        update.data_centre = data_centre;
+        update.position = relay::ViewPosition::new(0, revision);
+        update.fingerprint = fingerprint;
+        registry.apply_update(at(0), update, DECODE_RATE);
+    }
+
+    let sources = registry.newest_view_sources(at(10), 0, near);
+
+    assert_eq!(sources, [common::instance(3)]);
+}
