--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -53,6 +53,19 @@
         /// Number of those that are draining.
         leaving: usize,
     },
+    /// The transfer of another instance's view ended.
+    ViewTransferred {
+        /// Address of the instance that sent the view.
+        from: std::net::IpAddr,
+        /// Outcome: `copied` or `failed`.
+        outcome: &'a str,
+        /// Bytes of the body that were received.
+        received_bytes: usize,
+        /// Time until the first byte of the body.
+        first_byte_ms: Option<u64>,
+        /// Duration of the transfer.
+        took_ms: u64,
+    },
     /// An entry of the platform's store is invalid and was skipped.
     EntrySkipped {
         /// Key of the entry.
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -32,6 +32,7 @@
     refusals: family::Family<NameLabel, counter::Counter>,
     failed_attempts: family::Family<NameLabel, counter::Counter>,
     store_reads: family::Family<NameLabel, counter::Counter>,
+    copied_bytes: family::Family<NameLabel, counter::Counter>,
     view_age: gauge::Gauge<f64, atomic::AtomicU64>,
     config_version: gauge::Gauge,
     store_era: gauge::Gauge,
@@ -49,6 +50,7 @@
         let refusals = family::Family::default();
         let failed_attempts = family::Family::default();
         let store_reads = family::Family::default();
+        let copied_bytes = family::Family::default();
         let view_age = gauge::Gauge::default();
         let config_version = gauge::Gauge::default();
         let store_era = gauge::Gauge::default();
@@ -73,6 +75,11 @@
             "Reads of the platform by outcome",
             store_reads.clone(),
         );
+        registry.register(
+            "relay_view_copy_bytes",
+            "Bytes received of other instances' views, by outcome",
+            copied_bytes.clone(),
+        );
         registry.register(
             "relay_view_age_seconds",
             "Age of the view of the platform",
@@ -115,6 +122,7 @@
             refusals,
             failed_attempts,
             store_reads,
+            copied_bytes,
             view_age,
             config_version,
             store_era,
@@ -138,7 +146,8 @@
         self.phase("whole", took);
     }
 
-    /// Records the duration of a phase: `queue`, `prefill`, `first_event`, `pause` or `whole`.
+    /// Records the duration of a phase: `queue`, `prefill`, `first_event`, `pause`, `whole` or
+    /// `view_copy`.
     pub fn phase(&self, name: &str, took: time::Duration) {
         self.phases
             .get_or_create(&label(name))
@@ -160,6 +169,15 @@
         self.store_reads.get_or_create(&label(outcome)).inc();
     }
 
+    /// Counts the bytes received of another instance's view, by the outcome of the copy, and records
+    /// its duration.
+    pub fn view_copied(&self, outcome: &str, bytes: usize, took: time::Duration) {
+        self.copied_bytes
+            .get_or_create(&label(outcome))
+            .inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+        self.phase("view_copy", took);
+    }
+
     /// Counts an order to an engine by its outcome.
     pub fn ordered(&self, outcome: &str) {
         self.orders.get_or_create(&label(outcome)).inc();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod stream_session;
 mod stream_trace;
 mod view_reader;
+mod view_transfer;
 
 pub use decision_event::DecisionEvent;
 pub use decision_log::DecisionLog;
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -4,7 +4,9 @@
 
 use http_body_util::BodyExt as _;
 
-use crate::{decision_event, decision_log, gateway_metrics, shared_core, site_source};
+use crate::{
+    decision_event, decision_log, gateway_metrics, shared_core, site_source, view_transfer,
+};
 
 /// Path at which an instance serves its view to other instances.
 pub const VIEW_PATH: &str = "/view";
@@ -167,9 +169,12 @@
     /// Copies the view of another instance.
     async fn copy_view(&mut self, source: net::Ipv4Addr, before: ViewIdentity) {
         let address = net::SocketAddr::from((source, self.peer_port));
-        let copied = tokio::time::timeout(PEER_COPY_TIMEOUT, self.fetch(address)).await;
+        let mut transfer = view_transfer::ViewTransfer::start(address);
+        let fetched = self.fetch(address, &mut transfer);
+        let copied = tokio::time::timeout(PEER_COPY_TIMEOUT, fetched).await;
         let error = match copied {
             Ok(Ok((view, age))) => {
+                self.log_transfer("copied", &transfer);
                 self.core
                     .decide_and_poll_queue(|core, now| core.apply_peer_view(now, view, age));
                 return self.log_view_change("instance", before);
@@ -177,13 +182,21 @@
             Ok(Err(error)) => error.to_string(),
             Err(_) => "no view within the timeout".to_owned(),
         };
+        self.log_transfer("failed", &transfer);
         self.core.decide(|core, now| core.record_copy_failure(now));
         self.log_dependency_lost("instance", &error);
     }
 
+    fn log_transfer(&self, outcome: &'static str, transfer: &view_transfer::ViewTransfer) {
+        self.metrics
+            .view_copied(outcome, transfer.received_bytes(), transfer.elapsed());
+        self.log.write(&transfer.event(outcome));
+    }
+
     async fn fetch(
         &self,
         address: net::SocketAddr,
+        transfer: &mut view_transfer::ViewTransfer,
     ) -> Result<(relay::SiteView, time::Duration), border::BorderError> {
         let mut request = http::Request::new(http_body_util::Full::default());
         *request.uri_mut() = http::Uri::from_static(VIEW_PATH);
@@ -191,7 +204,11 @@
             .pool
             .send(address, request, clock::Timestamp::MAX)
             .await?;
-        let body = answer.whole_body().await?;
+        let mut body = bytes::BytesMut::new();
+        while let Some(piece) = answer.next_piece().await? {
+            transfer.record(piece.len());
+            body.extend_from_slice(&piece);
+        }
         let age = answer
             .headers()
             .get(AGE_HEADER)
