--- a/components/relay/tests/list_deltas.rs
+++ b/components/relay/tests/list_deltas.rs
@@ -88,6 +88,24 @@
     assert_eq!(receiver.tracker().view().config_version(), 1);
 }
 
+#[test]
+fn drain_is_unknown_while_a_newer_configuration_is_missing() {
+    let (mut reader, mut receiver) = two_cores();
+    let config = relay::ViewChange::Config(common::config(2, vec![common::order_route()]));
+    reader.apply_store_read(at(500), at(500), common::view_changes(15, vec![config]));
+    receiver.apply_update(at(510), reader.full_update(at(505)));
+    let mut draining = common::engine("d2", relay::EngineStage::Decode, "b");
+    draining.leaving = true;
+    let drain = relay::ViewChange::Backend(draining);
+
+    reader.apply_store_read(at(1_000), at(1_000), common::view_changes(20, vec![drain]));
+    let behind = receiver.apply_update(at(1_010), reader.full_update(at(1_005)));
+
+    let engines = receiver.backends().table().values();
+    assert_eq!(engines.filter(|engine| engine.entry.leaving).count(), 1);
+    assert!(behind && receiver.tracker().view().config_version() == 1);
+}
+
 #[test]
 fn rejects_outdated_change() {
     let (mut reader, mut receiver) = two_cores();
