relay: apply changes of the list while a newer configuration is missing

Cause: list and configuration were one unit. A change of the list was applied only if the result had the sender's fingerprint, which includes the version of the configuration, and only at a revision after the change before it. An instance that still copied a configuration of 700 KB over 10 Mbit/s ignored every drain until the copy had ended.

Now the list is compared on its own: the fingerprint is computed with the sender's version. When the lists are equal, the position advances, so that the next change follows it, and the next read of the store is complete, since a watch from there would not return the configuration.

--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -160,9 +160,7 @@
         }
         self.usage_stale = true;
         if let Some(delta) = delta.filter(|_| has_view)
-            && self
-                .tracker
-                .apply_delta(now, &delta, announcement.fingerprint)
+            && self.tracker.apply_delta(now, &delta, &announcement)
         {
             self.apply_view(now);
         }
--- a/components/relay/src/site_view.rs
+++ b/components/relay/src/site_view.rs
@@ -30,8 +30,16 @@
     /// of the position.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
+        self.fingerprint_with(self.config_version())
+    }
+
+    /// Returns the fingerprint that the view would have with another version of the configuration.
+    ///
+    /// It tells whether another instance has the same list, whichever configuration that one has.
+    #[must_use]
+    pub fn fingerprint_with(&self, config_version: u64) -> u64 {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
-        hash.update(&self.config_version().to_le_bytes());
+        hash.update(&config_version.to_le_bytes());
         for entry in self.backends.values() {
             hash.update(entry.server.as_str().as_bytes());
             hash.update(entry.address.to_string().as_bytes());
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -94,21 +94,25 @@
             .map(|(_, delta)| delta)
     }
 
-    /// Applies a change of the list that another instance has read, if the result has the
-    /// `fingerprint` of that instance's view; returns whether the change was applied.
+    /// Applies a change of the list that another instance has read, if the result is that instance's
+    /// list; returns whether the change was applied.
+    ///
+    /// The instance may have another configuration, which takes longer to copy than a change of the
+    /// list.
     pub fn apply_delta(
         &mut self,
         now: clock::Timestamp,
         delta: &list_delta::ListDelta,
-        fingerprint: u64,
+        announcement: &view_announcement::ViewAnnouncement,
     ) -> bool {
-        let is_unknown = fingerprint != self.fingerprint;
+        let is_unknown = announcement.fingerprint != self.fingerprint;
         if self.as_of.is_none() || !delta.follows(self.view.position) || !is_unknown {
             return false;
         }
         let mut changed = self.view.clone();
         delta.apply(&mut changed.backends);
-        let matches = changed.fingerprint() == fingerprint;
+        let version = announcement.config_version;
+        let matches = changed.fingerprint_with(version) == announcement.fingerprint;
         if matches {
             for server in &delta.gone {
                 self.drop_entry(now, server);
@@ -188,12 +192,31 @@
         }
         let newer =
             announcement.position > own || announcement.config_version > self.view.config_version();
+        self.confirm_list(announcement);
         if newer {
             self.behind_since.get_or_insert(now);
         }
         newer
     }
 
+    /// Advances the position to that of another instance which has the same list and a newer
+    /// configuration, so that later changes of the list can be applied before the configuration
+    /// has been copied.
+    fn confirm_list(&mut self, announcement: &view_announcement::ViewAnnouncement) {
+        let version = announcement.config_version;
+        let is_ahead = announcement.position > self.view.position
+            && announcement.position.era == self.view.position.era
+            && version > self.view.config_version();
+        if self.as_of.is_none() || !is_ahead {
+            return;
+        }
+        if self.view.fingerprint_with(version) == announcement.fingerprint {
+            self.view.position = announcement.position;
+            // A watch from this position would not return the configuration.
+            self.needs_complete_read = true;
+        }
+    }
+
     /// Applies the view of another instance that was current `age` ago; returns whether the view
     /// changed. Of a view of an earlier era only a newer configuration is taken.
     pub fn apply_copy(
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -283,8 +283,12 @@
         ..relay::ListDelta::default()
     };
     delta.apply(&mut sender_view.backends);
+    let announced = relay::ViewAnnouncement {
+        config_version: 5,
+        ..announcement(13, sender_view.fingerprint(), ms(5))
+    };
 
-    let applied = tracker.apply_delta(at(5_500), &delta, sender_view.fingerprint());
+    let applied = tracker.apply_delta(at(5_500), &delta, &announced);
     tracker.expire(at(6_800));
 
     assert!(applied);
