client, gateway, platform: bound transfers by their progress

ConnectionPool::fetch bounds the time to the head, between two pieces and, far longer, for the whole body, which ends an answer without end. The age of a copied view now includes the time of its transfer.

--- /dev/null
+++ b/components/client/src/bounded_fetch.rs
@@ -0,0 +1,85 @@
+//! Receives whole answers over links of any rate.
+
+use std::{net, sync, time};
+
+use crate::{connection_pool, pooled_answer};
+
+/// Time limits of a whole answer. They bound the time without progress rather than the duration,
+/// so that a large answer also arrives over a slow link.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchLimits {
+    /// Time until the head of the answer arrives.
+    pub head: time::Duration,
+    /// Time between two pieces of the body.
+    pub pause: time::Duration,
+    /// Time for the whole body, which bounds an answer that never ends.
+    pub body: time::Duration,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct WholeAnswer {
+    /// Status of the answer.
+    pub status: http::StatusCode,
+    /// Header fields of the answer.
+    pub headers: http::HeaderMap,
+    /// Body of the answer.
+    pub body: bytes::Bytes,
+}
+
+impl connection_pool::ConnectionPool {
+    /// Sends a request once and receives the whole answer within `limits`; `on_piece` gets the size
+    /// of each piece of the body as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotSent` when no byte left, `Malformed` when the body is too large, and `Lost` for
+    /// every other failure.
+    pub async fn fetch(
+        self: &sync::Arc<Self>,
+        server: net::SocketAddr,
+        request: http::Request<connection_pool::WholeBody>,
+        limits: FetchLimits,
+        on_piece: impl FnMut(usize),
+    ) -> Result<WholeAnswer, border::BorderError> {
+        let sending = self.send(server, request, clock::Timestamp::MAX);
+        let mut answer = within(limits.head, "no answer", sending).await?;
+        let (status, headers) = (answer.status(), answer.headers().clone());
+        let receiving = receive_body(&mut answer, self.answer_limit_bytes(), limits, on_piece);
+        let body = within(limits.body, "no end of the body", receiving).await?;
+        Ok(WholeAnswer {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+async fn receive_body(
+    answer: &mut pooled_answer::PooledAnswer,
+    limit_bytes: usize,
+    limits: FetchLimits,
+    mut on_piece: impl FnMut(usize),
+) -> Result<bytes::Bytes, border::BorderError> {
+    let mut body = bytes::BytesMut::new();
+    while let Some(piece) = within(limits.pause, "no byte of the body", answer.next_piece()).await?
+    {
+        on_piece(piece.len());
+        if body.len() + piece.len() > limit_bytes {
+            return Err(border::BorderError::Malformed {
+                detail: format!("answer exceeds {limit_bytes} bytes"),
+            });
+        }
+        body.extend_from_slice(&piece);
+    }
+    Ok(body.freeze())
+}
+
+async fn within<T>(
+    limit: time::Duration,
+    missing: &str,
+    step: impl Future<Output = Result<T, border::BorderError>>,
+) -> Result<T, border::BorderError> {
+    let elapsed = |_| connection_pool::lost(format!("{missing} within {} ms", limit.as_millis()));
+    tokio::time::timeout(limit, step).await.map_err(elapsed)?
+}
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`border::BorderError::Lost`]. The gateways implement the traits of `border` over it. Nothing
 //! here sends a request twice.
 
+mod bounded_fetch;
 mod config_gateway;
 mod connection_pool;
 mod engine_gateway;
@@ -19,6 +20,7 @@
 mod token_lines;
 mod trace_scope;
 
+pub use bounded_fetch::{FetchLimits, WholeAnswer};
 pub use config_gateway::ConfigGateway;
 pub use connection_pool::ConnectionPool;
 pub use engine_gateway::EngineGateway;
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -18,8 +18,12 @@
 /// in progress.
 const PEER_COPY_DELAY: time::Duration = time::Duration::from_millis(150);
 
-/// Timeout of a request for the view of another instance.
-const PEER_COPY_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// Time limits of copying the view of another instance.
+const COPY_LIMITS: client::FetchLimits = client::FetchLimits {
+    head: time::Duration::from_millis(700),
+    pause: time::Duration::from_millis(700),
+    body: time::Duration::from_secs(3),
+};
 
 /// Identity of a view for the log: its content, and the era of the store from which it was read.
 #[derive(Clone, Copy, Eq, PartialEq)]
@@ -170,21 +174,21 @@
     async fn copy_view(&mut self, source: net::Ipv4Addr, before: ViewIdentity) {
         let address = net::SocketAddr::from((source, self.peer_port));
         let mut transfer = view_transfer::ViewTransfer::start(address);
-        let fetched = self.fetch(address, &mut transfer);
-        let copied = tokio::time::timeout(PEER_COPY_TIMEOUT, fetched).await;
-        let error = match copied {
-            Ok(Ok((view, age))) => {
+        match self.fetch(address, &mut transfer).await {
+            Ok((view, age)) => {
                 self.log_transfer("copied", &transfer);
+                // The view was current when the other instance began to send it.
+                let age = age + transfer.elapsed();
                 self.core
                     .decide_and_poll_queue(|core, now| core.apply_peer_view(now, view, age));
-                return self.log_view_change("instance", before);
+                self.log_view_change("instance", before);
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no view within the timeout".to_owned(),
-        };
-        self.log_transfer("failed", &transfer);
-        self.core.decide(|core, now| core.record_copy_failure(now));
-        self.log_dependency_lost("instance", &error);
+            Err(error) => {
+                self.log_transfer("failed", &transfer);
+                self.core.decide(|core, now| core.record_copy_failure(now));
+                self.log_dependency_lost("instance", &error.to_string());
+            }
+        }
     }
 
     fn log_transfer(&self, outcome: &'static str, transfer: &view_transfer::ViewTransfer) {
@@ -200,22 +204,19 @@
     ) -> Result<(relay::SiteView, time::Duration), border::BorderError> {
         let mut request = http::Request::new(http_body_util::Full::default());
         *request.uri_mut() = http::Uri::from_static(VIEW_PATH);
-        let mut answer = self
+        let answer = self
             .pool
-            .send(address, request, clock::Timestamp::MAX)
+            .fetch(address, request, COPY_LIMITS, |bytes| {
+                transfer.record(bytes);
+            })
             .await?;
-        let mut body = bytes::BytesMut::new();
-        while let Some(piece) = answer.next_piece().await? {
-            transfer.record(piece.len());
-            body.extend_from_slice(&piece);
-        }
         let age = answer
-            .headers()
+            .headers
             .get(AGE_HEADER)
             .and_then(|value| value.to_str().ok())
             .and_then(|value| value.parse().ok())
             .map(time::Duration::from_millis);
-        let view = serde_json::from_slice(&body).ok();
+        let view = serde_json::from_slice(&answer.body).ok();
         view.zip(age).ok_or_else(|| border::BorderError::Malformed {
             detail: "the answer contains no valid view".to_owned(),
         })
