gateway, relay: send other instances only what they lack, compressed, from fast links

Cause: a copy was always the whole view as text, from any instance that had it, so that instances on slow links sent it too.

Sources are the forwarders of the data centre if they have the view; after a failed copy any other instance.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod stream_opener;
 mod stream_session;
 mod stream_trace;
+mod view_message;
 mod view_reader;
 mod view_transfer;
 
--- a/components/gateway/src/shared_core.rs
+++ b/components/gateway/src/shared_core.rs
@@ -4,11 +4,14 @@
 
 use tokio::sync::oneshot;
 
-/// View as sent to other instances.
+use crate::view_message;
+
+/// View as sent to other instances, in the forms that they have asked for.
+#[derive(Default)]
 struct EncodedView {
     position: relay::ViewPosition,
     fingerprint: u64,
-    bytes: bytes::Bytes,
+    forms: collections::BTreeMap<view_message::ViewForm, bytes::Bytes>,
 }
 
 /// Shares the relay core among the tasks of an instance.
@@ -21,7 +24,7 @@
         collections::BTreeMap<relay::QueueTicket, oneshot::Sender<relay::PlacementOutcome>>,
     >,
     /// Last view that was sent to another instance.
-    encoded_view: sync::Mutex<Option<EncodedView>>,
+    encoded_view: sync::Mutex<EncodedView>,
     /// Wakes the task that sends state updates to the other instances.
     pub(crate) state_changed: tokio::sync::Notify,
     /// Wakes the task that reads the platform's store.
@@ -60,30 +63,32 @@
         decision(&mut lock(&self.core), now)
     }
 
-    /// Returns the view as JSON. Views are encoded once, since many instances copy the same one.
+    /// Returns the encoded view. Views are encoded once, since many instances copy the same one.
     ///
     /// # Errors
     ///
     /// Returns the codec's error when the view can't be encoded.
-    pub fn encoded_view(&self) -> Result<bytes::Bytes, serde_json::Error> {
-        let (position, fingerprint) = self.decide(|core, _| {
+    pub(crate) fn encoded_view(
+        &self,
+        form: view_message::ViewForm,
+    ) -> Result<bytes::Bytes, serde_json::Error> {
+        let (view, fingerprint) = self.decide(|core, _| {
             let tracker = core.tracker();
-            (tracker.view().position, tracker.fingerprint())
+            (tracker.view().clone(), tracker.fingerprint())
         });
         let mut encoded = lock(&self.encoded_view);
-        let current = encoded
-            .as_ref()
-            .filter(|view| (view.position, view.fingerprint) == (position, fingerprint));
-        if let Some(view) = current {
-            return Ok(view.bytes.clone());
+        if (encoded.position, encoded.fingerprint) != (view.position, fingerprint) {
+            *encoded = EncodedView {
+                position: view.position,
+                fingerprint,
+                ..EncodedView::default()
+            };
         }
-        let view = self.decide(|core, _| core.tracker().view().clone());
-        let bytes = bytes::Bytes::from(serde_json::to_vec(&view)?);
-        *encoded = Some(EncodedView {
-            position,
-            fingerprint,
-            bytes: bytes.clone(),
-        });
+        if let Some(bytes) = encoded.forms.get(&form) {
+            return Ok(bytes.clone());
+        }
+        let bytes = view_message::encode(view, form)?;
+        encoded.forms.insert(form, bytes.clone());
         Ok(bytes)
     }
 
--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -5,15 +5,10 @@
 use http_body_util::BodyExt as _;
 
 use crate::{
-    decision_event, decision_log, gateway_metrics, shared_core, site_source, view_transfer,
+    decision_event, decision_log, gateway_metrics, shared_core, site_source, view_message,
+    view_transfer,
 };
 
-/// Path at which an instance serves its view to other instances.
-pub const VIEW_PATH: &str = "/view";
-
-/// Header field with the age of a view in milliseconds.
-pub const AGE_HEADER: &str = "view-age-ms";
-
 /// Delay after which an outdated view is copied from another instance while a read of the store is
 /// in progress.
 const PEER_COPY_DELAY: time::Duration = time::Duration::from_millis(150);
@@ -185,7 +180,8 @@
             }
             Err(error) => {
                 self.log_transfer("failed", &transfer);
-                self.core.decide(|core, now| core.record_copy_failure(now));
+                self.core
+                    .decide(|core, now| core.record_copy_failure(now, source));
                 self.log_dependency_lost("instance", &error.to_string());
             }
         }
@@ -202,24 +198,20 @@
         address: net::SocketAddr,
         transfer: &mut view_transfer::ViewTransfer,
     ) -> Result<(relay::SiteView, time::Duration), border::BorderError> {
-        let mut request = http::Request::new(http_body_util::Full::default());
-        *request.uri_mut() = http::Uri::from_static(VIEW_PATH);
+        let version = self
+            .core
+            .decide(|core, _| core.tracker().view().config_version());
+        let request =
+            view_message::request(version).map_err(|error| border::BorderError::NotSent {
+                detail: error.to_string(),
+            })?;
         let answer = self
             .pool
             .fetch(address, request, COPY_LIMITS, |bytes| {
                 transfer.record(bytes);
             })
             .await?;
-        let age = answer
-            .headers
-            .get(AGE_HEADER)
-            .and_then(|value| value.to_str().ok())
-            .and_then(|value| value.parse().ok())
-            .map(time::Duration::from_millis);
-        let view = serde_json::from_slice(&answer.body).ok();
-        view.zip(age).ok_or_else(|| border::BorderError::Malformed {
-            detail: "the answer contains no valid view".to_owned(),
-        })
+        view_message::decode(&answer, self.pool.answer_limit_bytes())
     }
 
     /// Logs the view if it isn't the one `before`.
@@ -287,19 +279,23 @@
     core: &shared_core::SharedCore,
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<http::Response<http_body_util::Full<bytes::Bytes>>, serde_json::Error> {
-    let is_view = request.uri().path() == VIEW_PATH;
+    let is_view = request.uri().path() == view_message::VIEW_PATH;
+    let (age, own_version) = core.decide(|core, now| {
+        let tracker = core.tracker();
+        (tracker.age(now), tracker.view().config_version())
+    });
+    let form = view_message::ViewForm::requested(&request, own_version);
     // The body is ignored, but has to be read before the connection can be reused.
     let _body = request.into_body().collect().await;
-    let age = core.decide(|core, now| core.tracker().age(now));
-    let mut response = http::Response::new(http_body_util::Full::default());
     let Some(age) = age.filter(|_| is_view) else {
+        let mut response = http::Response::new(http_body_util::Full::default());
         *response.status_mut() = http::StatusCode::NOT_FOUND;
         return Ok(response);
     };
-    *response.body_mut() = core.encoded_view()?.into();
-    response.headers_mut().insert(
-        AGE_HEADER,
-        http::HeaderValue::from(crate::gateway::millis(age)),
-    );
-    Ok(response)
+    let body = core.encoded_view(form)?;
+    Ok(view_message::answer(
+        body,
+        form,
+        crate::gateway::millis(age),
+    ))
 }
--- a/components/gateway/tests/view_copies.rs
+++ b/components/gateway/tests/view_copies.rs
@@ -86,7 +86,7 @@
             .build(),
     );
     for peer in peers {
-        core.apply_update(clock.now(), update(*peer));
+        core.apply_update(clock.now(), update(*peer, 1));
     }
     let core = sync::Arc::new(gateway::SharedCore::new(core, sync::Arc::clone(&clock)));
     let writer = logs::LineWriter::start(io::sink()).expect("the log writer starts");
@@ -100,14 +100,25 @@
         PEER_PORT,
     );
     tokio::spawn(reader.run());
+    tokio::spawn(keep_alive(sync::Arc::clone(&core), peers.to_vec()));
     core
 }
 
-fn update(peer: net::Ipv4Addr) -> relay::InstanceUpdate {
+/// Applies state updates of the peers at intervals, so that they count as alive.
+async fn keep_alive(core: sync::Arc<gateway::SharedCore>, peers: Vec<net::Ipv4Addr>) {
+    for sequence in 2.. {
+        tokio::time::sleep(time::Duration::from_millis(250)).await;
+        for peer in &peers {
+            core.decide(|core, now| core.apply_update(now, update(*peer, sequence)));
+        }
+    }
+}
+
+fn update(peer: net::Ipv4Addr, sequence: u64) -> relay::InstanceUpdate {
     relay::InstanceUpdate::builder()
         .address(peer)
         .incarnation(1)
-        .sequence(1)
+        .sequence(sequence)
         .position(relay::ViewPosition::new(0, 10))
         .config_version(7)
         .fingerprint(view(7).fingerprint())
@@ -133,3 +144,14 @@
 
     assert!(is_in_force(&core, time::Duration::from_secs(3)).await);
 }
+
+#[tokio::test]
+async fn view_without_end_keeps_an_instance_from_copying_another() {
+    let [endless, whole] = [2, 3].map(|host| net::Ipv4Addr::new(127, 9, 1, host));
+    start_peer(endless, 2, false).await;
+    start_peer(whole, 2, true).await;
+
+    let core = start_reader(&[endless, whole]);
+
+    assert!(is_in_force(&core, time::Duration::from_secs(8)).await);
+}
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -3,8 +3,8 @@
 use std::{net, time};
 
 use crate::{
-    instance_update, known_instance, read_schedule, relay_core, sent_state, service_estimate,
-    site_view, view_change,
+    fleet_topology, instance_update, known_instance, read_schedule, relay_core, sent_state,
+    service_estimate, site_view, view_change,
 };
 
 /// Largest number of other instances at which every full update lists all of them.
@@ -85,19 +85,42 @@
         (is_first && asks_others).then(|| clock::Timestamp::default() + FIRST_READ_DELAY)
     }
 
-    /// Returns the instance whose view is copied.
+    /// Returns the instance whose view is copied: a forwarder if one has the newest view, since many
+    /// instances copy at the same time and forwarders have the fastest links. After a failed copy,
+    /// any other instance.
     pub fn copy_source(&mut self, now: clock::Timestamp) -> Option<net::Ipv4Addr> {
         let version = self.tracker.view().config_version();
-        let sources = self
+        let mut sources = self
             .instances
             .newest_view_sources(now, version, self.data_centre_hash);
-        let index = rand::RngExt::random_range(&mut self.random, 0..sources.len().max(1));
-        sources.get(index).copied()
+        let failed = self.tracker.failed_copy_source();
+        if sources.len() > 1 {
+            sources.retain(|source| Some(*source) != failed);
+        }
+        let forwarders: Vec<net::Ipv4Addr> = sources
+            .iter()
+            .copied()
+            .filter(|source| failed.is_none() && self.ranks_as_forwarder(*source))
+            .collect();
+        let candidates = if forwarders.is_empty() {
+            sources
+        } else {
+            forwarders
+        };
+        let index = rand::RngExt::random_range(&mut self.random, 0..candidates.len().max(1));
+        candidates.get(index).copied()
+    }
+
+    fn ranks_as_forwarder(&self, address: net::Ipv4Addr) -> bool {
+        let centre = self.instances.data_centre(address);
+        centre.is_some_and(|centre| {
+            self.topology.position(centre, address) < fleet_topology::FORWARDERS_PER_CENTRE
+        })
     }
 
-    /// Records a failed copy of another instance's view.
-    pub const fn record_copy_failure(&mut self, now: clock::Timestamp) {
-        self.tracker.record_copy_failure(now);
+    /// Records a failed copy of the view of the instance `source`.
+    pub const fn record_copy_failure(&mut self, now: clock::Timestamp, source: net::Ipv4Addr) {
+        self.tracker.record_copy_failure(now, source);
     }
 
     /// Returns whether another instance has a newer view.
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -3,7 +3,7 @@
 mod list_changes;
 mod view_schedule;
 
-use std::{collections, time};
+use std::{collections, net, time};
 
 use crate::{list_delta, removed_entries, site_view, view_announcement, view_change};
 
@@ -26,8 +26,8 @@
     read_at: Option<clock::Timestamp>,
     /// Time of the last failed read, if none has succeeded since.
     read_failed_at: Option<clock::Timestamp>,
-    /// Time of the last failed copy, if none has succeeded since.
-    copy_failed_at: Option<clock::Timestamp>,
+    /// Time and source of the last failed copy, if none has succeeded since.
+    failed_copy: Option<(clock::Timestamp, net::Ipv4Addr)>,
     /// Entries that expired during an outage of the store, with the end of their grace period.
     expiring: collections::BTreeMap<ids::ServerName, clock::Timestamp>,
     /// Entries that were removed from the list.
@@ -168,7 +168,7 @@
         self.read_at = Some(sent_at);
         self.behind_since = None;
         self.read_failed_at = None;
-        self.copy_failed_at = None;
+        self.failed_copy = None;
         self.is_restored = false;
         self.needs_complete_read &= !update.complete;
         self.update_fingerprint()
@@ -230,7 +230,7 @@
             self.apply_config(config);
         }
         self.behind_since = None;
-        self.copy_failed_at = None;
+        self.failed_copy = None;
         let is_fresher = self.as_of.is_none_or(|own| as_of > own);
         let is_newer = view.position > self.view.position;
         if is_newer || (is_fresher && view.position == self.view.position) {
--- a/components/relay/src/view_tracker/view_schedule.rs
+++ b/components/relay/src/view_tracker/view_schedule.rs
@@ -1,5 +1,7 @@
 //! Times of the next read of the store and of the next copy of another instance's view.
 
+use std::net;
+
 use crate::{read_schedule, view_tracker};
 
 impl view_tracker::ViewTracker {
@@ -25,7 +27,8 @@
     #[must_use]
     pub fn next_copy_at(&self, now: clock::Timestamp, position: usize) -> Option<clock::Timestamp> {
         let behind_since = self.behind_since?;
-        let copy_at = read_schedule::copy_at(behind_since, position, self.copy_failed_at);
+        let failed_at = self.failed_copy.map(|(failed_at, _)| failed_at);
+        let copy_at = read_schedule::copy_at(behind_since, position, failed_at);
         let gives_up = now >= read_schedule::read_instead_at(behind_since);
         Some(copy_at).filter(|_| !gives_up)
     }
@@ -50,9 +53,14 @@
             .map(|_| self.view.position.revision)
     }
 
-    /// Records a failed copy of another instance's view.
-    pub const fn record_copy_failure(&mut self, now: clock::Timestamp) {
-        self.copy_failed_at = Some(now);
+    /// Records a failed copy of the view of the instance `source`.
+    pub const fn record_copy_failure(&mut self, now: clock::Timestamp, source: net::Ipv4Addr) {
+        self.failed_copy = Some((now, source));
+    }
+
+    /// Returns the source of the last copy if it failed.
+    pub(crate) fn failed_copy_source(&self) -> Option<net::Ipv4Addr> {
+        self.failed_copy.map(|(_, source)| source)
     }
 
     /// Records a failed read.
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time;
+use std::{collections, time};
 
 use common::{at, ms};
 
@@ -294,3 +294,48 @@
     assert!(applied);
     assert_eq!(listed_servers(&tracker), ["s3"]);
 }
+
+/// Returns a core without a view, in a data centre of instances of the given capacities that all
+/// have the same view. The numbers of the instances start at 10.
+fn core_beside(capacities: &[u32]) -> relay::RelayCore {
+    let mut core = common::core_of(1);
+    for (number, capacity) in (10..).zip(capacities) {
+        let update = relay::InstanceUpdate {
+            capacity: *capacity,
+            data_centre: relay::data_centre_hash(&"a".into()),
+            config_version: 5,
+            fingerprint: 77,
+            position: relay::ViewPosition::new(0, 10),
+            ..common::instance_update(number, 1)
+        };
+        core.apply_update(at(0), update);
+    }
+    core
+}
+
+#[test]
+fn copies_fill_the_links_of_small_instances() {
+    let mut core = core_beside(&[1, 500, 2, 400, 1, 1, 2]);
+    core.next_view_step(at(10));
+
+    let sources: collections::BTreeSet<_> =
+        (0..60).filter_map(|_| core.copy_source(at(10))).collect();
+
+    assert_eq!(
+        sources,
+        collections::BTreeSet::from([common::instance(11), common::instance(13)])
+    );
+}
+
+#[test]
+fn failed_copy_is_repeated_from_the_same_instance() {
+    let mut core = core_beside(&[500, 400, 1]);
+    core.next_view_step(at(10));
+    let failed = core.copy_source(at(10)).expect("there are sources");
+
+    core.record_copy_failure(at(10), failed);
+
+    let sources: Vec<_> = (0..60).filter_map(|_| core.copy_source(at(20))).collect();
+    assert_eq!(sources.len(), 60);
+    assert!(!sources.contains(&failed));
+}
