relay, gateway, platform: quarantine segments of prompts that crash engines

Cause: each failure was judged for its request and its engine alone. Nothing related the crashes of several engines to what the prompts had in common, so that each such prompt was sent to two engines, and again when its caller asked again.

An instance now reports each request whose engine broke off before the first event, with the segments of its prompt (all but the last). Reports go to all instances in full updates; the answer to a prompt clears its segments everywhere. Three crashes 200 ms apart under different requests, with no answer to a prompt with the segment and with an answer to one without it, quarantine the segment for ten minutes; later one crash suffices. Such prompts are refused as not run, with the remaining time; they aren't retried. Segments that sound prompts share are cleared by these, so other prompts with the same first segment are served on. Instances of earlier releases ignore the new field.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod buffered_reply;
 mod call_session;
+mod crash_message;
 mod decision_event;
 mod decision_log;
 mod estimate_message;
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{estimate_message, queue_message};
+use crate::{crash_message, estimate_message, queue_message};
 
 /// Maximum size of a change of the platform's list of backend servers in a state update, in bytes.
 const MAX_DELTA_BYTES: usize = 4 * 1024;
@@ -102,6 +102,8 @@
     /// Hashes of the incarnations of servers that the sender can't reach.
     #[prost(fixed64, repeated, tag = "29")]
     unreachable: Vec<u64>,
+    #[prost(message, optional, tag = "30")]
+    crashes: Option<crash_message::CrashMessage>,
 }
 
 /// Number of requests and retries of one service.
@@ -183,6 +185,7 @@
         paused: update.paused.clone(),
         draining: update.draining.clone(),
         unreachable: update.unreachable.clone(),
+        crashes: crash_message::encode(&update.crashes),
         estimates: update
             .estimates
             .iter()
@@ -258,6 +261,12 @@
         .paused(message.paused)
         .draining(message.draining)
         .unreachable(message.unreachable)
+        .crashes(
+            message
+                .crashes
+                .map(crash_message::decode)
+                .unwrap_or_default(),
+        )
         .estimates(
             message
                 .estimates
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -32,6 +32,10 @@
     pub time_left: time::Duration,
     /// Sizes, if the request is a generation.
     pub size: Option<GenerationSize>,
+    /// Segments of the prompt from [`relay::segment_hash`], without the last one, which is the
+    /// request's own.
+    #[builder(default)]
+    pub segments: Vec<u64>,
     /// Number of the last event that the caller has received in an earlier attempt.
     pub resume_after: Option<u64>,
 }
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -109,6 +109,11 @@
         };
         loop {
             let started = self.gateway.core.now();
+            if let Some(refusal) = self.quarantine_refusal() {
+                guard.release(relay::BackendOutcome::Abandoned);
+                self.free_prefill_result(&mut prefill);
+                return Err(OpenError::Refused(refusal));
+            }
             let failed = match self.attempt(&mut guard, &mut prefill, next).await {
                 Ok(stream) => return Ok(PlacedStream { guard, stream }),
                 Err(failed) => failed,
@@ -148,6 +153,7 @@
             .gateway
             .core
             .decide(|core, now| core.may_receive(now, failed.engine));
+        self.report_crash(&failure);
         let next = self.allowed_step(&failure, failure.preferred_step());
         if next == relay::NextStep::Restart {
             self.excluded.push(failed.engine);
@@ -170,6 +176,28 @@
         next
     }
 
+    /// Reports an engine that broke off before the first event of its answer.
+    fn report_crash(&self, failure: &relay::StepFailure) {
+        let is_crash = failure.step == relay::StreamStep::Decode
+            && failure.outcome == relay::BackendOutcome::Broken;
+        let request = &self.routed.request;
+        if !is_crash || request.segments.is_empty() {
+            return;
+        }
+        let hash = relay::request_hash(&request.id);
+        self.gateway
+            .core
+            .decide(|core, now| core.record_crash(now, hash, &request.segments));
+        self.gateway.core.state_changed.notify_one();
+    }
+
+    fn quarantine_refusal(&self) -> Option<relay::Refusal> {
+        let segments = &self.routed.request.segments;
+        self.gateway
+            .core
+            .decide(|core, now| core.quarantine_refusal(now, segments))
+    }
+
     /// Returns the preferred step, or the reason for which no retry is allowed. An allowed retry is
     /// counted against the retry limit.
     fn allowed_step(
@@ -192,6 +220,9 @@
         if !may_run {
             return relay::NextStep::MayHaveRun;
         }
+        if self.quarantine_refusal().is_some() {
+            return relay::NextStep::Quarantine;
+        }
         let service = &self.routed.service;
         let cost = self.counts.cost(preferred);
         let granted = self
@@ -230,6 +261,7 @@
             .wait_until(self.wait_until())
             .resumes(self.trace.has_started())
             .maybe_warm_prefill(self.warm_prefill.map(|(engine, _)| engine))
+            .segments(self.routed.request.segments.clone())
             .avoid(self.excluded.clone())
             .build();
         let outcome = self.gateway.core.request_placement(request).await;
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -155,6 +155,12 @@
     fn finish(&mut self) {
         if let Some(mut placed) = self.placed.take() {
             placed.guard.release(relay::BackendOutcome::Succeeded);
+            let opener = &self.opener;
+            let segments = &opener.routed.request.segments;
+            opener
+                .gateway
+                .core
+                .decide(|core, now| core.record_answer(now, segments));
         }
         self.opener.trace.ended("relayed", None, Some(200), None);
     }
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -3,8 +3,8 @@
 use std::{net, time};
 
 use crate::{
-    backend_entry, engine_usage, known_instance, list_delta, queue_update, service_estimate,
-    view_announcement, view_position,
+    backend_entry, crash_report, engine_usage, known_instance, list_delta, queue_update,
+    service_estimate, view_announcement, view_position,
 };
 
 /// State update of one instance, sent to the others in one datagram.
@@ -69,6 +69,9 @@
     /// Servers to which the sender can't open connections, by [`incarnation_hash`].
     #[builder(default)]
     pub unreachable: Vec<u64>,
+    /// What the sender knows of segments that crash engines. Partial updates omit it.
+    #[builder(default)]
+    pub crashes: crash_report::CrashNotice,
     /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
     #[builder(default)]
     pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
--- a/components/relay/src/next_step.rs
+++ b/components/relay/src/next_step.rs
@@ -42,6 +42,8 @@
     MayHaveRun,
     /// Give up: the retry bound is exhausted.
     RetryBound,
+    /// Give up: the prompt has a segment that crashes engines.
+    Quarantine,
 }
 
 impl NextStep {
--- a/components/relay/src/refusal.rs
+++ b/components/relay/src/refusal.rs
@@ -21,6 +21,8 @@
     QueueTimeout,
     /// The retry bound is exhausted.
     RetryBound,
+    /// The prompt has a segment that crashes engines.
+    Quarantine,
     /// The instance is draining.
     ShuttingDown,
 }
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -4,6 +4,7 @@
 mod core_estimates;
 mod core_notices;
 mod core_orders;
+mod core_quarantine;
 mod core_queue;
 mod core_refusals;
 mod core_routes;
@@ -16,8 +17,8 @@
 
 use crate::{
     backend, backend_registry, core_settings, fleet_topology, instance_registry, known_instance,
-    order_gate, route_rule, sent_state, service_estimate, site_config, stage_planner, stream_lease,
-    view_tracker, wait_queue,
+    order_gate, route_rule, segment_quarantine, sent_state, service_estimate, site_config,
+    stage_planner, stream_lease, view_tracker, wait_queue,
 };
 
 pub use core_calls::ServerSelection;
@@ -69,6 +70,7 @@
     estimates_combined_at: Option<clock::Timestamp>,
     order_gate: order_gate::OrderGate,
     planners: collections::BTreeMap<ids::ServiceName, stage_planner::StagePlanner>,
+    quarantine: segment_quarantine::SegmentQuarantine,
     /// Time and fencing number of this instance's last order.
     last_order: Option<(clock::Timestamp, u64)>,
     /// Lower bound of the next fencing number.
@@ -120,6 +122,7 @@
             estimates_combined_at: None,
             order_gate: order_gate::OrderGate::default(),
             planners: collections::BTreeMap::new(),
+            quarantine: segment_quarantine::SegmentQuarantine::default(),
             last_order: None,
             fence_floor: 0,
             selection_seed,
--- a/components/relay/src/relay_core/core_queue.rs
+++ b/components/relay/src/relay_core/core_queue.rs
@@ -75,6 +75,9 @@
                 core_refusals::NO_ENGINE_RETRY_DELAY,
             ));
         };
+        if let Some(refusal) = self.quarantine_refusal(now, &request.segments) {
+            return PlacementOutcome::Refused(refusal);
+        }
         self.refresh_stale_usage(now);
         let decode = Some(backend_entry::EngineStage::Decode);
         if let Some(refusal) = self.backoff_refusal(now, &request.service, decode) {
@@ -147,6 +150,7 @@
             );
         }
         self.refuse_backed_off(now, &mut outcomes);
+        self.refuse_quarantined(now, &mut outcomes);
         if !self.queue.waiting().is_empty() {
             self.refresh_stale_usage(now);
             self.place_in_order(now, &mut outcomes);
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -175,6 +175,7 @@
         mut update: instance_update::InstanceUpdate,
     ) -> bool {
         let delta = update.delta.take();
+        let crashes = std::mem::take(&mut update.crashes);
         let announcement = update.announcement();
         let decode_rate = self.decode_rate();
         let has_view = !update.partial && update.fingerprint != 0;
@@ -182,6 +183,7 @@
             return false;
         }
         self.usage_stale = true;
+        self.quarantine.apply_notice(now, &crashes);
         if let Some(delta) = delta.filter(|_| has_view)
             && self.tracker.apply_delta(now, &delta, &announcement)
         {
@@ -222,12 +224,22 @@
     /// update where that suffices, otherwise a full one. Partial updates are smaller, so they reach
     /// a large fleet sooner over slow links.
     pub fn due_update(&mut self, now: clock::Timestamp) -> instance_update::InstanceUpdate {
+        let crashes = self.quarantine.notice(now);
         let state = sent_state::FullState {
             fingerprint: self.tracker.fingerprint(),
             fence: self.last_order.map_or(0, |(_, fence)| fence),
             paused: self.backends.own_paused(now),
             draining: self.backends.reported_draining(),
             unreachable: self.backends.own_unreachable(now),
+            crash_reports: crashes.reports,
+            segments: [
+                crashes.cleared,
+                crashes
+                    .quarantined
+                    .into_iter()
+                    .map(|(segment, _)| segment)
+                    .collect(),
+            ],
         };
         let interval = self.full_update_interval(now);
         if self.sent_state.needs_full_update(now, interval, &state) || self.draining {
@@ -291,6 +303,7 @@
             .paused(self.backends.own_paused(now))
             .draining(self.backends.reported_draining())
             .unreachable(self.backends.own_unreachable(now))
+            .crashes(self.quarantine.notice(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
                 self.last_order
--- a/components/relay/src/sent_state.rs
+++ b/components/relay/src/sent_state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::engine_usage;
+use crate::{crash_report, engine_usage};
 
 /// State that only full updates contain; a change of it makes a full update due.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -17,6 +17,10 @@
     pub(crate) draining: Vec<u64>,
     /// Servers that can't be reached.
     pub(crate) unreachable: Vec<u64>,
+    /// Reports of crashes.
+    pub(crate) crash_reports: Vec<crash_report::CrashReport>,
+    /// Cleared segments, then quarantined ones.
+    pub(crate) segments: [Vec<u64>; 2],
 }
 
 /// State that this instance has last sent to the others, from which partial updates are computed.
