gateway: give up an engine whose event has no end

A caller whose engine sent bytes without end got 504 at its deadline, and the instance held them all: with a body that contains no end of an event, the splitter waited and grew until the deadline (14 s at the users' routes).

An event is now at most 1 MiB; what is longer counts as a broken stream, which is retried like any other. Calls were bounded before (4 MiB), heads by the HTTP library.

--- a/components/gateway/src/event_splitter.rs
+++ b/components/gateway/src/event_splitter.rs
@@ -1,5 +1,8 @@
 //! Splits a stream of server-sent events into complete events.
 
+/// Maximum size of an event in bytes. What is longer is no event, and may have no end.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// One server-sent event.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StreamEvent {
@@ -19,8 +22,18 @@
 
 impl EventSplitter {
     /// Appends received bytes.
-    pub fn push(&mut self, chunk: &[u8]) {
+    ///
+    /// # Errors
+    ///
+    /// Returns `Malformed` when the bytes contain no end of an event within the maximum size.
+    pub fn push(&mut self, chunk: &[u8]) -> Result<(), border::BorderError> {
         self.pending.extend_from_slice(chunk);
+        if self.pending.len() > MAX_EVENT_BYTES && self.find_end().is_none() {
+            return Err(border::BorderError::Malformed {
+                detail: format!("an event exceeds {MAX_EVENT_BYTES} bytes"),
+            });
+        }
+        Ok(())
     }
 
     /// Returns whether a complete event is available.
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -50,7 +50,7 @@
         let chunk = body.next().await.ok_or_else(|| border::BorderError::Lost {
             detail: "the stream ended before its first event".to_owned(),
         })?;
-        splitter.push(&chunk?);
+        splitter.push(&chunk?)?;
     }
     Ok(StartedStream {
         status: reply.status,
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -113,10 +113,10 @@
             };
             let (outcome, error) =
                 match tokio::time::timeout(timeout, placed.stream.body.next()).await {
-                    Ok(Some(Ok(chunk))) => {
-                        placed.stream.splitter.push(&chunk);
-                        continue;
-                    }
+                    Ok(Some(Ok(chunk))) => match placed.stream.splitter.push(&chunk) {
+                        Ok(()) => continue,
+                        Err(error) => (relay::BackendOutcome::Broken, error.to_string()),
+                    },
                     Ok(None) if placed.stream.splitter.is_empty() => {
                         self.finish();
                         return Ok(None);
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -12,7 +12,7 @@
     let mut splitter = gateway::EventSplitter::default();
     let mut events = Vec::new();
     for chunk in chunks {
-        splitter.push(chunk);
+        splitter.push(chunk).expect("the events are small");
         events.extend(std::iter::from_fn(|| splitter.next_event()));
     }
     (events, splitter.is_empty())
