gateway: log crashes under prompts and changes of the quarantine

An operator could not see from the log why a prompt is refused, nor which prompts have a segment in common. crash_reported names request, engine and the hashes of the segments, quarantine_changed the quarantined ones with the remaining time; the gauge relay_quarantined_segments counts them.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -1,5 +1,7 @@
 //! Events of the decision log.
 
+use std::time;
+
 /// One event of the decision log.
 ///
 /// Times are in milliseconds. Ages are those of the data on which a decision was based.
@@ -238,6 +240,23 @@
         /// Next step: a kind of retry, or the reason for giving up.
         next: &'a str,
     },
+    /// An engine broke off before the first event of an answer, which makes the segments of the
+    /// prompt suspects.
+    CrashReported {
+        /// Id of the request.
+        id: &'a str,
+        /// Name of the engine.
+        server: &'a str,
+        /// Hashes of the prompt's segments, without the last one.
+        segments: Vec<String>,
+    },
+    /// The quarantine of prompt segments that crash engines changed.
+    QuarantineChanged {
+        /// Hashes of all quarantined segments.
+        segments: Vec<String>,
+        /// Longest remaining time.
+        remaining_ms: u64,
+    },
     /// A request was answered, or its caller disconnected.
     Ended {
         /// Id of the request.
@@ -285,6 +304,27 @@
 }
 
 impl<'a> DecisionEvent<'a> {
+    /// Creates the event for an engine that broke off before its first event.
+    pub(crate) fn crash_reported(id: &'a str, server: &'a str, segments: &[u64]) -> Self {
+        Self::CrashReported {
+            id,
+            server,
+            segments: segments.iter().map(hash_text).collect(),
+        }
+    }
+
+    /// Creates the event for a changed quarantine.
+    pub(crate) fn quarantine_changed(quarantined: &[(u64, time::Duration)]) -> Self {
+        let remaining = quarantined.iter().map(|(_, remaining)| *remaining).max();
+        Self::QuarantineChanged {
+            segments: quarantined
+                .iter()
+                .map(|(segment, _)| hash_text(segment))
+                .collect(),
+            remaining_ms: crate::gateway::millis(remaining.unwrap_or_default()),
+        }
+    }
+
     /// Creates the event for a view that was adopted from `source`.
     pub(crate) fn view_changed(source: &'a str, view: &relay::SiteView) -> Self {
         Self::ViewChanged {
@@ -297,3 +337,7 @@
         }
     }
 }
+
+fn hash_text(hash: &u64) -> String {
+    format!("{hash:016x}")
+}
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -33,6 +33,7 @@
     failed_attempts: family::Family<NameLabel, counter::Counter>,
     store_reads: family::Family<NameLabel, counter::Counter>,
     copied_bytes: family::Family<NameLabel, counter::Counter>,
+    quarantined: gauge::Gauge,
     view_age: gauge::Gauge<f64, atomic::AtomicU64>,
     config_version: gauge::Gauge,
     store_era: gauge::Gauge,
@@ -51,6 +52,7 @@
         let failed_attempts = family::Family::default();
         let store_reads = family::Family::default();
         let copied_bytes = family::Family::default();
+        let quarantined = gauge::Gauge::default();
         let view_age = gauge::Gauge::default();
         let config_version = gauge::Gauge::default();
         let store_era = gauge::Gauge::default();
@@ -80,6 +82,11 @@
             "Bytes received of other instances' views, by outcome",
             copied_bytes.clone(),
         );
+        registry.register(
+            "relay_quarantined_segments",
+            "Prompt segments in quarantine because they crash engines",
+            quarantined.clone(),
+        );
         registry.register(
             "relay_view_age_seconds",
             "Age of the view of the platform",
@@ -123,6 +130,7 @@
             failed_attempts,
             store_reads,
             copied_bytes,
+            quarantined,
             view_age,
             config_version,
             store_era,
@@ -192,6 +200,9 @@
             .set(signed(core.tracker().view().config_version()));
         self.store_era
             .set(signed(core.tracker().view().position.era));
+        let quarantined = core.quarantine().quarantined(now).len();
+        self.quarantined
+            .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let live = core.instances().live_count(now);
         self.instances.set(i64::try_from(live).unwrap_or(i64::MAX));
         for (service, left) in core.retries_left(now) {
--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -113,9 +113,11 @@
     /// Sends state updates on changes and at intervals; runs until the process exits.
     pub async fn run_sender(&self) {
         let mut count_and_rank = (0, 0);
+        let mut quarantined = Vec::new();
         loop {
             self.send_update().await;
             count_and_rank = self.log_instance_change(count_and_rank);
+            quarantined = self.log_quarantine_change(quarantined);
             let (interval, window) = if self.is_forwarding.load(sync::atomic::Ordering::Relaxed) {
                 (FORWARDER_INTERVAL, FORWARDER_WINDOW)
             } else {
@@ -212,6 +214,21 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Logs the quarantined segments if they aren't those `before`, and returns them.
+    fn log_quarantine_change(&self, before: Vec<u64>) -> Vec<u64> {
+        let quarantined = self
+            .core
+            .decide(|core, now| core.quarantine().quarantined(now));
+        let segments: Vec<u64> = quarantined.iter().map(|(segment, _)| *segment).collect();
+        if segments != before {
+            self.log
+                .write(&decision_event::DecisionEvent::quarantine_changed(
+                    &quarantined,
+                ));
+        }
+        segments
+    }
+
     fn log_instance_change(&self, before: (usize, usize)) -> (usize, usize) {
         let current = self.core.decide(|core, now| {
             let instances = core.instances();
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -153,7 +153,7 @@
             .gateway
             .core
             .decide(|core, now| core.may_receive(now, failed.engine));
-        self.report_crash(&failure);
+        self.report_crash(failed);
         let next = self.allowed_step(&failure, failure.preferred_step());
         if next == relay::NextStep::Restart {
             self.excluded.push(failed.engine);
@@ -177,9 +177,9 @@
     }
 
     /// Reports an engine that broke off before the first event of its answer.
-    fn report_crash(&self, failure: &relay::StepFailure) {
-        let is_crash = failure.step == relay::StreamStep::Decode
-            && failure.outcome == relay::BackendOutcome::Broken;
+    fn report_crash(&self, failed: &StepError) {
+        let is_crash = failed.failure.step == relay::StreamStep::Decode
+            && failed.failure.outcome == relay::BackendOutcome::Broken;
         let request = &self.routed.request;
         if !is_crash || request.segments.is_empty() {
             return;
@@ -188,6 +188,13 @@
         self.gateway
             .core
             .decide(|core, now| core.record_crash(now, hash, &request.segments));
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::crash_reported(
+                &request.id,
+                failed.server.as_str(),
+                &request.segments,
+            ));
         self.gateway.core.state_changed.notify_one();
     }
 
--- a/components/relay/src/segment_quarantine.rs
+++ b/components/relay/src/segment_quarantine.rs
@@ -105,7 +105,8 @@
         reports.sort_by_key(|(_, crash)| cmp::Reverse(crash.at));
         let mut cleared: Vec<_> = self.cleared.iter().collect();
         cleared.sort_by_key(|(_, cleared_at)| cmp::Reverse(**cleared_at));
-        let quarantined = self.quarantined.iter();
+        let mut quarantined = self.quarantined(now);
+        quarantined.truncate(MAX_SENT);
         crash_report::CrashNotice {
             reports: reports
                 .into_iter()
@@ -117,11 +118,7 @@
                 .map(|(segment, _)| *segment)
                 .take(MAX_SENT)
                 .collect(),
-            quarantined: quarantined
-                .map(|(segment, until)| (*segment, until.since(now)))
-                .filter(|(_, remaining)| !remaining.is_zero())
-                .take(MAX_SENT)
-                .collect(),
+            quarantined,
         }
     }
 
@@ -136,10 +133,14 @@
             .max()
     }
 
-    /// Returns the number of quarantined segments.
+    /// Returns the quarantined segments with the remaining times.
     #[must_use]
-    pub fn len(&self) -> usize {
-        self.quarantined.len()
+    pub fn quarantined(&self, now: clock::Timestamp) -> Vec<(u64, time::Duration)> {
+        let quarantined = self.quarantined.iter();
+        quarantined
+            .map(|(segment, until)| (*segment, until.since(now)))
+            .filter(|(_, remaining)| !remaining.is_zero())
+            .collect()
     }
 
     /// Returns whether no segment is quarantined.
