soak: prompts that crash engines, growing configurations, endless answers

Checked besides: 3 s after the fifth crash, and outside 3 s after a fault of a process, at most three prompts with the segment reach engines.

--- a/tests/node_soak/caller_load.rs
+++ b/tests/node_soak/caller_load.rs
@@ -4,6 +4,15 @@
 
 use crate::common::{caller, fake_worker};
 
+/// Segment of prompts on which the decode engines crash.
+pub const POISON_SEGMENT: &str = "dead";
+
+/// One of this many generations of a caller has the segment.
+const POISON_PERIOD: usize = 12;
+
+/// Prefix of the ids of generations with the segment.
+pub const POISON_PREFIX: &str = "poison-";
+
 /// A request of a caller with the answer that the caller received.
 pub struct CallerRecord {
     pub id: String,
@@ -52,9 +61,16 @@
         if stop.load(sync::atomic::Ordering::Relaxed) {
             return;
         }
-        let id = format!("c{number}-{round}");
-        let request = if path.starts_with("/draft") || path.starts_with("/once") {
-            caller::draft(&id, 200).replace("/draft/x", path)
+        let is_generation = path.starts_with("/draft") || path.starts_with("/once");
+        let is_poisoned = is_generation && round % POISON_PERIOD == number % POISON_PERIOD;
+        let prefix = if is_poisoned { POISON_PREFIX } else { "" };
+        let id = format!("{prefix}c{number}-{round}");
+        let request = if is_generation {
+            let segment = if is_poisoned { POISON_SEGMENT } else { "beef" };
+            let segments = format!("aa:100,{segment}:50,{number:x}:50");
+            caller::draft(&id, 200)
+                .replace("/draft/x", path)
+                .replace("aa:200", &segments)
         } else {
             caller::request("POST", path, &id, "X-Deadline-Ms: 1200\r\n", "body")
         };
--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -19,6 +19,19 @@
 /// Added to the drain timeout: a stopped process or an unavailable store delays the state change.
 const DRAIN_SLACK: time::Duration = time::Duration::from_secs(3);
 
+/// Number of routes by which a newer configuration is larger.
+const ADDED_ROUTES: u64 = 1_000;
+
+/// Number of crashes after which prompts with the same segment stay away from engines.
+const CRASH_LIMIT: usize = 5;
+
+/// Time after the last of these crashes, and after a fault of a process, from which few such prompts
+/// reach engines.
+const STABLE_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// Number of such prompts that may reach engines after that.
+const LATE_PROMPTS: usize = 3;
+
 /// A run of the soak test: a site of processes, with a fault proxy in front of every fake worker.
 pub struct SoakRun {
     pub site: site::Site,
@@ -27,6 +40,9 @@
     pub records: sync::Arc<sync::Mutex<Vec<caller_load::CallerRecord>>>,
     /// Ids of the draining servers, with the times at which they began to drain.
     draining: Vec<(String, time::Instant)>,
+    config_version: u64,
+    /// Starts and ends of the faults of processes.
+    process_faults: Vec<(time::Instant, time::Instant)>,
     random: rand_chacha::ChaCha8Rng,
 }
 
@@ -56,9 +72,14 @@
             processes,
             records: sync::Arc::default(),
             draining: Vec::new(),
+            config_version: 1,
+            process_faults: Vec::new(),
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
         };
         run.list_all();
+        for engine in &run.site.decodes {
+            engine.crash_on(caller_load::POISON_SEGMENT);
+        }
         for process in &mut run.processes {
             process.start();
         }
@@ -98,7 +119,9 @@
     pub async fn inject_fault(&mut self) {
         let pause = time::Duration::from_millis(self.random.random_range(50..700));
         let number = self.random.random_range(0..self.processes.len());
-        match self.random.random_range(0..11) {
+        let started = time::Instant::now();
+        let kind = self.random.random_range(0..12);
+        match kind {
             0 => {
                 self.processes[number].kill();
                 tokio::time::sleep(pause).await;
@@ -119,15 +142,36 @@
             5 | 6 => self.inject_proxy_fault(pause).await,
             7 => self.drain_server(pause).await,
             8 => self.restore_store(pause).await,
+            9 => self.enlarge_configuration(),
             _ => self.inject_worker_faults(),
         }
+        if kind <= 3 {
+            self.process_faults.push((started, time::Instant::now()));
+        }
         tokio::time::sleep(pause / 3).await;
     }
 
+    /// Writes a newer configuration with many more routes.
+    fn enlarge_configuration(&mut self) {
+        self.config_version += 1;
+        let mut config = site::config(self.config_version);
+        let routes = config["routes"].as_array_mut().expect("routes are listed");
+        let template = routes[0].clone();
+        routes.extend((0..ADDED_ROUTES * self.config_version).map(|number| {
+            let mut route = template.clone();
+            route["name"] = format!("added-{number}").into();
+            route["prefix"] = format!("/added-{number}/").into();
+            route
+        }));
+        self.site.store.put("op/config", config.to_string());
+    }
+
     async fn inject_store_fault(&mut self, pause: time::Duration) {
         let modes = [
             fake_store::StoreMode::Busy,
             fake_store::StoreMode::Silent,
+            fake_store::StoreMode::Slow,
+            fake_store::StoreMode::Endless,
             fake_store::StoreMode::Compacted,
         ];
         let mode = *modes
@@ -212,6 +256,9 @@
             fake_worker::Behaviour::Slow,
             fake_worker::Behaviour::Fail,
             fake_worker::Behaviour::NoLength,
+            fake_worker::Behaviour::NoLengthBreakAfter(2),
+            fake_worker::Behaviour::EndlessHead,
+            fake_worker::Behaviour::EndlessBody,
             fake_worker::Behaviour::BreakAfter(2),
             fake_worker::Behaviour::StallAfter(3),
         ];
@@ -244,6 +291,7 @@
                 violations.extend(caller_load::answer_violation(record, answer, run_count));
             }
         }
+        violations.extend(self.poison_violation());
         for (server, drain_start) in &self.draining {
             let late = self
                 .site
@@ -264,6 +312,30 @@
         violations
     }
 
+    /// Returns the violation that prompts with a segment on which engines crash show, if any.
+    fn poison_violation(&self) -> Option<String> {
+        let engines = self.site.decodes.iter();
+        let mut runs: Vec<time::Instant> = engines
+            .flat_map(fake_worker::FakeWorker::runs)
+            .filter(|(id, _)| id.starts_with(caller_load::POISON_PREFIX))
+            .map(|(_, started)| started)
+            .collect();
+        runs.sort_unstable();
+        let last_crash = *runs.get(CRASH_LIMIT - 1)?;
+        let calm = |run: &time::Instant| {
+            let is_disturbed = |(start, end): &(time::Instant, time::Instant)| {
+                (*start..*end + STABLE_TIME).contains(run)
+            };
+            !self.process_faults.iter().any(is_disturbed)
+                && run.duration_since(last_crash) > STABLE_TIME
+        };
+        let later = runs.iter().skip(CRASH_LIMIT);
+        let late = later.filter(|run| calm(run)).count();
+        let crashes = runs.len();
+        (late > LATE_PROMPTS)
+            .then(|| format!("{late} of {crashes} crashes after the segment was known"))
+    }
+
     /// Returns the number of times that each request ran, by request id.
     fn run_counts(&self) -> collections::BTreeMap<String, usize> {
         let mut run_counts = collections::BTreeMap::new();
