client: bound reads of JSON by their progress, too

Each piece now has to arrive within the timeout, and the whole body within ten timeouts. read_of_release_notes_is_given_up_while_its_bytes_arrive failed before ("the connection went silent" after 2 s) and passes.

--- a/components/client/src/bounded_fetch.rs
+++ b/components/client/src/bounded_fetch.rs
@@ -45,8 +45,7 @@
         let sending = self.send(server, request, clock::Timestamp::MAX);
         let mut answer = within(limits.head, "no answer", sending).await?;
         let (status, headers) = (answer.status(), answer.headers().clone());
-        let receiving = receive_body(&mut answer, self.answer_limit_bytes(), limits, on_piece);
-        let body = within(limits.body, "no end of the body", receiving).await?;
+        let body = receive_body(&mut answer, self.answer_limit_bytes(), limits, on_piece).await?;
         Ok(WholeAnswer {
             status,
             headers,
@@ -55,15 +54,25 @@
     }
 }
 
-async fn receive_body(
+/// Receives the whole body of an answer, of at most `limit_bytes`.
+pub(crate) async fn receive_body(
     answer: &mut pooled_answer::PooledAnswer,
     limit_bytes: usize,
     limits: FetchLimits,
+    on_piece: impl FnMut(usize),
+) -> Result<bytes::Bytes, border::BorderError> {
+    let receiving = receive_pieces(answer, limit_bytes, limits.pause, on_piece);
+    within(limits.body, "no end of the body", receiving).await
+}
+
+async fn receive_pieces(
+    answer: &mut pooled_answer::PooledAnswer,
+    limit_bytes: usize,
+    pause: time::Duration,
     mut on_piece: impl FnMut(usize),
 ) -> Result<bytes::Bytes, border::BorderError> {
     let mut body = bytes::BytesMut::new();
-    while let Some(piece) = within(limits.pause, "no byte of the body", answer.next_piece()).await?
-    {
+    while let Some(piece) = within(pause, "no byte of the body", answer.next_piece()).await? {
         on_piece(piece.len());
         if body.len() + piece.len() > limit_bytes {
             return Err(border::BorderError::Malformed {
--- a/components/client/src/json_exchange.rs
+++ b/components/client/src/json_exchange.rs
@@ -2,7 +2,10 @@
 
 use std::{net, sync, time};
 
-use crate::{connection_pool, pooled_answer};
+use crate::{bounded_fetch, connection_pool, pooled_answer};
+
+/// Time for the body of an answer whose bytes keep arriving, in timeouts of the exchange.
+const BODY_TIMEOUTS: u32 = 10;
 
 /// A request to a server that speaks JSON.
 pub(crate) struct JsonExchange<'pool> {
@@ -74,7 +77,17 @@
         &self,
         answer: &mut pooled_answer::PooledAnswer,
     ) -> Result<Answer, border::BorderError> {
-        let body = self.in_time(answer.whole_body()).await?;
+        let limits = bounded_fetch::FetchLimits {
+            head: self.timeout,
+            pause: self.timeout,
+            body: self.timeout * BODY_TIMEOUTS,
+        };
+        let limit_bytes = self.pool.answer_limit_bytes();
+        let received = bounded_fetch::receive_body(answer, limit_bytes, limits, |_| ()).await;
+        if matches!(received, Err(border::BorderError::Lost { .. })) {
+            self.pool.discard(self.server);
+        }
+        let body = received?;
         serde_json::from_slice(&body).map_err(|error| border::BorderError::Malformed {
             detail: error.to_string(),
         })
