--- /dev/null
+++ b/components/gateway/src/call_session/call_log.rs
@@ -0,0 +1,75 @@
+//! Log lines and metrics of a call.
+
+use std::time;
+
+use crate::{call_session, decision_event, gateway};
+
+impl call_session::CallSession {
+    pub(super) fn log_sent(&self, selection: &relay::ServerSelection) {
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::CallSent {
+                id: &self.routed.request.id,
+                route: &self.routed.route.name,
+                config_version: self.routed.config_version,
+                server: selection.entry.server.as_str(),
+                attempt: self.attempts,
+                running: selection.running,
+                failure_share: selection.failure_share,
+                view_age_ms: self.gateway.view_age_ms(),
+            });
+    }
+
+    pub(super) fn log_failure(
+        &self,
+        server: &ids::ServerName,
+        outcome: relay::BackendOutcome,
+        not_run: bool,
+        error: &str,
+        took: time::Duration,
+        will_retry: bool,
+    ) {
+        self.gateway.metrics.attempt_failed("call");
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::AttemptFailed {
+                id: &self.routed.request.id,
+                stage: "call",
+                server: server.as_str(),
+                outcome: outcome.into(),
+                error,
+                not_run,
+                took_ms: gateway::millis(took),
+                next: if will_retry { "retry" } else { "end" },
+            });
+    }
+
+    pub(super) fn log_ended(
+        &mut self,
+        outcome: &str,
+        reason: Option<&str>,
+        status: Option<u16>,
+        retry_after: Option<time::Duration>,
+    ) {
+        self.ended = true;
+        let took = self.gateway.core.now().since(self.routed.arrived);
+        let kind: &'static str = self.routed.route.kind.into();
+        self.gateway.metrics.ended(kind, outcome, took);
+        self.gateway
+            .log
+            .write(&decision_event::DecisionEvent::Ended {
+                id: &self.routed.request.id,
+                route: Some(&self.routed.route.name),
+                outcome,
+                reason,
+                status,
+                server: self.server.as_ref().map(ids::ServerName::as_str),
+                attempts: self.attempts,
+                took_ms: gateway::millis(took),
+                first_event_ms: None,
+                longest_pause_ms: None,
+                events: None,
+                retry_after_ms: retry_after.map(gateway::millis),
+            });
+    }
+}
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -9,6 +9,7 @@
 mod core_refusals;
 mod core_routes;
 mod core_streams;
+mod core_updates;
 mod core_views;
 
 use std::{collections, sync};
