--- a/components/relay/src/crash_report.rs
+++ b/components/relay/src/crash_report.rs
@@ -1,7 +1,5 @@
 //! Reports of engines that crashed under a prompt.
 
-use std::time;
-
 /// Crash of an engine before the first event of an answer, as a suspicion of one segment of the
 /// prompt.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -12,17 +10,6 @@
     pub request: u64,
 }
 
-/// What an instance knows of segments that crash engines, sent in its state updates.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct CrashNotice {
-    /// Crashes that the instance has seen itself.
-    pub reports: Vec<CrashReport>,
-    /// Suspected segments of prompts that the instance has seen answered since.
-    pub cleared: Vec<u64>,
-    /// Quarantined segments, with the remaining time.
-    pub quarantined: Vec<(u64, time::Duration)>,
-}
-
 /// Returns the hash that identifies a segment of a prompt in state updates.
 #[must_use]
 pub fn segment_hash(segment: &str) -> u64 {
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use crate::{
-    backend_entry, crash_report, engine_usage, known_instance, list_delta, queue_update,
+    backend_entry, crash_notice, engine_usage, known_instance, list_delta, queue_update,
     service_estimate, view_announcement, view_position,
 };
 
@@ -71,7 +71,7 @@
     pub unreachable: Vec<u64>,
     /// What the sender knows of segments that crash engines. Partial updates omit it.
     #[builder(default)]
-    pub crashes: crash_report::CrashNotice,
+    pub crashes: crash_notice::CrashNotice,
     /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
     #[builder(default)]
     pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -100,14 +100,12 @@
             draining: self.backends.reported_draining(),
             unreachable: self.backends.own_unreachable(now),
             crash_reports: crashes.reports,
-            segments: [
-                crashes.cleared,
-                crashes
-                    .quarantined
-                    .into_iter()
-                    .map(|(segment, _)| segment)
-                    .collect(),
-            ],
+            cleared_segments: crashes.cleared,
+            quarantined_segments: crashes
+                .quarantined
+                .into_iter()
+                .map(|(segment, _)| segment)
+                .collect(),
         };
         let interval = self.full_update_interval(now);
         if self.sent_state.needs_full_update(now, interval, &state) || self.draining {
