--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -121,6 +121,11 @@
             .last_fence(numbers[0])
             .count_window(time::Duration::from_millis(9_000))
             .paused(vec![numbers[1]])
+            .crashes(relay::CrashNotice {
+                reports: vec![relay::CrashReport { segment: numbers[0], request: numbers[1] }],
+                cleared: vec![numbers[2]],
+                quarantined: vec![(numbers[3], time::Duration::from_millis(250))],
+            })
             .last_order_age(time::Duration::from_millis(40))
             .data_centre(10)
             .capacity(7)
