gateway, relay, platform: log the rate limits that servers name

Servers' answers are read for it; server_rate_limit logs a first, changed, ended or invalid limit, call_sent carries the limit in force, and relay_limited_servers counts the servers with one. Nothing is decided by it yet.

--- a/components/gateway/src/call_session/call_log.rs
+++ b/components/gateway/src/call_session/call_log.rs
@@ -16,6 +16,7 @@
                 attempt: self.attempts,
                 running: selection.running,
                 failure_share: selection.failure_share,
+                limit_per_s: selection.rate_limit,
                 view_age_ms: self.gateway.view_age_ms(),
             });
     }
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -132,6 +132,18 @@
         /// Time for which nothing is sent; none if the server's value is invalid.
         wait_ms: Option<u64>,
     },
+    /// A server named another limit on the rate of its requests than before, or none.
+    ServerRateLimit {
+        /// Name of the server.
+        server: &'a str,
+        /// Id of the answered request.
+        id: &'a str,
+        /// Limit as the server stated it; none if it named none.
+        value: Option<&'a str>,
+        /// Requests per second from all instances; none without a limit and for an invalid value,
+        /// which changes nothing.
+        limit_per_s: Option<f64>,
+    },
     /// An engine was ordered to change its stage.
     Ordered {
         /// Name of the engine.
@@ -167,6 +179,8 @@
         running: u32,
         /// Share of the server's recent requests that failed.
         failure_share: f64,
+        /// Requests per second that the server accepts from all instances, if it names a limit.
+        limit_per_s: Option<f64>,
         /// Age of the view of the platform.
         view_age_ms: Option<u64>,
     },
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -34,6 +34,7 @@
     store_reads: family::Family<NameLabel, counter::Counter>,
     copied_bytes: family::Family<NameLabel, counter::Counter>,
     quarantined: gauge::Gauge,
+    limited_servers: gauge::Gauge,
     view_age: gauge::Gauge<f64, atomic::AtomicU64>,
     config_version: gauge::Gauge,
     store_era: gauge::Gauge,
@@ -53,6 +54,7 @@
         let store_reads = family::Family::default();
         let copied_bytes = family::Family::default();
         let quarantined = gauge::Gauge::default();
+        let limited_servers = gauge::Gauge::default();
         let view_age = gauge::Gauge::default();
         let config_version = gauge::Gauge::default();
         let store_era = gauge::Gauge::default();
@@ -87,6 +89,11 @@
             "Prompt segments in quarantine because they crash engines",
             quarantined.clone(),
         );
+        registry.register(
+            "relay_limited_servers",
+            "Servers that name a limit on the rate of their requests",
+            limited_servers.clone(),
+        );
         registry.register(
             "relay_view_age_seconds",
             "Age of the view of the platform",
@@ -131,6 +138,7 @@
             store_reads,
             copied_bytes,
             quarantined,
+            limited_servers,
             view_age,
             config_version,
             store_era,
@@ -203,6 +211,10 @@
         let quarantined = core.quarantine().quarantined(now).len();
         self.quarantined
             .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+        let servers = core.backends().table().values();
+        let limited = servers.filter(|server| server.rate_limit.is_some()).count();
+        self.limited_servers
+            .set(i64::try_from(limited).unwrap_or(i64::MAX));
         let live = core.instances().live_count(now);
         self.instances.set(i64::try_from(live).unwrap_or(i64::MAX));
         for (service, left) in core.retries_left(now) {
--- a/components/gateway/src/server_notice.rs
+++ b/components/gateway/src/server_notice.rs
@@ -5,7 +5,7 @@
 use crate::{decision_event, decision_log, gateway, shared_core};
 
 /// Notice of a server about itself, received with an answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ServerNotice {
     /// The server is draining.
     Draining,
@@ -16,6 +16,15 @@
         /// Time that it stands for; `None` if the value is invalid.
         wait: Option<time::Duration>,
     },
+    /// The server limits the rate of the requests from all instances together.
+    RateLimit {
+        /// Value as received.
+        value: String,
+        /// Requests per second; `None` if the value is invalid.
+        rate: Option<f64>,
+    },
+    /// The server names no rate limit.
+    NoRateLimit,
 }
 
 /// Answer with which a notice was received.
@@ -52,6 +61,30 @@
     }
 }
 
+impl NoticeRecorder {
+    /// Records the rate limit of an answer; `value` is its text, if the server names one. An invalid
+    /// value is logged and changes nothing.
+    fn record_rate_limit(&self, source: NoticeSource<'_>, value: Option<&str>, rate: Option<f64>) {
+        let is_invalid = value.is_some() && rate.is_none();
+        let is_new = !is_invalid
+            && self
+                .core
+                .decide(|core, now| core.record_rate_limit(now, source.key, rate));
+        if is_new {
+            self.core.state_changed.notify_one();
+        }
+        if is_new || is_invalid {
+            self.log
+                .write(&decision_event::DecisionEvent::ServerRateLimit {
+                    server: source.server.as_str(),
+                    id: source.id,
+                    value,
+                    limit_per_s: rate,
+                });
+        }
+    }
+}
+
 impl NoticeSink for NoticeRecorder {
     fn record(&self, source: NoticeSource<'_>, notice: ServerNotice) {
         let server = source.server.as_str();
@@ -80,6 +113,10 @@
                         wait_ms: applied.map(gateway::millis),
                     });
             }
+            ServerNotice::RateLimit { value, rate } => {
+                self.record_rate_limit(source, Some(&value), rate);
+            }
+            ServerNotice::NoRateLimit => self.record_rate_limit(source, None, None),
         }
     }
 }
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -64,6 +64,8 @@
     backoff_until: clock::Timestamp,
     /// End of the pause that applies to all instances.
     paused_for_all_until: clock::Timestamp,
+    /// Requests per second that the server accepts from all instances, if it names a limit.
+    pub rate_limit: Option<f64>,
     /// Whether another instance reports a pause that applies to all instances.
     pub paused_by_peer: bool,
     /// Time until which this instance reports the server as unreachable.
@@ -92,6 +94,7 @@
             refusal_pause_until: clock::Timestamp::default(),
             backoff_until: clock::Timestamp::default(),
             paused_for_all_until: clock::Timestamp::default(),
+            rate_limit: None,
             paused_by_peer: false,
             unreachable_until: clock::Timestamp::default(),
             unreachable_by_peers: false,
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -36,6 +36,8 @@
     pub running: u32,
     /// Recent failure share of the server.
     pub failure_share: f64,
+    /// Requests per second that the server accepts from all instances, if it names a limit.
+    pub rate_limit: Option<f64>,
 }
 
 impl relay_core::RelayCore {
@@ -102,6 +104,7 @@
             entry: backend.entry.clone(),
             running,
             failure_share: backend.health.failure_share(now),
+            rate_limit: backend.rate_limit,
         })
     }
 
