relay, gateway, platform: keep servers' rate limits over all instances

Cause: nothing read Server-Limit. The class: a bound on the whole fleet that no instance can keep by itself, and a word of a server that only its reader acts on.

Each instance keeps a copy of one token bucket a server, draws its own requests and those that the others report at once, and takes the limit from the newest answer that any instance received. Overdrawn tokens are made up for, so that requests which crossed on the way don't add up. Without a token a server counts as full; callers whose servers all are get 503 at once, generations wait if the limits let them start in time. Instances out of touch are left their share.

--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -31,6 +31,9 @@
             .gateway
             .core
             .decide(|core, now| core.record_call_outcome(now, key, outcome, now.since(sent_at)));
+        if self.selection.rate_limit.is_some() {
+            self.gateway.core.state_changed.notify_one();
+        }
         if ejected {
             let server = self.selection.entry.server.as_str();
             self.gateway.log_ejection(server, id, outcome);
@@ -147,6 +150,11 @@
         let server = selection.entry.server.clone();
         self.server = Some(server.clone());
         self.log_sent(&selection);
+        // Other instances need to know at once which part of the limit is left, and, at the end of
+        // the call, that it no longer runs.
+        if selection.rate_limit.is_some() {
+            self.gateway.core.state_changed.notify_one();
+        }
         let now = self.gateway.core.now();
         let mut guard = CallGuard {
             gateway: sync::Arc::clone(&self.gateway),
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -211,8 +211,7 @@
         let quarantined = core.quarantine().quarantined(now).len();
         self.quarantined
             .set(i64::try_from(quarantined).unwrap_or(i64::MAX));
-        let servers = core.backends().table().values();
-        let limited = servers.filter(|server| server.rate_limit.is_some()).count();
+        let limited = core.limits().limited_servers();
         self.limited_servers
             .set(i64::try_from(limited).unwrap_or(i64::MAX));
         let live = core.instances().live_count(now);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod event_splitter;
 mod gateway;
 mod gateway_metrics;
+mod limit_message;
 mod order_sender;
 mod peer_forwarder;
 mod peer_link;
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{crash_message, estimate_message, queue_message};
+use crate::{crash_message, estimate_message, limit_message, queue_message};
 
 /// Maximum size of a change of the platform's list of backend servers in a state update, in bytes.
 const MAX_DELTA_BYTES: usize = 4 * 1024;
@@ -104,6 +104,8 @@
     unreachable: Vec<u64>,
     #[prost(message, optional, tag = "30")]
     crashes: Option<crash_message::CrashMessage>,
+    #[prost(message, repeated, tag = "31")]
+    limits: Vec<limit_message::LimitMessage>,
 }
 
 /// Number of requests and retries of one service.
@@ -186,6 +188,7 @@
         draining: update.draining.clone(),
         unreachable: update.unreachable.clone(),
         crashes: crash_message::encode(&update.crashes),
+        limits: update.limits.iter().map(limit_message::encode).collect(),
         estimates: update
             .estimates
             .iter()
@@ -267,6 +270,7 @@
                 .map(crash_message::decode)
                 .unwrap_or_default(),
         )
+        .limits(message.limits.iter().map(limit_message::decode).collect())
         .estimates(
             message
                 .estimates
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -152,9 +152,9 @@
         failure.engine_unwilling = !self
             .gateway
             .core
-            .decide(|core, now| core.may_receive(now, failed.engine));
+            .decide(|core, now| core.may_repeat(now, failed.engine));
         self.report_crash(failed);
-        let next = self.allowed_step(&failure, failure.preferred_step());
+        let next = self.allowed_step(failed.engine, &failure, failure.preferred_step());
         if next == relay::NextStep::Restart {
             self.excluded.push(failed.engine);
         }
@@ -209,6 +209,7 @@
     /// counted against the retry limit.
     fn allowed_step(
         &self,
+        engine: relay::BackendKey,
         failure: &relay::StepFailure,
         preferred: relay::NextStep,
     ) -> relay::NextStep {
@@ -236,6 +237,9 @@
             .gateway
             .core
             .decide(|core, now| core.consume_retries(now, service, cost));
+        if granted && preferred == relay::NextStep::RetryDecode {
+            self.count_repeat(engine);
+        }
         if granted {
             preferred
         } else {
@@ -243,6 +247,13 @@
         }
     }
 
+    fn count_repeat(&self, engine: relay::BackendKey) {
+        self.gateway
+            .core
+            .decide(|core, now| core.count_repeat(now, engine));
+        self.gateway.core.state_changed.notify_one();
+    }
+
     async fn attempt(
         &mut self,
         guard: &mut placement_guard::PlacementGuard,
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -126,6 +126,15 @@
                 cleared: vec![numbers[2]],
                 quarantined: vec![(numbers[3], time::Duration::from_millis(250))],
             })
+            .limits(vec![relay::LimitReport {
+                server: numbers[4],
+                observation: leaving.then_some(relay::LimitObservation {
+                    rate: (count.requests > 0).then_some(f64::from(count.retries)),
+                    age: time::Duration::from_millis(30),
+                }),
+                requests: count.requests,
+                counted_for: time::Duration::from_millis(700),
+            }])
             .last_order_age(time::Duration::from_millis(40))
             .data_centre(10)
             .capacity(7)
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -2,7 +2,9 @@
 
 use std::{collections, ops, time};
 
-use crate::{backend_entry, backend_health, engine_usage, prefill_model, stream_lease};
+use crate::{
+    backend_entry, backend_health, engine_usage, instance_update, prefill_model, stream_lease,
+};
 
 slotmap::new_key_type! {
     /// Key of a backend server in the registry.
@@ -33,6 +35,8 @@
 pub struct Backend {
     /// Entry in the platform's list.
     pub entry: backend_entry::BackendEntry,
+    /// Hash of the incarnation from [`crate::incarnation_hash`].
+    pub incarnation: u64,
     /// Whether the platform's list still contains the entry.
     pub listed: bool,
     /// Whether the server has reported in an answer, to this instance or another one, that it is
@@ -64,8 +68,6 @@
     backoff_until: clock::Timestamp,
     /// End of the pause that applies to all instances.
     paused_for_all_until: clock::Timestamp,
-    /// Requests per second that the server accepts from all instances, if it names a limit.
-    pub rate_limit: Option<f64>,
     /// Whether another instance reports a pause that applies to all instances.
     pub paused_by_peer: bool,
     /// Time until which this instance reports the server as unreachable.
@@ -79,6 +81,7 @@
     #[must_use]
     pub fn new(entry: backend_entry::BackendEntry) -> Self {
         Self {
+            incarnation: instance_update::incarnation_hash(&entry),
             entry,
             listed: true,
             draining: false,
@@ -94,7 +97,6 @@
             refusal_pause_until: clock::Timestamp::default(),
             backoff_until: clock::Timestamp::default(),
             paused_for_all_until: clock::Timestamp::default(),
-            rate_limit: None,
             paused_by_peer: false,
             unreachable_until: clock::Timestamp::default(),
             unreachable_by_peers: false,
--- a/components/relay/src/engine_selector.rs
+++ b/components/relay/src/engine_selector.rs
@@ -3,8 +3,8 @@
 use std::time;
 
 use crate::{
-    backend, backend_entry, backend_registry, engine_usage, memory_forecast, service_rule,
-    stream_request,
+    backend, backend_entry, backend_registry, engine_usage, limit_registry, memory_forecast,
+    service_rule, stream_request,
 };
 
 /// Cost of a KV cache transfer between data centres, as time.
@@ -63,6 +63,8 @@
 pub struct EngineSelector<'a> {
     /// All backend servers.
     pub backends: &'a backend_registry::BackendTable,
+    /// Rate limits of the servers.
+    pub limits: &'a limit_registry::LimitRegistry,
     /// Capacity of one engine of the service.
     pub size: service_rule::EngineSize,
     /// Standard deviation of the output length of a stream, relative to its estimate.
@@ -87,9 +89,11 @@
             .engines(request, backend_entry::EngineStage::Prefill)
             .map(|(key, engine)| self.prefill_cost(key, engine, request))
             .collect();
+        let mut willing_prefills = self.willing(request, backend_entry::EngineStage::Prefill);
+        let has_prefill = willing_prefills.next().is_some();
         self.engines(request, backend_entry::EngineStage::Decode)
             .filter(|(_, engine)| self.has_capacity(engine, request))
-            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills))
+            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills, has_prefill))
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
             .map(|(_, selection)| selection)
     }
@@ -143,10 +147,21 @@
         memory.max(slots)
     }
 
+    /// Returns the engines of a stage that may be sent a request now.
     fn engines<'b>(
         &'b self,
         request: &'b stream_request::StreamRequest,
         stage: backend_entry::EngineStage,
+    ) -> impl Iterator<Item = (backend::BackendKey, &'b backend::Backend)> {
+        self.willing(request, stage)
+            .filter(|(_, engine)| self.limits.has_token(self.now, engine.incarnation))
+    }
+
+    /// Returns the engines of a stage that accept work, now or when their rate limit allows it.
+    fn willing<'b>(
+        &'b self,
+        request: &'b stream_request::StreamRequest,
+        stage: backend_entry::EngineStage,
     ) -> impl Iterator<Item = (backend::BackendKey, &'b backend::Backend)> {
         self.backends.iter().filter(move |(key, engine)| {
             engine.entry.service == request.service
@@ -169,10 +184,11 @@
         decode: backend::BackendKey,
         engine: &'b backend::Backend,
         prefills: &'b [PrefillCost<'b>],
+        has_prefill: bool,
     ) -> impl Iterator<Item = (f64, EngineSelection)> + 'b {
         let base = self.decode_cost(engine);
         let own_wait = engine.prefill_wait() * DECODE_PREFILL_SLOWDOWN;
-        let prefills_itself = prefills.is_empty() && own_wait <= PREFILL_WAIT_LIMIT;
+        let prefills_itself = !has_prefill && own_wait <= PREFILL_WAIT_LIMIT;
         let decode_only = prefills_itself.then_some((
             base + own_wait.as_secs_f64(),
             EngineSelection {
--- a/components/relay/src/instance_registry/fleet_members.rs
+++ b/components/relay/src/instance_registry/fleet_members.rs
@@ -70,7 +70,8 @@
             .map(instance_state::InstanceState::known_instance)
     }
 
-    fn is_alive(&self, now: clock::Timestamp, address: net::Ipv4Addr) -> bool {
+    /// Returns whether an instance has sent an update recently.
+    pub(crate) fn is_alive(&self, now: clock::Timestamp, address: net::Ipv4Addr) -> bool {
         self.states
             .get(&address)
             .is_some_and(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -3,8 +3,8 @@
 use std::{net, time};
 
 use crate::{
-    backend_entry, crash_notice, engine_usage, known_instance, list_delta, queue_update,
-    service_estimate, view_announcement, view_position,
+    backend_entry, crash_notice, engine_usage, known_instance, limit_report, list_delta,
+    queue_update, service_estimate, view_announcement, view_position,
 };
 
 /// State update of one instance, sent to the others in one datagram.
@@ -18,7 +18,7 @@
     /// Sequence number among the datagrams of the process, by which late ones are dropped.
     pub sequence: u64,
     /// Whether this is a partial update, which contains only `usage` that has changed since the
-    /// previous update, `waiting` and, if changed, `retries`.
+    /// previous update, `waiting` and, if changed, `limits` and `retries`.
     #[builder(default)]
     pub partial: bool,
     /// Whether the sender is draining.
@@ -72,6 +72,10 @@
     /// What the sender knows of segments that crash engines. Partial updates omit it.
     #[builder(default)]
     pub crashes: crash_notice::CrashNotice,
+    /// Rate limits of servers and the sender's requests there. Partial updates contain those that have
+    /// changed.
+    #[builder(default)]
+    pub limits: Vec<limit_report::LimitReport>,
     /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
     #[builder(default)]
     pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
@@ -95,7 +99,11 @@
     /// longer listed.
     #[must_use]
     pub const fn is_heartbeat(&self) -> bool {
-        self.partial && self.usage.is_empty() && self.waiting.is_empty() && self.retries.is_empty()
+        self.partial
+            && self.usage.is_empty()
+            && self.waiting.is_empty()
+            && self.retries.is_empty()
+            && self.limits.is_empty()
     }
 
     /// Returns the announcement of the sender's view.
--- a/components/relay/src/refusal.rs
+++ b/components/relay/src/refusal.rs
@@ -14,6 +14,8 @@
     NoServer,
     /// All servers of the service have asked to be sent nothing for a while.
     Backoff,
+    /// All servers of the service have received as many requests as their rate limits allow.
+    RateLimit,
     /// The queued work leaves no time to answer before the deadline.
     Overload,
     /// No capacity became free while the request waited in the queue.
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -2,6 +2,7 @@
 
 mod core_calls;
 mod core_estimates;
+mod core_limits;
 mod core_notices;
 mod core_orders;
 mod core_quarantine;
@@ -18,8 +19,8 @@
 
 use crate::{
     backend, backend_registry, core_settings, fleet_topology, instance_registry, known_instance,
-    order_gate, route_rule, segment_quarantine, sent_state, service_estimate, site_config,
-    stage_planner, stream_lease, view_tracker, wait_queue,
+    limit_registry, order_gate, route_rule, segment_quarantine, sent_state, service_estimate,
+    site_config, stage_planner, stream_lease, view_tracker, wait_queue,
 };
 
 pub use core_calls::ServerSelection;
@@ -72,6 +73,7 @@
     order_gate: order_gate::OrderGate,
     planners: collections::BTreeMap<ids::ServiceName, stage_planner::StagePlanner>,
     quarantine: segment_quarantine::SegmentQuarantine,
+    limits: limit_registry::LimitRegistry,
     /// Time and fencing number of this instance's last order.
     last_order: Option<(clock::Timestamp, u64)>,
     /// Lower bound of the next fencing number.
@@ -124,6 +126,7 @@
             order_gate: order_gate::OrderGate::default(),
             planners: collections::BTreeMap::new(),
             quarantine: segment_quarantine::SegmentQuarantine::default(),
+            limits: limit_registry::LimitRegistry::default(),
             last_order: None,
             fence_floor: 0,
             selection_seed,
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -59,7 +59,10 @@
         let median = self.median_latency(service);
         // When no server accepts work, the one with the lowest cost is tried anyway.
         let any_usable = self.backends.table().iter().any(|(key, backend)| {
-            backend.entry.service == *service && backend.accepts_work(now) && !avoid.contains(&key)
+            backend.entry.service == *service
+                && backend.accepts_work(now)
+                && self.limits.has_token(now, backend.incarnation)
+                && !avoid.contains(&key)
         });
         let selected = self
             .backends
@@ -68,6 +71,7 @@
             .filter(|(key, backend)| {
                 backend.entry.service == *service
                     && backend.may_receive(now)
+                    && self.limits.has_token(now, backend.incarnation)
                     && (backend.accepts_work(now) || !any_usable)
                     && !avoid.contains(key)
             })
@@ -86,12 +90,7 @@
             })
             .min_by(|(_, left), (_, right)| left.total_cmp(right));
         let Some((key, _)) = selected else {
-            return Err(self
-                .backoff_refusal(now, service, None)
-                .unwrap_or(refusal::Refusal {
-                    reason: refusal::RefusalReason::NoServer,
-                    retry_after: NO_SERVER_RETRY_DELAY,
-                }));
+            return Err(self.call_refusal(now, service));
         };
         let backend = self.backends.get_mut(key).ok_or(refusal::Refusal {
             reason: refusal::RefusalReason::NoServer,
@@ -99,15 +98,30 @@
         })?;
         let running = backend.running();
         backend.own_running += 1;
+        self.limits.count_request(now, backend.incarnation);
         Ok(ServerSelection {
             key,
             entry: backend.entry.clone(),
             running,
             failure_share: backend.health.failure_share(now),
-            rate_limit: backend.rate_limit,
+            rate_limit: self.limits.rate(backend.incarnation),
         })
     }
 
+    /// Returns the refusal of a call that no server may receive.
+    fn call_refusal(
+        &mut self,
+        now: clock::Timestamp,
+        service: &ids::ServiceName,
+    ) -> refusal::Refusal {
+        self.backoff_refusal(now, service, None)
+            .or_else(|| self.limit_refusal(now, service))
+            .unwrap_or(refusal::Refusal {
+                reason: refusal::RefusalReason::NoServer,
+                retry_after: NO_SERVER_RETRY_DELAY,
+            })
+    }
+
     /// Records the outcome of a call; returns whether the outcome ejected the server.
     pub fn record_call_outcome(
         &mut self,
--- a/components/relay/src/relay_core/core_notices.rs
+++ b/components/relay/src/relay_core/core_notices.rs
@@ -31,20 +31,6 @@
         wait
     }
 
-    /// Records the limit that a server names in an answer, in requests per second from all
-    /// instances, or that it names none; returns whether that has changed.
-    pub fn record_rate_limit(
-        &mut self,
-        _now: clock::Timestamp,
-        key: backend::BackendKey,
-        rate: Option<f64>,
-    ) -> bool {
-        self.backends.get_mut(key).is_some_and(|backend| {
-            let before = std::mem::replace(&mut backend.rate_limit, rate);
-            before != rate
-        })
-    }
-
     /// Returns whether a server is willing to receive requests from this instance.
     #[must_use]
     pub fn may_receive(&self, now: clock::Timestamp, key: backend::BackendKey) -> bool {
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -80,6 +80,7 @@
         self.last_order = Some((now, fence));
         if let Some(engine) = self.backends.get_mut(key) {
             engine.start_stage_change(now);
+            self.limits.count_request(now, engine.incarnation);
         }
         Some(StageOrder {
             key,
@@ -150,6 +151,7 @@
             .table()
             .iter()
             .filter(|(_, engine)| engine.accepts_work(now) && engine.entry.service == *service)
+            .filter(|(_, engine)| self.limits.has_token(now, engine.incarnation))
             .filter(|(_, engine)| engine.entry.stage.is_some_and(|current| current != stage))
             .min_by_key(|(_, engine)| (engine.running(), engine.prefill_tokens()))
             .map(|(key, engine)| (key, engine.entry.clone()))
--- a/components/relay/src/relay_core/core_queue.rs
+++ b/components/relay/src/relay_core/core_queue.rs
@@ -102,7 +102,16 @@
             ));
         }
         let timely_until = self.timely_until(now, &request);
+        let limit_wait = self.limit_wait(now, &request.service);
+        if now + limit_wait >= request.wait_until {
+            let retry_after = self.overload_retry_delay(core_refusals::ARRIVAL_RETRY_DELAYS);
+            return PlacementOutcome::Refused(core_refusals::refuse(
+                refusal::RefusalReason::RateLimit,
+                retry_after,
+            ));
+        }
         let timely_wait = self.expected_wait(now, &request, size, true);
+        let timely_wait = timely_wait.max(limit_wait);
         let can_be_timely = request.resumes || now + timely_wait <= timely_until;
         let wait = if can_be_timely {
             timely_wait
@@ -155,6 +164,7 @@
             self.refresh_stale_usage(now);
             self.place_in_order(now, &mut outcomes);
             self.backends.clear_expected();
+            self.limits.clear_expected();
         }
         outcomes
     }
@@ -254,10 +264,14 @@
     ) {
         if let Some(engine) = self.backends.get_mut(selection.decode) {
             engine.expected.push(request.load());
+            self.limits.count_expected(engine.incarnation);
         }
         let prefill_engine = selection.prefill.unwrap_or(selection.decode);
         if let Some(engine) = self.backends.get_mut(prefill_engine) {
             engine.expected_prefill_tokens += request.prompt_tokens;
+            if selection.prefill.is_some() {
+                self.limits.count_expected(engine.incarnation);
+            }
         }
     }
 
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -157,6 +157,9 @@
         // Without another engine the lease keeps the previous one until its release.
         let decode = selected.unwrap_or(previous);
         let entry = self.assign_decode(key, decode, &request)?;
+        if let Some(decode) = selected {
+            self.count_repeat(now, decode);
+        }
         selected.map(|decode| (decode, entry))
     }
 
@@ -192,6 +195,7 @@
         engine.own_running = engine.own_running.saturating_sub(1);
         engine.own_streams.remove(&key);
         let entry = self.assign_decode(key, selected, &request)?;
+        self.count_repeat(now, selected);
         Some(MovedStream {
             decode: (selected, entry),
             from_fill,
@@ -233,6 +237,7 @@
             tokens_ahead = engine.prefill_tokens();
             engine.own_prefill_tokens += request.prompt_tokens;
             engine.own_running += 1;
+            self.limits.count_request(now, engine.incarnation);
             prefill = Some((key, engine.entry.clone()));
         }
         let first_event_expected_at = now + prefill_time + self.handoff_time(&request.service);
@@ -250,6 +255,7 @@
         });
         let engine = self.backends.get_mut(selection.decode)?;
         engine.own_running += 1;
+        self.limits.count_request(now, engine.incarnation);
         if selection.prefill.is_none() {
             engine.own_prefill_tokens += request.prompt_tokens;
         }
@@ -272,6 +278,7 @@
     ) -> engine_selector::EngineSelector<'_> {
         engine_selector::EngineSelector {
             backends: self.backends.table(),
+            limits: &self.limits,
             size,
             length_deviation: self.length_deviation(),
             utilization_limit,
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -44,6 +44,8 @@
     ) -> bool {
         let delta = update.delta.take();
         let crashes = std::mem::take(&mut update.crashes);
+        let limits = std::mem::take(&mut update.limits);
+        let source = self.report_source(now, &update);
         let announcement = update.announcement();
         let decode_rate = self.decode_rate();
         let has_view = !update.partial && update.fingerprint != 0;
@@ -52,6 +54,7 @@
         }
         self.usage_stale = true;
         self.quarantine.apply_notice(now, &crashes);
+        self.limits.apply_reports(now, source, &limits);
         if let Some(delta) = delta.filter(|_| has_view)
             && self.tracker.apply_delta(now, &delta, &announcement)
         {
@@ -81,6 +84,7 @@
             .set_peer_unreachable(&self.instances.unreachable(now));
         self.backends
             .add_peer_draining(now, &self.instances.draining(now));
+        self.refresh_limits(now);
     }
 
     /// Replaces the addresses of instances from which the others are discovered.
@@ -116,6 +120,7 @@
         let usage = self.sent_state.record_usage(self.backends.own_usage());
         let retries = self.retry_counts(now);
         let has_retried = self.sent_state.record_retries(&retries);
+        let limits = self.limits.reports(now);
         instance_update::InstanceUpdate::builder()
             .address(self.settings.address)
             .incarnation(self.settings.incarnation)
@@ -125,6 +130,7 @@
             .usage(usage)
             .waiting(self.queue_updates(now))
             .retries(if has_retried { retries } else { Vec::new() })
+            .limits(self.sent_state.record_limits(limits))
             .build()
     }
 
@@ -148,6 +154,8 @@
         let retries = self.retry_counts(now);
         self.sent_state.record_usage(usage.clone());
         self.sent_state.record_retries(&retries);
+        let limits = self.limits.reports(now);
+        self.sent_state.record_limits(limits.clone());
         instance_update::InstanceUpdate::builder()
             .address(self.settings.address)
             .incarnation(self.settings.incarnation)
@@ -170,6 +178,7 @@
             .draining(self.backends.reported_draining())
             .unreachable(self.backends.own_unreachable(now))
             .crashes(self.quarantine.notice(now))
+            .limits(limits)
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
                 self.last_order
--- a/components/relay/src/sent_state.rs
+++ b/components/relay/src/sent_state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{crash_report, engine_usage};
+use crate::{crash_report, engine_usage, limit_report};
 
 /// State that only full updates contain; a change of it makes a full update due.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -33,6 +33,8 @@
     full_state: FullState,
     usage: collections::BTreeMap<u64, engine_usage::EngineUsage>,
     retry_count: u32,
+    /// Reports of rate limits, by server.
+    limits: collections::BTreeMap<u64, limit_report::LimitReport>,
 }
 
 impl SentState {
@@ -93,4 +95,25 @@
         self.retry_count = retry_count;
         changed
     }
+
+    /// Records the current reports of rate limits; returns those with another limit or more requests
+    /// than the last ones.
+    pub(crate) fn record_limits(
+        &mut self,
+        reports: Vec<limit_report::LimitReport>,
+    ) -> Vec<limit_report::LimitReport> {
+        let changed = reports
+            .iter()
+            .filter(|report| {
+                let sent = self.limits.get(&report.server);
+                sent.is_none_or(|sent| !sent.has_same_content(report))
+            })
+            .copied()
+            .collect();
+        self.limits = reports
+            .into_iter()
+            .map(|report| (report.server, report))
+            .collect();
+        changed
+    }
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fixtures")]
 
 pub mod fleet;
+pub mod limited;
 pub mod network;
 pub mod simulation;
 
