gateway, client, platform: log which requests repeat, and whether servers ended

A request has a hash of its path, caller, body and prompt that stays the same when it comes again under another id. After a connection broke within a second of the sending, the instance asks whether the server refuses a new connection, and crash_reported logs the hash and the answer, for calls, too. Nothing else is decided by it.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -1,6 +1,6 @@
 //! Connections to servers by address.
 
-use std::{collections, net, sync, time};
+use std::{collections, io, net, sync, time};
 
 use hyper::client::conn::http1;
 
@@ -115,6 +115,14 @@
         }
     }
 
+    /// Returns whether a server refuses a new connection, so that no process listens there any more. A
+    /// server from which no answer arrives may be cut off.
+    pub async fn is_refused(&self, server: net::SocketAddr) -> bool {
+        let opening = tokio::net::TcpStream::connect(server);
+        let result = tokio::time::timeout(self.settings.connect_timeout, opening).await;
+        matches!(result, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Drops the connections to a server, also those that are in use once they come back.
     pub fn discard(&self, server: net::SocketAddr) {
         let mut servers = self.lock();
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -4,7 +4,7 @@
 
 use std::{sync, time};
 
-use crate::{buffered_reply, gateway, relay_answer, relay_client};
+use crate::{buffered_reply, crash_reporter, gateway, relay_answer, relay_client};
 
 /// Maximum number of attempts, including those in which the server proves that it didn't run the
 /// call.
@@ -135,6 +135,7 @@
             }
             let will_retry = granted || self.may_retry(not_run, was_sent);
             let took = self.gateway.core.now().since(started);
+            self.report_crash(key, outcome, started);
             self.log_failure(&server, outcome, not_run, &error, took, will_retry);
             if !will_retry {
                 return self.answer_failure(None, reply);
@@ -274,6 +275,23 @@
         !was_sent || self.consume_retry()
     }
 
+    /// Reports a server that broke off. `sent_at` is the time at which the request was sent.
+    fn report_crash(
+        &self,
+        key: relay::BackendKey,
+        outcome: relay::BackendOutcome,
+        sent_at: clock::Timestamp,
+    ) {
+        if outcome == relay::BackendOutcome::Broken {
+            let crash = crash_reporter::BrokenAttempt {
+                engine_step: None,
+                key,
+                sent_at,
+            };
+            crash_reporter::report(&self.gateway, &self.routed.request, crash);
+        }
+    }
+
     fn consume_retry(&self) -> bool {
         self.gateway
             .core
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::relay_request;
+
 /// One event of the decision log.
 ///
 /// Times are in milliseconds. Ages are those of the data on which a decision was based.
@@ -254,15 +256,20 @@
         /// Next step: a kind of retry, or the reason for giving up.
         next: &'a str,
     },
-    /// An engine broke off before the first event of an answer, which makes the segments of the
-    /// prompt suspects.
+    /// A server or engine broke off soon after it had been sent a request.
     CrashReported {
         /// Id of the request.
         id: &'a str,
-        /// Name of the engine.
+        /// Name of the server or engine.
         server: &'a str,
-        /// Hashes of the prompt's segments, without the last one.
+        /// Hash of the request, the same for its repetitions by the same caller.
+        request: String,
+        /// Hashes of the prompt's segments, without the last one; suspects if the engine broke off
+        /// before the first event.
         segments: Vec<String>,
+        /// Whether the server had ended: no new connection could be opened. The request is a suspect
+        /// then.
+        ended: bool,
     },
     /// The quarantine of prompt segments that crash engines changed.
     QuarantineChanged {
@@ -318,12 +325,18 @@
 }
 
 impl<'a> DecisionEvent<'a> {
-    /// Creates the event for an engine that broke off before its first event.
-    pub(crate) fn crash_reported(id: &'a str, server: &'a str, segments: &[u64]) -> Self {
+    /// Creates the event for a server that broke off soon after it had been sent a request.
+    pub(crate) fn crash_reported(
+        request: &'a relay_request::RelayRequest,
+        server: &'a str,
+        ended: bool,
+    ) -> Self {
         Self::CrashReported {
-            id,
+            id: &request.id,
             server,
-            segments: segments.iter().map(hash_text).collect(),
+            request: hash_text(&request.fingerprint),
+            segments: request.segments.iter().map(hash_text).collect(),
+            ended,
         }
     }
 
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod buffered_reply;
 mod call_session;
 mod crash_message;
+mod crash_reporter;
 mod decision_event;
 mod decision_log;
 mod estimate_message;
--- a/components/gateway/src/placement_guard.rs
+++ b/components/gateway/src/placement_guard.rs
@@ -93,6 +93,11 @@
         self.sent_at = Some(self.gateway.core.now());
     }
 
+    /// Returns the time at which the request was last sent to the decode engine, if it was.
+    pub(crate) const fn sent_at(&self) -> Option<clock::Timestamp> {
+        self.sent_at
+    }
+
     /// Records the time to the first token.
     pub(crate) fn mark_first_token(&mut self) {
         let now = self.gateway.core.now();
--- a/components/gateway/src/relay_client.rs
+++ b/components/gateway/src/relay_client.rs
@@ -109,6 +109,9 @@
     /// The errors of [`RelayClient::send`].
     async fn order(&self, order: &relay::StageOrder) -> Result<OrderReply, border::BorderError>;
 
+    /// Returns whether the process at an address has ended, so that connections are refused.
+    async fn has_ended(&self, address: net::SocketAddr) -> bool;
+
     /// Frees a KV cache that no engine will import.
     ///
     /// # Errors
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -32,6 +32,9 @@
     pub time_left: time::Duration,
     /// Sizes, if the request is a generation.
     pub size: Option<GenerationSize>,
+    /// Hash of the request and its repetitions from [`relay::request_hash`].
+    #[builder(default)]
+    pub fingerprint: u64,
     /// Segments of the prompt from [`relay::segment_hash`], without the last one, which is the
     /// request's own.
     #[builder(default)]
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -6,8 +6,8 @@
 use std::{sync, time};
 
 use crate::{
-    buffered_reply, decision_event, gateway, placement_guard, relay_client, relay_request,
-    started_stream, stream_trace,
+    buffered_reply, crash_reporter, decision_event, gateway, placement_guard, relay_client,
+    relay_request, started_stream, stream_trace,
 };
 
 /// Maximum number of attempts, including those in which the engine proves that it didn't run the
@@ -37,6 +37,8 @@
     pub(crate) failure: relay::StepFailure,
     pub(crate) server: ids::ServerName,
     pub(crate) engine: relay::BackendKey,
+    /// Time at which the request was sent to the engine, if it was.
+    pub(crate) sent_at: Option<clock::Timestamp>,
     pub(crate) error: String,
     /// Error response of the engine, if it may be relayed to the caller.
     pub(crate) reply: Option<buffered_reply::BufferedReply>,
@@ -176,26 +178,18 @@
         next
     }
 
-    /// Reports an engine that broke off before the first event of its answer.
+    /// Reports an engine that broke off.
     fn report_crash(&self, failed: &StepError) {
-        let is_crash = failed.failure.step == relay::StreamStep::Decode
-            && failed.failure.outcome == relay::BackendOutcome::Broken;
-        let request = &self.routed.request;
-        if !is_crash || request.segments.is_empty() {
+        let is_broken = failed.failure.outcome == relay::BackendOutcome::Broken;
+        let Some(sent_at) = failed.sent_at.filter(|_| is_broken) else {
             return;
-        }
-        let hash = relay::request_hash(&request.id);
-        self.gateway
-            .core
-            .decide(|core, now| core.record_crash(now, hash, &request.segments));
-        self.gateway
-            .log
-            .write(&decision_event::DecisionEvent::crash_reported(
-                &request.id,
-                failed.server.as_str(),
-                &request.segments,
-            ));
-        self.gateway.core.state_changed.notify_one();
+        };
+        let crash = crash_reporter::BrokenAttempt {
+            engine_step: Some(failed.failure.step),
+            key: failed.engine,
+            sent_at,
+        };
+        crash_reporter::report(&self.gateway, &self.routed.request, crash);
     }
 
     fn quarantine_refusal(&self) -> Option<relay::Refusal> {
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -78,6 +78,7 @@
                 .build(),
             server: entry.server,
             engine: key,
+            sent_at: guard.sent_at(),
             error: failure.error,
             reply: failure.reply,
         })
@@ -103,6 +104,7 @@
                 .build(),
             server: entry.server,
             engine,
+            sent_at: None,
             error: "the engine has asked to be sent nothing".to_owned(),
             reply: None,
         }
--- a/components/gateway/src/stream_opener/prefill_step.rs
+++ b/components/gateway/src/stream_opener/prefill_step.rs
@@ -80,6 +80,7 @@
                 .build(),
             server: entry.server,
             engine: key,
+            sent_at: Some(started),
             error,
             reply: None,
         })
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -196,6 +196,7 @@
                 .build(),
             server: guard.decode_server(),
             engine: guard.placement.decode.0,
+            sent_at: guard.sent_at(),
             error,
             reply: None,
         };
--- a/components/relay/src/crash_report.rs
+++ b/components/relay/src/crash_report.rs
@@ -6,7 +6,7 @@
 pub struct CrashReport {
     /// Hash of the suspected segment from [`segment_hash`].
     pub segment: u64,
-    /// Hash of the request's id from [`request_hash`].
+    /// Hash of the request from [`request_hash`].
     pub request: u64,
 }
 
@@ -16,8 +16,15 @@
     xxhash_rust::xxh3::xxh3_64(segment.as_bytes())
 }
 
-/// Returns the hash that identifies a request in state updates.
+/// Returns the hash that identifies a request and its repetitions in state updates: the same for each
+/// attempt of the same caller with the same content, whatever its id.
 #[must_use]
-pub fn request_hash(id: &str) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+pub fn request_hash<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for part in parts {
+        // The length keeps parts apart.
+        hasher.update(&part.len().to_be_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
 }
