--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -56,7 +56,7 @@
             .chain(&site.prefills)
             .chain(&site.decodes)
         {
-            let proxy = fault_proxy::FaultProxy::start(worker.address).await;
+            let proxy = fault_proxy::FaultProxy::start(worker).await;
             worker.set_listed_address(proxy.address);
             proxies.push(proxy);
         }
