relay, gateway: quarantine repeated requests that crash servers

Cause: crashes were related by the segments of prompts alone, under different requests; a call has no segments, and each repetition a new id.

One part now keeps both kinds of suspects. A whole request is known by a hash of path, caller, body and prompt. It becomes a suspect when its server broke off within a second and refuses connections afterwards, so that lost answers and resets don't count, and is refused at every instance after three servers. An answer clears it; crashes that a quarantined suspect explains don't count against requests which ran beside it; repetitions no longer count against the segments that other prompts share. Instances release a suspect at different moments, so that one crash binds all again.

--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -105,12 +105,13 @@
     }
 
     pub(crate) async fn serve(mut self) -> relay_answer::RelayAnswer {
+        let suspects = self.routed.request.suspects();
         loop {
             let service = &self.routed.service;
-            let selected = self
-                .gateway
-                .core
-                .decide(|core, now| core.select_server(now, service, &self.excluded));
+            let selected = self.gateway.core.decide(|core, now| {
+                core.quarantine_refusal(now, &suspects)
+                    .map_or_else(|| core.select_server(now, service, &self.excluded), Err)
+            });
             let selection = match selected {
                 Ok(selection) => selection,
                 Err(refusal) => return self.answer_failure(Some(refusal), None),
@@ -299,6 +300,10 @@
     }
 
     fn answer(&mut self, reply: buffered_reply::BufferedReply) -> relay_answer::RelayAnswer {
+        let suspects = self.routed.request.suspects();
+        self.gateway
+            .core
+            .decide(|core, now| core.record_answer(now, &suspects));
         self.log_ended("relayed", None, Some(reply.status.as_u16()), None);
         relay_answer::RelayAnswer::Buffered {
             status: reply.status,
--- a/components/gateway/src/call_session/call_log.rs
+++ b/components/gateway/src/call_session/call_log.rs
@@ -35,6 +35,7 @@
             .log
             .write(&decision_event::DecisionEvent::AttemptFailed {
                 id: &self.routed.request.id,
+                request: decision_event::hash_text(&self.routed.request.fingerprint),
                 stage: "call",
                 server: server.as_str(),
                 outcome: outcome.into(),
--- a/components/gateway/src/crash_reporter.rs
+++ b/components/gateway/src/crash_reporter.rs
@@ -24,35 +24,52 @@
     request: &relay_request::RelayRequest,
     attempt: BrokenAttempt,
 ) {
+    let entry = gateway.core.decide(|core, _| core.entry(attempt.key));
+    let Some(entry) = entry else { return };
     if attempt.engine_step == Some(relay::StreamStep::Decode) && !request.segments.is_empty() {
-        let (hash, segments) = (request.fingerprint, &request.segments);
+        record(gateway, request, attempt.key, &request.segments);
+        let server = entry.server.as_str();
         gateway
-            .core
-            .decide(|core, now| core.record_crash(now, hash, segments));
-        gateway.core.state_changed.notify_one();
+            .log
+            .write(&decision_event::DecisionEvent::crash_reported(
+                request, server,
+            ));
     }
     let now = gateway.core.now();
     if now.since(attempt.sent_at) <= CRASH_DELAY {
         let gateway = sync::Arc::clone(gateway);
         let request = request.clone();
-        tokio::spawn(async move { confirm(&gateway, &request, attempt).await });
+        tokio::spawn(async move { confirm(&gateway, &request, attempt.key, entry).await });
     }
 }
 
-/// Asks whether the server has ended, and reports the crash.
+/// Asks whether a server has ended, which makes the whole request a suspect.
 async fn confirm(
-    gateway: &sync::Arc<gateway::Gateway>,
+    gateway: &gateway::Gateway,
     request: &relay_request::RelayRequest,
-    attempt: BrokenAttempt,
+    key: relay::BackendKey,
+    entry: relay::BackendEntry,
 ) {
-    let entry = gateway.core.decide(|core, _| core.entry(attempt.key));
-    let Some(entry) = entry else { return };
-    let ended = gateway.client.has_ended(entry.address).await;
+    if !gateway.client.has_ended(entry.address).await {
+        return;
+    }
+    record(gateway, request, key, &[request.fingerprint]);
+    let server = entry.server.as_str();
     gateway
         .log
-        .write(&decision_event::DecisionEvent::crash_reported(
-            request,
-            entry.server.as_str(),
-            ended,
+        .write(&decision_event::DecisionEvent::server_ended(
+            request, server,
         ));
 }
+
+fn record(
+    gateway: &gateway::Gateway,
+    request: &relay_request::RelayRequest,
+    key: relay::BackendKey,
+    suspects: &[u64],
+) {
+    gateway
+        .core
+        .decide(|core, now| core.record_crash(now, key, request.fingerprint, suspects));
+    gateway.core.state_changed.notify_one();
+}
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -241,6 +241,8 @@
     AttemptFailed {
         /// Id of the request.
         id: &'a str,
+        /// Hash of the request, the same for its repetitions by the same caller.
+        request: String,
         /// Step that failed: `call`, `prefill`, `decode` or `generate`.
         stage: &'a str,
         /// Name of the server or engine.
@@ -256,24 +258,27 @@
         /// Next step: a kind of retry, or the reason for giving up.
         next: &'a str,
     },
-    /// A server or engine broke off soon after it had been sent a request.
+    /// An engine broke off before the first event of an answer, which makes the segments of the
+    /// prompt suspects.
     CrashReported {
         /// Id of the request.
         id: &'a str,
+        /// Name of the engine.
+        server: &'a str,
+        /// Hashes of the prompt's segments, without the last one.
+        segments: Vec<String>,
+    },
+    /// A server that broke off soon after it had been sent a request refuses connections, which makes
+    /// the request a suspect.
+    ServerEnded {
         /// Name of the server or engine.
         server: &'a str,
-        /// Hash of the request, the same for its repetitions by the same caller.
+        /// Hash of the request, as in the line of its failed attempt.
         request: String,
-        /// Hashes of the prompt's segments, without the last one; suspects if the engine broke off
-        /// before the first event.
-        segments: Vec<String>,
-        /// Whether the server had ended: no new connection could be opened. The request is a suspect
-        /// then.
-        ended: bool,
     },
-    /// The quarantine of prompt segments that crash engines changed.
+    /// The quarantine of requests that crash servers changed.
     QuarantineChanged {
-        /// Hashes of all quarantined segments.
+        /// Hashes of all quarantined requests and segments.
         segments: Vec<String>,
         /// Longest remaining time.
         remaining_ms: u64,
@@ -325,18 +330,23 @@
 }
 
 impl<'a> DecisionEvent<'a> {
-    /// Creates the event for a server that broke off soon after it had been sent a request.
+    /// Creates the event for an engine that broke off before its first event.
     pub(crate) fn crash_reported(
         request: &'a relay_request::RelayRequest,
         server: &'a str,
-        ended: bool,
     ) -> Self {
         Self::CrashReported {
             id: &request.id,
             server,
-            request: hash_text(&request.fingerprint),
             segments: request.segments.iter().map(hash_text).collect(),
-            ended,
+        }
+    }
+
+    /// Creates the event for a server that has ended under a request.
+    pub(crate) fn server_ended(request: &relay_request::RelayRequest, server: &'a str) -> Self {
+        Self::ServerEnded {
+            server,
+            request: hash_text(&request.fingerprint),
         }
     }
 
@@ -365,6 +375,6 @@
     }
 }
 
-fn hash_text(hash: &u64) -> String {
+pub(crate) fn hash_text(hash: &u64) -> String {
     format!("{hash:016x}")
 }
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -86,7 +86,7 @@
         );
         registry.register(
             "relay_quarantined_segments",
-            "Prompt segments in quarantine because they crash engines",
+            "Requests and prompt segments in quarantine because they crash servers",
             quarantined.clone(),
         );
         registry.register(
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -50,6 +50,13 @@
         self.host.split(':').next().unwrap_or_default()
     }
 
+    /// Returns what may crash servers: the segments of the prompt and the whole request.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<u64> {
+        let segments = self.segments.iter().copied();
+        segments.chain([self.fingerprint]).collect()
+    }
+
     /// Returns the path without the query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -167,6 +167,7 @@
             .log
             .write(&decision_event::DecisionEvent::AttemptFailed {
                 id: &self.routed.request.id,
+                request: decision_event::hash_text(&self.routed.request.fingerprint),
                 stage,
                 server: failed.server.as_str(),
                 outcome: failed.failure.outcome.into(),
@@ -192,11 +193,19 @@
         crash_reporter::report(&self.gateway, &self.routed.request, crash);
     }
 
+    /// Records that the request was answered, which shows that it doesn't crash engines.
+    pub(crate) fn record_answer(&self) {
+        let suspects = self.routed.request.suspects();
+        self.gateway
+            .core
+            .decide(|core, now| core.record_answer(now, &suspects));
+    }
+
     fn quarantine_refusal(&self) -> Option<relay::Refusal> {
-        let segments = &self.routed.request.segments;
+        let suspects = self.routed.request.suspects();
         self.gateway
             .core
-            .decide(|core, now| core.quarantine_refusal(now, segments))
+            .decide(|core, now| core.quarantine_refusal(now, &suspects))
     }
 
     /// Returns the preferred step, or the reason for which no retry is allowed. An allowed retry is
@@ -273,7 +282,7 @@
             .wait_until(self.wait_until())
             .resumes(self.trace.has_started())
             .maybe_warm_prefill(self.warm_prefill.map(|(engine, _)| engine))
-            .segments(self.routed.request.segments.clone())
+            .suspects(self.routed.request.suspects())
             .avoid(self.excluded.clone())
             .build();
         let outcome = self.gateway.core.request_placement(request).await;
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -59,6 +59,7 @@
     }
 
     fn relay_reply(mut self, reply: buffered_reply::BufferedReply) -> relay_answer::RelayAnswer {
+        self.opener.record_answer();
         self.opener
             .trace
             .ended("relayed", None, Some(reply.status.as_u16()), None);
@@ -155,12 +156,7 @@
     fn finish(&mut self) {
         if let Some(mut placed) = self.placed.take() {
             placed.guard.release(relay::BackendOutcome::Succeeded);
-            let opener = &self.opener;
-            let segments = &opener.routed.request.segments;
-            opener
-                .gateway
-                .core
-                .decide(|core, now| core.record_answer(now, segments));
+            self.opener.record_answer();
         }
         self.opener.trace.ended("relayed", None, Some(200), None);
     }
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -122,7 +122,10 @@
             .count_window(time::Duration::from_millis(9_000))
             .paused(vec![numbers[1]])
             .crashes(relay::CrashNotice {
-                reports: vec![relay::CrashReport { segment: numbers[0], request: numbers[1] }],
+                reports: vec![relay::CrashReport {
+                    suspect: numbers[0],
+                    source: relay::CrashSource { request: numbers[1], server: numbers[2] },
+                }],
                 cleared: vec![numbers[2]],
                 quarantined: vec![(numbers[3], time::Duration::from_millis(250))],
             })
--- a/components/relay/src/crash_report.rs
+++ b/components/relay/src/crash_report.rs
@@ -1,13 +1,32 @@
-//! Reports of engines that crashed under a prompt.
+//! Reports of servers that crashed under a request.
 
-/// Crash of an engine before the first event of an answer, as a suspicion of one segment of the
-/// prompt.
+/// Crash of a server under a request, as a suspicion of one of the causes that the request may
+/// contain.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CrashReport {
-    /// Hash of the suspected segment from [`segment_hash`].
-    pub segment: u64,
+    /// Suspected cause: a segment of the prompt from [`segment_hash`], or the whole request from
+    /// [`request_hash`].
+    pub suspect: u64,
+    /// Request and server of the crash.
+    pub source: CrashSource,
+}
+
+impl CrashReport {
+    /// Returns whether the whole request is the suspect.
+    #[must_use]
+    pub const fn is_whole_request(&self) -> bool {
+        self.suspect == self.source.request
+    }
+}
+
+/// Request under which a server crashed.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CrashSource {
     /// Hash of the request from [`request_hash`].
     pub request: u64,
+    /// Incarnation of the server, by [`crate::incarnation_hash`]; 0 from instances that don't send
+    /// it.
+    pub server: u64,
 }
 
 /// Returns the hash that identifies a segment of a prompt in state updates.
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -69,7 +69,7 @@
     /// Servers to which the sender can't open connections, by [`incarnation_hash`].
     #[builder(default)]
     pub unreachable: Vec<u64>,
-    /// What the sender knows of segments that crash engines. Partial updates omit it.
+    /// What the sender knows of requests that crash servers. Partial updates omit it.
     #[builder(default)]
     pub crashes: crash_notice::CrashNotice,
     /// Rate limits of servers and the sender's requests there. Partial updates contain those that have
--- a/components/relay/src/next_step.rs
+++ b/components/relay/src/next_step.rs
@@ -42,7 +42,7 @@
     MayHaveRun,
     /// Give up: the retry bound is exhausted.
     RetryBound,
-    /// Give up: the prompt has a segment that crashes engines.
+    /// Give up: the request, or a segment of its prompt, crashes engines.
     Quarantine,
 }
 
--- a/components/relay/src/refusal.rs
+++ b/components/relay/src/refusal.rs
@@ -23,7 +23,7 @@
     QueueTimeout,
     /// The retry bound is exhausted.
     RetryBound,
-    /// The prompt has a segment that crashes engines.
+    /// The request, or a segment of its prompt, crashes servers.
     Quarantine,
     /// The instance is draining.
     ShuttingDown,
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -18,8 +18,8 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_registry, core_settings, fleet_topology, instance_registry, known_instance,
-    limit_registry, order_gate, route_rule, segment_quarantine, sent_state, service_estimate,
+    backend, backend_registry, core_settings, crash_quarantine, fleet_topology, instance_registry,
+    known_instance, limit_registry, order_gate, route_rule, sent_state, service_estimate,
     site_config, stage_planner, stream_lease, view_tracker, wait_queue,
 };
 
@@ -72,7 +72,7 @@
     estimates_combined_at: Option<clock::Timestamp>,
     order_gate: order_gate::OrderGate,
     planners: collections::BTreeMap<ids::ServiceName, stage_planner::StagePlanner>,
-    quarantine: segment_quarantine::SegmentQuarantine,
+    quarantine: crash_quarantine::CrashQuarantine,
     limits: limit_registry::LimitRegistry,
     /// Time and fencing number of this instance's last order.
     last_order: Option<(clock::Timestamp, u64)>,
@@ -125,7 +125,7 @@
             estimates_combined_at: None,
             order_gate: order_gate::OrderGate::default(),
             planners: collections::BTreeMap::new(),
-            quarantine: segment_quarantine::SegmentQuarantine::default(),
+            quarantine: crash_quarantine::CrashQuarantine::new(selection_seed),
             limits: limit_registry::LimitRegistry::default(),
             last_order: None,
             fence_floor: 0,
--- a/components/relay/src/relay_core/core_quarantine.rs
+++ b/components/relay/src/relay_core/core_quarantine.rs
@@ -1,41 +1,53 @@
-//! Prompts with segments that crash engines.
+//! Requests that crash servers.
 
-use crate::{refusal, relay_core, segment_quarantine, wait_queue};
+use crate::{backend, crash_quarantine, crash_report, refusal, relay_core, wait_queue};
 
 use super::{core_queue, core_refusals};
 
 impl relay_core::RelayCore {
-    /// Returns the quarantine of prompt segments.
+    /// Returns the quarantine of requests that crash servers.
     #[must_use]
-    pub const fn quarantine(&self) -> &segment_quarantine::SegmentQuarantine {
+    pub const fn quarantine(&self) -> &crash_quarantine::CrashQuarantine {
         &self.quarantine
     }
 
-    /// Records that an engine crashed before the first event of the answer to a request.
-    pub fn record_crash(&mut self, now: clock::Timestamp, request: u64, segments: &[u64]) {
-        self.quarantine.record_crash(now, request, segments);
+    /// Records that a server broke off under a request; `suspects` are the segments of a prompt whose
+    /// answer had not begun, or the request itself if the server has ended.
+    pub fn record_crash(
+        &mut self,
+        now: clock::Timestamp,
+        key: backend::BackendKey,
+        request: u64,
+        suspects: &[u64],
+    ) {
+        let server = self.backends.get(key);
+        let source = crash_report::CrashSource {
+            request,
+            server: server.map_or(0, |backend| backend.incarnation),
+        };
+        self.quarantine.record_crash(now, source, suspects);
     }
 
-    /// Records that the answer to a prompt was completed.
-    pub fn record_answer(&mut self, now: clock::Timestamp, segments: &[u64]) {
-        self.quarantine.record_answer(now, segments);
+    /// Records that a request with these suspects was answered.
+    pub fn record_answer(&mut self, now: clock::Timestamp, suspects: &[u64]) {
+        self.quarantine.record_answer(now, suspects);
     }
 
-    /// Returns the refusal of a prompt with a quarantined segment.
+    /// Returns the refusal of a request with a quarantined suspect.
     #[must_use]
     pub fn quarantine_refusal(
         &self,
         now: clock::Timestamp,
-        segments: &[u64],
+        suspects: &[u64],
     ) -> Option<refusal::Refusal> {
-        let remaining = self.quarantine.remaining(now, segments)?;
+        let remaining = self.quarantine.remaining(now, suspects)?;
         Some(core_refusals::refuse(
             refusal::RefusalReason::Quarantine,
             remaining,
         ))
     }
 
-    /// Refuses the waiting prompts with a quarantined segment.
+    /// Refuses the waiting requests with a quarantined suspect.
     pub(super) fn refuse_quarantined(
         &mut self,
         now: clock::Timestamp,
@@ -49,7 +61,7 @@
             .waiting()
             .iter()
             .filter_map(|waiting| {
-                let refusal = self.quarantine_refusal(now, &waiting.request.segments)?;
+                let refusal = self.quarantine_refusal(now, &waiting.request.suspects)?;
                 waiting.ticket.zip(Some(refusal))
             })
             .collect();
--- a/components/relay/src/relay_core/core_queue.rs
+++ b/components/relay/src/relay_core/core_queue.rs
@@ -75,7 +75,7 @@
                 core_refusals::NO_ENGINE_RETRY_DELAY,
             ));
         };
-        if let Some(refusal) = self.quarantine_refusal(now, &request.segments) {
+        if let Some(refusal) = self.quarantine_refusal(now, &request.suspects) {
             return PlacementOutcome::Refused(refusal);
         }
         self.refresh_stale_usage(now);
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -104,11 +104,11 @@
             draining: self.backends.reported_draining(),
             unreachable: self.backends.own_unreachable(now),
             crash_reports: crashes.reports,
-            cleared_segments: crashes.cleared,
-            quarantined_segments: crashes
+            cleared_suspects: crashes.cleared,
+            quarantined_suspects: crashes
                 .quarantined
                 .into_iter()
-                .map(|(segment, _)| segment)
+                .map(|(suspect, _)| suspect)
                 .collect(),
         };
         let interval = self.full_update_interval(now);
--- a/components/relay/src/sent_state.rs
+++ b/components/relay/src/sent_state.rs
@@ -19,10 +19,10 @@
     pub(crate) unreachable: Vec<u64>,
     /// Reports of crashes.
     pub(crate) crash_reports: Vec<crash_report::CrashReport>,
-    /// Segments that were suspected and are cleared.
-    pub(crate) cleared_segments: Vec<u64>,
-    /// Segments in quarantine.
-    pub(crate) quarantined_segments: Vec<u64>,
+    /// Suspects that are cleared.
+    pub(crate) cleared_suspects: Vec<u64>,
+    /// Suspects in quarantine.
+    pub(crate) quarantined_suspects: Vec<u64>,
 }
 
 /// State that this instance has last sent to the others, from which partial updates are computed.
--- a/components/relay/src/stream_request.rs
+++ b/components/relay/src/stream_request.rs
@@ -28,9 +28,10 @@
     pub resumes: bool,
     /// Prefill engine that has prefilled the prompt before and may still have it in its cache.
     pub warm_prefill: Option<backend::BackendKey>,
-    /// Segments of the prompt from [`crate::segment_hash`], without the request's own last one.
+    /// What may crash engines: hashes of the prompt's segments, without the last one, and of the whole
+    /// request.
     #[builder(default)]
-    pub segments: Vec<u64>,
+    pub suspects: Vec<u64>,
     /// Engines that are excluded because they failed this request.
     #[builder(default)]
     pub avoid: Vec<backend::BackendKey>,
--- a/components/relay/tests/quarantine.rs
+++ b/components/relay/tests/quarantine.rs
@@ -15,16 +15,24 @@
 /// Segment of a sound prompt.
 const SOUND: u64 = 3;
 
-fn is_quarantined(quarantine: &relay::SegmentQuarantine, millis: u64, segment: u64) -> bool {
+/// Returns the crash of a server of its own under a request.
+const fn source(request: u64) -> relay::CrashSource {
+    relay::CrashSource {
+        request: 1_000 + request,
+        server: 2_000 + request,
+    }
+}
+
+fn is_quarantined(quarantine: &relay::CrashQuarantine, millis: u64, segment: u64) -> bool {
     quarantine.remaining(at(millis), &[segment]).is_some()
 }
 
 /// Returns a quarantine that has seen crashes under different requests at these times, and answers
 /// to sound prompts in between.
-fn quarantine_after(crashes: &[u64]) -> relay::SegmentQuarantine {
-    let mut quarantine = relay::SegmentQuarantine::default();
+fn quarantine_after(crashes: &[u64]) -> relay::CrashQuarantine {
+    let mut quarantine = relay::CrashQuarantine::default();
     for (request, millis) in (0..).zip(crashes) {
-        quarantine.record_crash(at(*millis), request, &[SHARED, POISON]);
+        quarantine.record_crash(at(*millis), source(request), &[SHARED, POISON]);
         quarantine.record_answer(at(*millis + 50), &[SHARED, SOUND]);
     }
     quarantine
@@ -41,9 +49,9 @@
 
 #[test]
 fn engines_that_fail_together_quarantine_the_prompts_that_waited_there() {
-    let mut quarantine = relay::SegmentQuarantine::default();
+    let mut quarantine = relay::CrashQuarantine::default();
     for request in 0..20 {
-        quarantine.record_crash(at(100 + request), request, &[SHARED, SOUND]);
+        quarantine.record_crash(at(100 + request), source(request), &[SHARED, SOUND]);
     }
     quarantine.record_answer(at(150), &[SHARED, POISON]);
 
@@ -52,9 +60,9 @@
 
 #[test]
 fn retries_of_one_request_quarantine_its_segments() {
-    let mut quarantine = relay::SegmentQuarantine::default();
+    let mut quarantine = relay::CrashQuarantine::default();
     for millis in [0, 400, 800, 1_200] {
-        quarantine.record_crash(at(millis), 7, &[SHARED, SOUND]);
+        quarantine.record_crash(at(millis), source(7), &[SHARED, SOUND]);
         quarantine.record_answer(at(millis + 50), &[SHARED]);
     }
 
@@ -63,9 +71,9 @@
 
 #[test]
 fn pool_without_any_answer_quarantines_all_segments() {
-    let mut quarantine = relay::SegmentQuarantine::default();
+    let mut quarantine = relay::CrashQuarantine::default();
     for (request, millis) in [(0, 0), (1, 400), (2, 800), (3, 1_200)] {
-        quarantine.record_crash(at(millis), request, &[SHARED, SOUND]);
+        quarantine.record_crash(at(millis), source(request), &[SHARED, SOUND]);
     }
 
     assert!(!is_quarantined(&quarantine, 1_300, SHARED));
@@ -83,10 +91,10 @@
 
 #[test]
 fn crashes_at_different_instances_are_not_related() {
-    let mut observer = relay::SegmentQuarantine::default();
+    let mut observer = relay::CrashQuarantine::default();
     for instance in 0..3_u64 {
-        let mut other = relay::SegmentQuarantine::default();
-        other.record_crash(at(instance * 400), instance, &[SHARED, POISON]);
+        let mut other = relay::CrashQuarantine::default();
+        other.record_crash(at(instance * 400), source(instance), &[SHARED, POISON]);
         observer.apply_notice(
             at(instance * 400 + 20),
             &other.notice(at(instance * 400 + 10)),
@@ -95,7 +103,7 @@
     }
 
     assert!(is_quarantined(&observer, 900, POISON));
-    let mut newcomer = relay::SegmentQuarantine::default();
+    let mut newcomer = relay::CrashQuarantine::default();
     newcomer.apply_notice(at(910), &observer.notice(at(905)));
     assert!(is_quarantined(&newcomer, 920, POISON));
 }
@@ -127,7 +135,7 @@
     quarantine.record_answer(at(end), &[SHARED, SOUND]);
     assert!(!is_quarantined(&quarantine, end, POISON));
 
-    quarantine.record_crash(at(end + 10), 99, &[SHARED, POISON]);
+    quarantine.record_crash(at(end + 10), source(99), &[SHARED, POISON]);
     quarantine.record_answer(at(end + 20), &[SHARED, SOUND]);
 
     assert!(is_quarantined(&quarantine, end + 30, POISON));
@@ -147,7 +155,7 @@
 
     core.apply_update(at(10), update);
     let mut request = common::request(at(20), 500);
-    request.segments = vec![SHARED, POISON];
+    request.suspects = vec![SHARED, POISON];
     let outcome = core.place(at(20), request);
 
     let relay::PlacementOutcome::Refused(refusal) = outcome else {
