relay, gateway: recognize repeated requests with another query or caller

A request has three hashes now: content for all callers, path, caller and body for all queries, and path and body for all of both; the last one is a part that different requests share, like a segment.

--- a/components/gateway/src/call_session/call_log.rs
+++ b/components/gateway/src/call_session/call_log.rs
@@ -35,7 +35,7 @@
             .log
             .write(&decision_event::DecisionEvent::AttemptFailed {
                 id: &self.routed.request.id,
-                request: decision_event::hash_text(&self.routed.request.fingerprint),
+                request: decision_event::hash_text(&self.routed.request.identity.content),
                 stage: "call",
                 server: server.as_str(),
                 outcome: outcome.into(),
--- a/components/gateway/src/crash_reporter.rs
+++ b/components/gateway/src/crash_reporter.rs
@@ -27,7 +27,12 @@
     let entry = gateway.core.decide(|core, _| core.entry(attempt.key));
     let Some(entry) = entry else { return };
     if attempt.engine_step == Some(relay::StreamStep::Decode) && !request.segments.is_empty() {
-        record(gateway, request, attempt.key, &request.segments);
+        record(
+            gateway,
+            attempt.key,
+            request.identity.content,
+            &request.segments,
+        );
         let server = entry.server.as_str();
         gateway
             .log
@@ -53,7 +58,11 @@
     if !gateway.client.has_ended(entry.address).await {
         return;
     }
-    record(gateway, request, key, &[request.fingerprint]);
+    let identity = request.identity;
+    for whole in [identity.content, identity.by_caller] {
+        record(gateway, key, whole, &[whole]);
+    }
+    record(gateway, key, identity.content, &[identity.by_path]);
     let server = entry.server.as_str();
     gateway
         .log
@@ -62,14 +71,9 @@
         ));
 }
 
-fn record(
-    gateway: &gateway::Gateway,
-    request: &relay_request::RelayRequest,
-    key: relay::BackendKey,
-    suspects: &[u64],
-) {
+fn record(gateway: &gateway::Gateway, key: relay::BackendKey, request: u64, suspects: &[u64]) {
     gateway
         .core
-        .decide(|core, now| core.record_crash(now, key, request.fingerprint, suspects));
+        .decide(|core, now| core.record_crash(now, key, request, suspects));
     gateway.core.state_changed.notify_one();
 }
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -346,7 +346,7 @@
     pub(crate) fn server_ended(request: &relay_request::RelayRequest, server: &'a str) -> Self {
         Self::ServerEnded {
             server,
-            request: hash_text(&request.fingerprint),
+            request: hash_text(&request.identity.content),
         }
     }
 
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -32,9 +32,9 @@
     pub time_left: time::Duration,
     /// Sizes, if the request is a generation.
     pub size: Option<GenerationSize>,
-    /// Hash of the request and its repetitions from [`relay::request_hash`].
+    /// Hashes by which the request is recognized when it comes again.
     #[builder(default)]
-    pub fingerprint: u64,
+    pub identity: relay::RequestIdentity,
     /// Segments of the prompt from [`relay::segment_hash`], without the last one, which is the
     /// request's own.
     #[builder(default)]
@@ -50,11 +50,11 @@
         self.host.split(':').next().unwrap_or_default()
     }
 
-    /// Returns what may crash servers: the segments of the prompt and the whole request.
+    /// Returns what may crash servers: the segments of the prompt, the whole request and its path.
     #[must_use]
     pub fn suspects(&self) -> Vec<u64> {
         let segments = self.segments.iter().copied();
-        segments.chain([self.fingerprint]).collect()
+        segments.chain(self.identity.suspects()).collect()
     }
 
     /// Returns the path without the query.
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -167,7 +167,7 @@
             .log
             .write(&decision_event::DecisionEvent::AttemptFailed {
                 id: &self.routed.request.id,
-                request: decision_event::hash_text(&self.routed.request.fingerprint),
+                request: decision_event::hash_text(&self.routed.request.identity.content),
                 stage,
                 server: failed.server.as_str(),
                 outcome: failed.failure.outcome.into(),
--- a/components/relay/src/crash_quarantine.rs
+++ b/components/relay/src/crash_quarantine.rs
@@ -1,9 +1,9 @@
 //! Quarantine of requests that crash servers.
 //!
 //! A crash ends all requests of a server, so a single one says little about those that ran there.
-//! Suspects are whole requests, which come again unchanged, and the segments that prompts share.
-//! Several crashes of servers under the same request, or under different requests with the same
-//! segment, prove the cause if no request with it has been answered meanwhile. A suspect whose crashes
+//! Suspects are whole requests, which come again unchanged, and parts that different requests share:
+//! the segments of prompts, and the path. Several crashes of servers under the same request, or under
+//! different requests with the same part, prove the cause if no request with it has been answered meanwhile. A suspect whose crashes
 //! another one in quarantine explains isn't proven by them.
 
 use std::{cmp, collections, time};
@@ -315,14 +315,18 @@
         crashes.is_whole_request() || is_answered
     }
 
-    /// Returns the servers whose crashes another suspect explains.
-    fn explained_servers(&self, now: clock::Timestamp, suspect: u64) -> collections::BTreeSet<u64> {
+    /// Returns the servers whose crashes another suspect explains, with that suspect.
+    fn explained_servers(
+        &self,
+        now: clock::Timestamp,
+        suspect: u64,
+    ) -> collections::BTreeMap<u64, u64> {
         let explained = self.explained.iter();
         explained
             .filter(|(_, (cause, since))| {
                 *cause != suspect && now.since(*since) >= EXPLANATION_DELAY
             })
-            .map(|(server, _)| *server)
+            .map(|(server, (cause, _))| (*server, *cause))
             .collect()
     }
 
--- a/components/relay/src/crash_report.rs
+++ b/components/relay/src/crash_report.rs
@@ -4,15 +4,16 @@
 /// contain.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CrashReport {
-    /// Suspected cause: a segment of the prompt from [`segment_hash`], or the whole request from
-    /// [`request_hash`].
+    /// Suspected cause: a segment of the prompt from [`segment_hash`], or a hash of
+    /// [`crate::RequestIdentity`].
     pub suspect: u64,
     /// Request and server of the crash.
     pub source: CrashSource,
 }
 
 impl CrashReport {
-    /// Returns whether the whole request is the suspect.
+    /// Returns whether the whole request is the suspect, rather than a part that different requests
+    /// share.
     #[must_use]
     pub const fn is_whole_request(&self) -> bool {
         self.suspect == self.source.request
@@ -22,7 +23,7 @@
 /// Request under which a server crashed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct CrashSource {
-    /// Hash of the request from [`request_hash`].
+    /// Hash of the request of [`crate::RequestIdentity`].
     pub request: u64,
     /// Incarnation of the server, by [`crate::incarnation_hash`]; 0 from instances that don't send
     /// it.
@@ -34,16 +35,3 @@
 pub fn segment_hash(segment: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(segment.as_bytes())
 }
-
-/// Returns the hash that identifies a request and its repetitions in state updates: the same for each
-/// attempt of the same caller with the same content, whatever its id.
-#[must_use]
-pub fn request_hash<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> u64 {
-    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-    for part in parts {
-        // The length keeps parts apart.
-        hasher.update(&part.len().to_be_bytes());
-        hasher.update(part);
-    }
-    hasher.digest()
-}
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod refusal;
 mod relay_core;
 mod removed_entries;
+mod request_identity;
 mod request_kind;
 mod route_rule;
 mod sent_state;
@@ -63,7 +64,7 @@
 pub use core_settings::CoreSettings;
 pub use crash_notice::CrashNotice;
 pub use crash_quarantine::CrashQuarantine;
-pub use crash_report::{CrashReport, CrashSource, request_hash, segment_hash};
+pub use crash_report::{CrashReport, CrashSource, segment_hash};
 pub use engine_selector::{EngineSelection, EngineSelector};
 pub use engine_usage::{EngineUsage, StreamLoad};
 pub use fleet_topology::FleetTopology;
@@ -86,6 +87,7 @@
     MovedStream, PlacementOutcome, RelayCore, RouteMatch, ServerSelection, StageOrder,
     StreamCompletion, StreamPlacement,
 };
+pub use request_identity::{RequestIdentity, RequestParts};
 pub use request_kind::RequestKind;
 pub use retry::{FleetCount, RetryBound, RetryCount, RetryWindow};
 pub use route_rule::{RouteRule, ServiceShare};
--- a/components/relay/src/suspect_crashes.rs
+++ b/components/relay/src/suspect_crashes.rs
@@ -49,8 +49,8 @@
         self.is_whole_request
     }
 
-    /// Adds a crash; returns whether it counts: that of another request for a segment, and that of
-    /// another server for a whole request.
+    /// Adds a crash; returns whether it was unknown. Copies of a whole request that end one server are
+    /// one crash.
     pub(crate) fn add(
         &mut self,
         now: clock::Timestamp,
@@ -58,11 +58,8 @@
         is_own: bool,
     ) -> bool {
         let is_known = self.crashes.iter().any(|crash| {
-            if self.is_whole_request {
-                crash.source.server == source.server
-            } else {
-                crash.source.request == source.request
-            }
+            crash.source.server == source.server
+                && (self.is_whole_request || crash.source.request == source.request)
         });
         if is_known || self.crashes.len() >= MAX_CRASHES {
             return false;
@@ -121,20 +118,24 @@
     }
 
     /// Returns the time of the first of at least `limit` crashes since the suspect was last cleared,
-    /// without those of `explained` servers; `None` if there are fewer. Crashes that count against a
-    /// segment have a minimum time in between.
+    /// without those that other requests explain; `None` if there are fewer. Crashes that count
+    /// against a segment have a minimum time in between and are of as many different requests.
+    /// `explained` are the causes by server.
     pub(crate) fn first_of(
         &self,
         limit: usize,
-        explained: &collections::BTreeSet<u64>,
+        explained: &collections::BTreeMap<u64, u64>,
     ) -> Option<clock::Timestamp> {
         let mut first = None;
         let mut last: Option<clock::Timestamp> = None;
         let mut count = 0;
+        let mut requests = collections::BTreeSet::new();
         for crash in self.suspected() {
-            if explained.contains(&crash.source.server) {
+            let cause = explained.get(&crash.source.server);
+            if cause.is_some_and(|cause| *cause != crash.source.request) {
                 continue;
             }
+            requests.insert(crash.source.request);
             let is_apart = last.is_none_or(|last| crash.at.since(last) >= CRASH_SPACING);
             if is_apart || self.is_whole_request {
                 first.get_or_insert(crash.at);
@@ -142,7 +143,8 @@
                 count += 1;
             }
         }
-        first.filter(|_| count >= limit)
+        let are_different = self.is_whole_request || requests.len() >= limit;
+        first.filter(|_| count >= limit && are_different)
     }
 
     fn suspected(&self) -> impl Iterator<Item = &SeenCrash> {
--- a/components/relay/tests/crashing_requests.rs
+++ b/components/relay/tests/crashing_requests.rs
@@ -212,3 +212,57 @@
     assert_eq!(refusal.reason, relay::RefusalReason::Quarantine);
     assert_eq!(core.quarantine_refusal(at(50), &[SOUND]), None);
 }
+
+fn parts(target: &str, caller: u8, body: &str) -> relay::RequestIdentity {
+    let parts = relay::RequestParts::builder()
+        .method("GET")
+        .host("site.example")
+        .target(target)
+        .caller(std::net::Ipv4Addr::new(10, 0, 0, caller).into())
+        .body(body.as_bytes())
+        .build();
+    relay::RequestIdentity::new(&parts)
+}
+
+#[test]
+fn repeated_request_is_not_recognized() {
+    let first = parts("/a/x?page=1", 1, "body");
+
+    assert_eq!(parts("/a/x?page=1", 1, "body"), first);
+    assert_eq!(parts("/a/x?page=1", 2, "body").content, first.content);
+    assert_eq!(parts("/a/x?page=2", 1, "body").by_caller, first.by_caller);
+    assert_eq!(parts("/a/x", 2, "body").by_path, first.by_path);
+}
+
+#[test]
+fn other_request_is_taken_for_a_repetition() {
+    let first = parts("/a/x?page=1", 1, "body");
+
+    for other in [
+        parts("/a/y?page=1", 1, "body"),
+        parts("/a/x?page=1", 1, "bodyless"),
+    ] {
+        let shared = other
+            .suspects()
+            .iter()
+            .any(|hash| first.suspects().contains(hash));
+        assert!(!shared);
+    }
+    let other = parts("/a/x?page=2", 2, "body");
+    assert_ne!(other.content, first.content);
+    assert_ne!(other.by_caller, first.by_caller);
+}
+
+#[test]
+fn whole_request_hides_a_segment_that_crashes_engines() {
+    const SEGMENT: u64 = 3;
+    let mut quarantine = relay::CrashQuarantine::default();
+    crash(&mut quarantine, 0, FATAL, &[11, 12, 13]);
+    for (request, server) in [(FATAL, 11), (21, 14), (22, 15)] {
+        let now = at(3_000 + server * 300);
+        quarantine.record_crash(now, source(request, server), &[SEGMENT]);
+        quarantine.record_answer(now + common::ms(50), &[SOUND]);
+    }
+
+    assert!(is_quarantined(&quarantine, 8_000, SEGMENT));
+}
