--- a/tests/node_soak/caller_load.rs
+++ b/tests/node_soak/caller_load.rs
@@ -13,6 +13,15 @@
 /// Prefix of the ids of generations with the segment.
 pub const POISON_PREFIX: &str = "poison-";
 
+/// Path of calls that end each server which begins to run them.
+pub const FATAL_PATH: &str = "/price/deadly";
+
+/// Prefix of the ids of these calls, followed by the index of the process that received them.
+pub const FATAL_PREFIX: &str = "fatal-";
+
+/// Pause between these calls.
+const FATAL_PAUSE: time::Duration = time::Duration::from_millis(150);
+
 /// A request of a caller with the answer that the caller received.
 pub struct CallerRecord {
     pub id: String,
@@ -83,3 +92,39 @@
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
     }
 }
+
+/// Returns the part of an id that tells who received the request: the number of the caller, or the
+/// index of the process for fatal calls.
+pub fn receiver_of(id: &str) -> &str {
+    id.rsplit_once('-').map_or(id, |(receiver, _)| receiver)
+}
+
+/// Returns the index of the process that received a request, from its id.
+pub fn process_of(id: &str, processes: usize) -> Option<usize> {
+    let receiver = receiver_of(id);
+    if let Some(process) = receiver.strip_prefix(FATAL_PREFIX) {
+        return process.parse().ok();
+    }
+    let number: usize = receiver.rsplit('c').next()?.parse().ok()?;
+    Some(number % processes)
+}
+
+/// Sends the same fatal call again and again, at one process after the other, from `delay` on until
+/// `stop` is set.
+pub async fn send_fatal_calls(
+    addresses: Vec<net::SocketAddr>,
+    delay: time::Duration,
+    stop: sync::Arc<sync::atomic::AtomicBool>,
+) {
+    tokio::time::sleep(delay).await;
+    for round in 0.. {
+        if stop.load(sync::atomic::Ordering::Relaxed) {
+            return;
+        }
+        let process = round % addresses.len();
+        let id = format!("{FATAL_PREFIX}{process}-{round}");
+        let request = caller::request("GET", FATAL_PATH, &id, "X-Deadline-Ms: 1200\r\n", "");
+        let _answer = caller::try_send(addresses[process], &request).await;
+        tokio::time::sleep(FATAL_PAUSE).await;
+    }
+}
--- a/tests/node_soak/main.rs
+++ b/tests/node_soak/main.rs
@@ -3,7 +3,8 @@
 //! The test checks the answers that callers received and the requests that workers ran: no request
 //! of a path without retries ran twice, no caller received a wrong stream or another caller's
 //! answer, no request that was answered with 503 ran, no draining server received requests after
-//! the drain timeout, and no request is still running at the end.
+//! the drain timeout, few requests reached workers that had crashed several of them, no server got more
+//! than the limit that it named, and no request is still running at the end.
 //!
 //! Environment variables:
 //! - `SOAK_SEEDS=1..50` runs the seeds 1 to 49 instead of the default ones, for example in
@@ -17,8 +18,11 @@
 mod common;
 
 mod caller_load;
+mod limited_servers;
 mod node_process;
+mod process_fault;
 mod soak_run;
+mod violation_checks;
 
 use std::{ops, sync, time};
 
--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -1,48 +1,32 @@
 //! One run of the soak test: a site, its faults and the checks.
 
-use std::{collections, sync, time};
+use std::{sync, time};
 
 use rand::{RngExt as _, SeedableRng as _, seq::IndexedRandom as _};
 
 use crate::{
     caller_load,
     common::{fake_store, fake_worker, fault_proxy, site},
-    node_process,
+    limited_servers, node_process, process_fault,
 };
 
 /// Minimum number of callers of each path.
 const CALLERS_PER_PATH: usize = 4;
 
-/// Time after which a draining server receives no new requests.
-const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(2);
-
-/// Added to the drain timeout: a stopped process or an unavailable store delays the state change.
-const DRAIN_SLACK: time::Duration = time::Duration::from_secs(3);
-
 /// Number of routes by which a newer configuration is larger.
 const ADDED_ROUTES: u64 = 1_000;
 
-/// Number of crashes after which prompts with the same segment stay away from engines.
-const CRASH_LIMIT: usize = 5;
-
-/// Time after the last of these crashes, and after a fault of a process, from which few such prompts
-/// reach engines.
-const STABLE_TIME: time::Duration = time::Duration::from_secs(3);
-
-/// Number of such prompts that may reach engines after that.
-const LATE_PROMPTS: usize = 3;
-
 /// A run of the soak test: a site of processes, with a fault proxy in front of every fake worker.
 pub struct SoakRun {
     pub site: site::Site,
     pub proxies: Vec<fault_proxy::FaultProxy>,
-    processes: Vec<node_process::NodeProcess>,
+    pub processes: Vec<node_process::NodeProcess>,
     pub records: sync::Arc<sync::Mutex<Vec<caller_load::CallerRecord>>>,
     /// Ids of the draining servers, with the times at which they began to drain.
-    draining: Vec<(String, time::Instant)>,
+    pub draining: Vec<(String, time::Instant)>,
     config_version: u64,
-    /// Starts and ends of the faults of processes.
-    process_faults: Vec<(time::Instant, time::Instant)>,
+    pub process_faults: Vec<process_fault::ProcessFault>,
+    pub limits: limited_servers::LimitedServers,
     random: rand_chacha::ChaCha8Rng,
 }
 
@@ -74,12 +58,16 @@
             draining: Vec::new(),
             config_version: 1,
             process_faults: Vec::new(),
+            limits: limited_servers::LimitedServers::default(),
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
         };
         run.list_all();
         for engine in &run.site.decodes {
             engine.crash_on(caller_load::POISON_SEGMENT);
         }
+        for server in &run.site.servers {
+            server.end_on(caller_load::FATAL_PATH);
+        }
         for process in &mut run.processes {
             process.start();
         }
@@ -91,7 +79,7 @@
 
     /// Starts callers that send requests until `stop` is set.
     pub fn start_callers(
-        &self,
+        &mut self,
         stop: &sync::Arc<sync::atomic::AtomicBool>,
     ) -> Vec<tokio::task::JoinHandle<()>> {
         let addresses: Vec<_> = self
@@ -100,19 +88,24 @@
             .map(|process| site::caller_address(process.ip))
             .collect();
         let paths = ["/order/x", "/price/x", "/draft/x", "/once/x"];
-        (0..(CALLERS_PER_PATH * paths.len()).max(addresses.len()))
-            .map(|number| {
-                let path = paths[number % paths.len()];
-                let address = addresses[number % addresses.len()];
-                tokio::spawn(caller_load::send_requests(
-                    number,
-                    path,
-                    address,
-                    sync::Arc::clone(stop),
-                    sync::Arc::clone(&self.records),
-                ))
-            })
-            .collect()
+        let delay = time::Duration::from_millis(self.random.random_range(0..4_000));
+        let fatal = tokio::spawn(caller_load::send_fatal_calls(
+            addresses.clone(),
+            delay,
+            sync::Arc::clone(stop),
+        ));
+        let callers = (0..(CALLERS_PER_PATH * paths.len()).max(addresses.len())).map(|number| {
+            let path = paths[number % paths.len()];
+            let address = addresses[number % addresses.len()];
+            tokio::spawn(caller_load::send_requests(
+                number,
+                path,
+                address,
+                sync::Arc::clone(stop),
+                sync::Arc::clone(&self.records),
+            ))
+        });
+        callers.chain([fatal]).collect()
     }
 
     /// Injects one random fault.
@@ -120,7 +113,7 @@
         let pause = time::Duration::from_millis(self.random.random_range(50..700));
         let number = self.random.random_range(0..self.processes.len());
         let started = time::Instant::now();
-        let kind = self.random.random_range(0..12);
+        let kind = self.random.random_range(0..13);
         match kind {
             0 => {
                 self.processes[number].kill();
@@ -143,10 +136,15 @@
             7 => self.drain_server(pause).await,
             8 => self.restore_store(pause).await,
             9 => self.enlarge_configuration(),
+            10 => self.limits.change(&self.site, &mut self.random),
             _ => self.inject_worker_faults(),
         }
         if kind <= 3 {
-            self.process_faults.push((started, time::Instant::now()));
+            self.process_faults.push(process_fault::ProcessFault {
+                process: number,
+                started,
+                ended: time::Instant::now(),
+            });
         }
         tokio::time::sleep(pause / 3).await;
     }
@@ -275,75 +273,4 @@
             worker.script([behaviour]);
         }
     }
-
-    /// Returns the violations of the checked guarantees.
-    pub fn violations(&self) -> Vec<String> {
-        let records = self.records.lock().expect("no caller panicked");
-        let run_counts = self.run_counts();
-        let mut violations = Vec::new();
-        for record in records.iter() {
-            let run_count = run_counts.get(&record.id).copied().unwrap_or(0);
-            let at_most_once = ["/order/x", "/once/x"].contains(&record.path);
-            if at_most_once && run_count > 1 {
-                violations.push(format!("{} ran {run_count} times", record.id));
-            }
-            if let Some(answer) = &record.answer {
-                violations.extend(caller_load::answer_violation(record, answer, run_count));
-            }
-        }
-        violations.extend(self.poison_violation());
-        for (server, drain_start) in &self.draining {
-            let late = self
-                .site
-                .servers
-                .iter()
-                .filter(|worker| worker.id == *server)
-                .flat_map(fake_worker::FakeWorker::runs)
-                .filter(|(_, run)| {
-                    run.saturating_duration_since(*drain_start) > DRAIN_TIMEOUT + DRAIN_SLACK
-                })
-                .count();
-            if late > 0 {
-                violations.push(format!(
-                    "{server} received {late} requests after the drain timeout"
-                ));
-            }
-        }
-        violations
-    }
-
-    /// Returns the violation that prompts with a segment on which engines crash show, if any.
-    fn poison_violation(&self) -> Option<String> {
-        let engines = self.site.decodes.iter();
-        let mut runs: Vec<time::Instant> = engines
-            .flat_map(fake_worker::FakeWorker::runs)
-            .filter(|(id, _)| id.starts_with(caller_load::POISON_PREFIX))
-            .map(|(_, started)| started)
-            .collect();
-        runs.sort_unstable();
-        let last_crash = *runs.get(CRASH_LIMIT - 1)?;
-        let calm = |run: &time::Instant| {
-            let is_disturbed = |(start, end): &(time::Instant, time::Instant)| {
-                (*start..*end + STABLE_TIME).contains(run)
-            };
-            !self.process_faults.iter().any(is_disturbed)
-                && run.duration_since(last_crash) > STABLE_TIME
-        };
-        let later = runs.iter().skip(CRASH_LIMIT);
-        let late = later.filter(|run| calm(run)).count();
-        let crashes = runs.len();
-        (late > LATE_PROMPTS)
-            .then(|| format!("{late} of {crashes} crashes after the segment was known"))
-    }
-
-    /// Returns the number of times that each request ran, by request id.
-    fn run_counts(&self) -> collections::BTreeMap<String, usize> {
-        let mut run_counts = collections::BTreeMap::new();
-        for worker in self.site.servers.iter().chain(&self.site.decodes) {
-            for (id, _) in worker.runs() {
-                *run_counts.entry(id).or_default() += 1;
-            }
-        }
-        run_counts
-    }
 }
