--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -1,5 +1,6 @@
 //! One call to a plain service, with its retries.
 
+mod attempt_result;
 mod call_log;
 
 use std::{sync, time};
@@ -49,24 +50,6 @@
     }
 }
 
-/// Result of one attempt.
-enum AttemptResult {
-    /// The server answered; the answer is relayed to the caller.
-    Reply(buffered_reply::BufferedReply),
-    /// The attempt failed.
-    Failed {
-        outcome: relay::BackendOutcome,
-        not_run: bool,
-        /// Whether the request may have reached the server.
-        was_sent: bool,
-        error: String,
-        /// Whether a retry was already granted when the attempt timed out.
-        granted: bool,
-        /// Error response of the server, if it may be relayed to the caller.
-        reply: Option<buffered_reply::BufferedReply>,
-    },
-}
-
 /// One call to a plain service, with its retries.
 pub(crate) struct CallSession {
     gateway: sync::Arc<gateway::Gateway>,
@@ -120,8 +103,8 @@
             let started = self.gateway.core.now();
             let (result, server) = self.attempt(selection).await;
             let (outcome, not_run, was_sent, error, granted, reply) = match result {
-                AttemptResult::Reply(reply) => return self.answer(reply),
-                AttemptResult::Failed {
+                attempt_result::AttemptResult::Reply(reply) => return self.answer(reply),
+                attempt_result::AttemptResult::Failed {
                     outcome,
                     not_run,
                     was_sent,
@@ -147,7 +130,7 @@
     async fn attempt(
         &mut self,
         selection: relay::ServerSelection,
-    ) -> (AttemptResult, ids::ServerName) {
+    ) -> (attempt_result::AttemptResult, ids::ServerName) {
         self.attempts += 1;
         let server = selection.entry.server.clone();
         self.server = Some(server.clone());
@@ -178,8 +161,8 @@
             .exchange_within(options, attempt_timeout, time_left)
             .await;
         let outcome = match &result {
-            AttemptResult::Reply(_) => relay::BackendOutcome::Succeeded,
-            AttemptResult::Failed { outcome, .. } => *outcome,
+            attempt_result::AttemptResult::Reply(_) => relay::BackendOutcome::Succeeded,
+            attempt_result::AttemptResult::Failed { outcome, .. } => *outcome,
         };
         guard.end(&self.routed.request.id, outcome);
         (result, server)
@@ -192,7 +175,7 @@
         options: relay_client::SendOptions,
         attempt_timeout: time::Duration,
         time_left: time::Duration,
-    ) -> AttemptResult {
+    ) -> attempt_result::AttemptResult {
         let exchange = self.exchange(options);
         tokio::pin!(exchange);
         if let Ok(result) = tokio::time::timeout(attempt_timeout, exchange.as_mut()).await {
@@ -204,7 +187,7 @@
         {
             return result;
         }
-        AttemptResult::Failed {
+        attempt_result::AttemptResult::Failed {
             outcome: relay::BackendOutcome::TimedOut,
             not_run: false,
             was_sent: true,
@@ -214,7 +197,7 @@
         }
     }
 
-    async fn exchange(&self, options: relay_client::SendOptions) -> AttemptResult {
+    async fn exchange(&self, options: relay_client::SendOptions) -> attempt_result::AttemptResult {
         let reply = match self
             .gateway
             .client
@@ -222,11 +205,11 @@
             .await
         {
             Ok(reply) => reply,
-            Err(error) => return failed_attempt(&error),
+            Err(error) => return attempt_result::failed_attempt(&error),
         };
         match buffered_reply::collect(reply).await {
-            Err(error) => failed_attempt(&error),
-            Ok(reply) if reply.not_run => AttemptResult::Failed {
+            Err(error) => attempt_result::failed_attempt(&error),
+            Ok(reply) if reply.not_run => attempt_result::AttemptResult::Failed {
                 outcome: buffered_reply::refusal_outcome(reply.status),
                 not_run: true,
                 was_sent: true,
@@ -234,7 +217,7 @@
                 granted: false,
                 reply: None,
             },
-            Ok(reply) if reply.status.is_server_error() => AttemptResult::Failed {
+            Ok(reply) if reply.status.is_server_error() => attempt_result::AttemptResult::Failed {
                 outcome: relay::BackendOutcome::Failed,
                 not_run: false,
                 was_sent: true,
@@ -242,7 +225,7 @@
                 granted: false,
                 reply: Some(reply),
             },
-            Ok(reply) => AttemptResult::Reply(reply),
+            Ok(reply) => attempt_result::AttemptResult::Reply(reply),
         }
     }
 
@@ -346,14 +329,3 @@
         }
     }
 }
-
-fn failed_attempt(error: &border::BorderError) -> AttemptResult {
-    AttemptResult::Failed {
-        outcome: buffered_reply::outcome_of(error),
-        not_run: error.proves_not_run(),
-        was_sent: !matches!(error, border::BorderError::NotSent { .. }),
-        error: error.to_string(),
-        granted: false,
-        reply: None,
-    }
-}
