relay: refuse generations at once whose engines accept nothing

Callers would have waited up to three targets: with limits of zero on all engines the time until the limits allow a generation was computed as none. Found by reading; generation_waits_for_engines_that_accept_nothing failed before (Waiting). One function computes the shortest wait for backoffs and limits.

--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -253,7 +253,7 @@
     fn count_repeat(&self, engine: relay::BackendKey) {
         self.gateway
             .core
-            .decide(|core, now| core.count_repeat(now, engine));
+            .decide(|core, now| core.count_request(now, engine));
         self.gateway.core.state_changed.notify_one();
     }
 
--- a/components/relay/src/relay_core/core_limits.rs
+++ b/components/relay/src/relay_core/core_limits.rs
@@ -42,8 +42,9 @@
         })
     }
 
-    /// Counts a request that is sent once more to the server that it was sent to.
-    pub fn count_repeat(&mut self, now: clock::Timestamp, key: backend::BackendKey) {
+    /// Counts a request that is sent to a server without having selected it anew, or after a stream
+    /// was moved there.
+    pub fn count_request(&mut self, now: clock::Timestamp, key: backend::BackendKey) {
         if let Some(backend) = self.backends.get(key) {
             self.limits.count_request(now, backend.incarnation);
         }
@@ -56,17 +57,10 @@
         now: clock::Timestamp,
         service: &ids::ServiceName,
     ) -> Option<refusal::Refusal> {
-        let waits: Option<Vec<time::Duration>> = self
-            .backends
-            .table()
-            .values()
-            .filter(|backend| backend.is_current() && backend.entry.service == *service)
-            .map(|backend| {
-                let token_wait = self.limits.wait(now, backend.incarnation);
-                Some(token_wait.max(backend.backoff(now))).filter(|wait| !wait.is_zero())
-            })
-            .collect();
-        let wait = waits?.into_iter().min()?;
+        let wait = self.shortest_wait(service, None, |backend| {
+            let token_wait = self.limits.wait(now, backend.incarnation);
+            token_wait.max(backend.backoff(now))
+        })?;
         let spread = RETRY_SPREAD.mul_f64(self.random.random::<f64>());
         Some(core_refusals::refuse(
             refusal::RefusalReason::RateLimit,
@@ -104,6 +98,7 @@
     ) -> time::Duration {
         let mut rate = 0.0;
         let mut available = 0.0;
+        let mut has_engine = false;
         for engine in self.backends.table().values() {
             let is_candidate = engine.entry.service == *service
                 && engine.entry.stage == Some(stage)
@@ -114,13 +109,15 @@
             let Some(engine_rate) = self.limits.rate(engine.incarnation) else {
                 return time::Duration::ZERO;
             };
+            has_engine = true;
             rate += engine_rate;
             available += self.limits.available(now, engine.incarnation);
         }
         let missing = f64::from(requests) - available;
-        if missing <= 0.0 || rate == 0.0 {
+        if missing <= 0.0 || !has_engine {
             return time::Duration::ZERO;
         }
+        // Limits of zero give an infinite time.
         time::Duration::try_from_secs_f64(missing / rate).unwrap_or(time::Duration::MAX)
     }
 
--- a/components/relay/src/relay_core/core_notices.rs
+++ b/components/relay/src/relay_core/core_notices.rs
@@ -57,18 +57,29 @@
         service: &ids::ServiceName,
         stage: Option<backend_entry::EngineStage>,
     ) -> Option<refusal::Refusal> {
+        let retry_after = self.shortest_wait(service, stage, |backend| backend.backoff(now))?;
+        Some(refusal::Refusal {
+            reason: refusal::RefusalReason::Backoff,
+            retry_after,
+        })
+    }
+
+    /// Returns the shortest wait over the servers of a service; `None` if one doesn't have to be
+    /// waited for, or there is none.
+    pub(super) fn shortest_wait(
+        &self,
+        service: &ids::ServiceName,
+        stage: Option<backend_entry::EngineStage>,
+        wait_of: impl Fn(&backend::Backend) -> time::Duration,
+    ) -> Option<time::Duration> {
         let waits: Option<Vec<time::Duration>> = self
             .backends
             .table()
             .values()
             .filter(|backend| backend.is_current() && backend.entry.service == *service)
             .filter(|backend| backend.entry.stage == stage)
-            .map(|backend| Some(backend.backoff(now)).filter(|wait| !wait.is_zero()))
+            .map(|backend| Some(wait_of(backend)).filter(|wait| !wait.is_zero()))
             .collect();
-        let retry_after = waits?.into_iter().min()?;
-        Some(refusal::Refusal {
-            reason: refusal::RefusalReason::Backoff,
-            retry_after,
-        })
+        waits?.into_iter().min()
     }
 }
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -158,7 +158,7 @@
         let decode = selected.unwrap_or(previous);
         let entry = self.assign_decode(key, decode, &request)?;
         if let Some(decode) = selected {
-            self.count_repeat(now, decode);
+            self.count_request(now, decode);
         }
         selected.map(|decode| (decode, entry))
     }
@@ -195,7 +195,7 @@
         engine.own_running = engine.own_running.saturating_sub(1);
         engine.own_streams.remove(&key);
         let entry = self.assign_decode(key, selected, &request)?;
-        self.count_repeat(now, selected);
+        self.count_request(now, selected);
         Some(MovedStream {
             decode: (selected, entry),
             from_fill,
--- a/components/relay/tests/server_limits.rs
+++ b/components/relay/tests/server_limits.rs
@@ -234,3 +234,19 @@
     assert!(!may_repeat);
     assert!(core.may_repeat(common::at(1_700), placement.decode.0));
 }
+
+#[test]
+fn generation_waits_for_engines_that_accept_nothing() {
+    let mut core = common::core_with(&common::four_engines());
+    let engines: Vec<_> = core.backends().table().keys().collect();
+    for key in engines {
+        core.record_rate_limit(common::at(100), key, Some(0.0));
+    }
+
+    let outcome = core.place(common::at(200), common::request(common::at(200), 500));
+
+    let relay::PlacementOutcome::Refused(refusal) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(refusal.reason, relay::RefusalReason::RateLimit);
+}
