gateway, relay: count the end of a server that is no longer known

While an instance asks whether a server has ended, the server may leave its list; the crash was then counted under server 0, and all such crashes of a request as one. The incarnation is taken at the break now. Found by reading.

--- a/components/gateway/src/crash_reporter.rs
+++ b/components/gateway/src/crash_reporter.rs
@@ -27,24 +27,23 @@
     let entry = gateway.core.decide(|core, _| core.entry(attempt.key));
     let Some(entry) = entry else { return };
     if attempt.engine_step == Some(relay::StreamStep::Decode) && !request.segments.is_empty() {
-        record(
-            gateway,
-            attempt.key,
-            request.identity.content,
-            &request.segments,
-        );
-        let server = entry.server.as_str();
+        let source = relay::CrashSource {
+            request: request.identity.content,
+            server: relay::incarnation_hash(&entry),
+        };
+        record(gateway, source, &request.segments);
+        let name = entry.server.as_str();
         gateway
             .log
             .write(&decision_event::DecisionEvent::crash_reported(
-                request, server,
+                request, name,
             ));
     }
     let now = gateway.core.now();
     if now.since(attempt.sent_at) <= CRASH_DELAY {
         let gateway = sync::Arc::clone(gateway);
         let request = request.clone();
-        tokio::spawn(async move { confirm(&gateway, &request, attempt.key, entry).await });
+        tokio::spawn(async move { confirm(&gateway, &request, entry).await });
     }
 }
 
@@ -52,28 +51,30 @@
 async fn confirm(
     gateway: &gateway::Gateway,
     request: &relay_request::RelayRequest,
-    key: relay::BackendKey,
     entry: relay::BackendEntry,
 ) {
     if !gateway.client.has_ended(entry.address).await {
         return;
     }
+    let server = relay::incarnation_hash(&entry);
     let identity = request.identity;
-    for whole in [identity.content, identity.by_caller] {
-        record(gateway, key, whole, &[whole]);
+    for request in [identity.content, identity.by_caller] {
+        record(gateway, relay::CrashSource { request, server }, &[request]);
     }
-    record(gateway, key, identity.content, &[identity.by_path]);
-    let server = entry.server.as_str();
+    let source = relay::CrashSource {
+        request: identity.content,
+        server,
+    };
+    record(gateway, source, &[identity.by_path]);
+    let name = entry.server.as_str();
     gateway
         .log
-        .write(&decision_event::DecisionEvent::server_ended(
-            request, server,
-        ));
+        .write(&decision_event::DecisionEvent::server_ended(request, name));
 }
 
-fn record(gateway: &gateway::Gateway, key: relay::BackendKey, request: u64, suspects: &[u64]) {
+fn record(gateway: &gateway::Gateway, source: relay::CrashSource, suspects: &[u64]) {
     gateway
         .core
-        .decide(|core, now| core.record_crash(now, key, request, suspects));
+        .decide(|core, now| core.record_crash(now, source, suspects));
     gateway.core.state_changed.notify_one();
 }
--- a/components/relay/src/relay_core/core_quarantine.rs
+++ b/components/relay/src/relay_core/core_quarantine.rs
@@ -1,6 +1,6 @@
 //! Requests that crash servers.
 
-use crate::{backend, crash_quarantine, crash_report, refusal, relay_core, wait_queue};
+use crate::{crash_quarantine, crash_report, refusal, relay_core, wait_queue};
 
 use super::{core_queue, core_refusals};
 
@@ -16,15 +16,9 @@
     pub fn record_crash(
         &mut self,
         now: clock::Timestamp,
-        key: backend::BackendKey,
-        request: u64,
+        source: crash_report::CrashSource,
         suspects: &[u64],
     ) {
-        let server = self.backends.get(key);
-        let source = crash_report::CrashSource {
-            request,
-            server: server.map_or(0, |backend| backend.incarnation),
-        };
         self.quarantine.record_crash(now, source, suspects);
     }
 
--- a/components/relay/tests/crashing_requests.rs
+++ b/components/relay/tests/crashing_requests.rs
@@ -180,10 +180,6 @@
 #[test]
 fn quarantined_call_is_not_refused_by_the_core() {
     let mut core = common::core_with(&[common::server("s1", "a"), common::server("s2", "a")]);
-    let key = core
-        .select_server(at(10), &common::PLAIN_SERVICE.into(), &[])
-        .expect("a server is willing")
-        .key;
     let notice = relay::CrashNotice {
         reports: vec![
             relay::CrashReport {
@@ -204,7 +200,7 @@
 
     core.apply_update(at(20), update);
     let before = core.quarantine_refusal(at(30), &[FATAL]);
-    core.record_crash(at(40), key, FATAL, &[FATAL]);
+    core.record_crash(at(40), source(FATAL, 92), &[FATAL]);
     let refusal = core.quarantine_refusal(at(50), &[FATAL]);
 
     assert_eq!(before, None);
