--- a/components/relay/tests/calls.rs
+++ b/components/relay/tests/calls.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{at, ms};
-use relay::BackendOutcome;
 
 #[test]
 fn selects_server_with_fewest_running_calls() {
@@ -44,9 +43,9 @@
         let is_failing = selection.entry.server.to_string() == "s1";
         received += u32::from(is_failing);
         let outcome = if is_failing && round % 2 == 0 {
-            BackendOutcome::Failed
+            relay::BackendOutcome::Failed
         } else {
-            BackendOutcome::Succeeded
+            relay::BackendOutcome::Succeeded
         };
         core.record_call_outcome(now + ms(15), selection.key, outcome, ms(15));
     }
@@ -60,7 +59,12 @@
     let selection = core
         .select_server(at(0), &common::PLAIN_SERVICE.into(), &[])
         .expect("the server accepts work");
-    core.record_call_outcome(at(1), selection.key, BackendOutcome::Unreachable, ms(1));
+    core.record_call_outcome(
+        at(1),
+        selection.key,
+        relay::BackendOutcome::Unreachable,
+        ms(1),
+    );
 
     let again = core.select_server(at(2), &common::PLAIN_SERVICE.into(), &[]);
 
