relay, gateway, platform: log software versions and the attempt that a request takes up

Change: entries carry the worker's software version, requests the id in Resumes, and the line placed names both; no decision reads them yet.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -198,6 +198,12 @@
         prefill: Option<&'a str>,
         /// Decode engine.
         decode: &'a str,
+        /// Version of the prefill engine's software.
+        prefill_software: Option<&'a str>,
+        /// Version of the decode engine's software.
+        decode_software: &'a str,
+        /// Id of the attempt that began the stream, if the request takes one up.
+        begun_by: Option<&'a str>,
         /// Number of prompt tokens.
         prompt_tokens: u32,
         /// Maximum number of output tokens.
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -41,6 +41,9 @@
     pub segments: Vec<u64>,
     /// Number of the last event that the caller has received in an earlier attempt.
     pub resume_after: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream, if this one takes the
+    /// stream up.
+    pub begun_by: Option<String>,
 }
 
 impl RelayRequest {
--- a/components/gateway/src/stream_trace.rs
+++ b/components/gateway/src/stream_trace.rs
@@ -9,6 +9,8 @@
 pub(crate) struct StreamTrace {
     gateway: sync::Arc<gateway::Gateway>,
     id: String,
+    /// Id of the attempt that began the stream, if the request takes one up.
+    begun_by: Option<String>,
     route: String,
     config_version: u64,
     arrived: clock::Timestamp,
@@ -29,6 +31,7 @@
         Self {
             gateway,
             id: routed.request.id.clone(),
+            begun_by: routed.request.begun_by.clone(),
             route: routed.route.name.clone(),
             config_version: routed.config_version,
             arrived: routed.arrived,
@@ -60,20 +63,21 @@
         waited: time::Duration,
         size: &crate::GenerationSize,
     ) {
+        let (_, decode) = &placement.decode;
         self.attempts = attempt;
-        self.server = Some(placement.decode.1.server.clone());
-        let prefill = placement
-            .prefill
-            .as_ref()
-            .map(|(_, entry)| entry.server.as_str());
+        self.server = Some(decode.server.clone());
+        let prefill = placement.prefill.as_ref().map(|(_, entry)| entry);
         self.gateway
             .log
             .write(&decision_event::DecisionEvent::Placed {
                 id: &self.id,
                 route: &self.route,
                 config_version: self.config_version,
-                prefill,
-                decode: placement.decode.1.server.as_str(),
+                prefill: prefill.map(|entry| entry.server.as_str()),
+                decode: decode.server.as_str(),
+                prefill_software: prefill.map(|entry| entry.software.as_str()),
+                decode_software: decode.software.as_str(),
+                begun_by: self.begun_by.as_deref(),
                 prompt_tokens: size.prompt_tokens,
                 output_tokens: size.output_tokens,
                 expected_tokens: size.expected_tokens,
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -16,7 +16,7 @@
 pub use lease_id::LeaseId;
 pub use name::{
     AdapterName, ClassName, DataCentreName, ModelName, RegionName, ServerName, ServiceName,
-    VersionName, WorkspaceName,
+    SoftwareVersion, VersionName, WorkspaceName,
 };
 pub use request_id::RequestId;
 pub use revision::Revision;
--- a/components/ids/src/name.rs
+++ b/components/ids/src/name.rs
@@ -54,6 +54,10 @@
     /// Names a request class.
     ClassName
 );
+name_type!(
+    /// Names a version of the software of a backend server.
+    SoftwareVersion
+);
 name_type!(
     /// Names a data centre.
     DataCentreName
--- a/components/relay/src/backend_entry.rs
+++ b/components/relay/src/backend_entry.rs
@@ -43,8 +43,17 @@
     pub leaving: bool,
     /// Stage of an engine; `None` for a plain backend server.
     pub stage: Option<EngineStage>,
+    /// Version of the server's software; empty when unknown. What engines of two versions write
+    /// doesn't fit together.
+    #[serde(default = "unknown_version")]
+    #[builder(default = unknown_version())]
+    pub software: ids::SoftwareVersion,
     /// Start of this incarnation, in milliseconds since the Unix epoch; 0 when unknown.
     #[serde(default)]
     #[builder(default)]
     pub born_millis: u64,
 }
+
+fn unknown_version() -> ids::SoftwareVersion {
+    "".into()
+}
