relay, gateway, platform: bind streams to the software version that began them

Cause: nothing tied a stream to a version.

Each instance tells the others which version a stream is sent to, before its first event, and again after that for lost datagrams, for restarted instances and for those that were cut off; two instances take over what a dead one has told. A taken up stream is bound to its version, waits only for engines of it, and is refused at once when none is left. One that no instance knows goes on if the service had one version in the last 30 s, and is refused otherwise. Prefill results stay within a version, stages are planned per version, and bound streams keep their engines free in the queue's order.

Why it works: the version is known at all instances in touch before a caller can lose the stream, whoever is killed then.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod gateway_metrics;
 mod limit_message;
 mod order_sender;
+mod origin_message;
 mod peer_forwarder;
 mod peer_link;
 mod peer_message;
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{crash_message, estimate_message, limit_message, queue_message};
+use crate::{crash_message, estimate_message, limit_message, origin_message, queue_message};
 
 /// Maximum size of a change of the platform's list of backend servers in a state update, in bytes.
 const MAX_DELTA_BYTES: usize = 4 * 1024;
@@ -106,6 +106,8 @@
     crashes: Option<crash_message::CrashMessage>,
     #[prost(message, repeated, tag = "31")]
     limits: Vec<limit_message::LimitMessage>,
+    #[prost(message, repeated, tag = "32")]
+    origins: Vec<origin_message::OriginMessage>,
 }
 
 /// Number of requests and retries of one service.
@@ -189,6 +191,7 @@
         unreachable: update.unreachable.clone(),
         crashes: crash_message::encode(&update.crashes),
         limits: update.limits.iter().map(limit_message::encode).collect(),
+        origins: origin_message::encode(&update.origins),
         estimates: update
             .estimates
             .iter()
@@ -271,6 +274,13 @@
                 .unwrap_or_default(),
         )
         .limits(message.limits.iter().map(limit_message::decode).collect())
+        .origins(
+            message
+                .origins
+                .into_iter()
+                .flat_map(origin_message::decode)
+                .collect(),
+        )
         .estimates(
             message
                 .estimates
--- a/components/gateway/src/queue_message.rs
+++ b/components/gateway/src/queue_message.rs
@@ -25,6 +25,9 @@
     /// Seed of the engine selection, the same on all instances.
     #[prost(fixed32, tag = "8")]
     selection_seed: u32,
+    /// Hash of the software version to which the request is bound.
+    #[prost(fixed64, optional, tag = "9")]
+    software_version: Option<u64>,
 }
 
 /// Encodes a waiting request.
@@ -38,6 +41,7 @@
         due_in_ms: update.due_in_millis,
         timely_for_ms: crate::peer_message::whole_millis(update.timely_for),
         selection_seed: update.selection_seed,
+        software_version: update.software_version,
     }
 }
 
@@ -56,5 +60,6 @@
             message.timely_for_ms,
         )))
         .selection_seed(message.selection_seed)
+        .maybe_software_version(message.software_version)
         .build()
 }
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -60,6 +60,12 @@
         segments.chain(self.identity.suspects()).collect()
     }
 
+    /// Returns whether the request takes up a stream that an earlier attempt of the caller began.
+    #[must_use]
+    pub const fn takes_up_stream(&self) -> bool {
+        self.resume_after.is_some() || self.begun_by.is_some()
+    }
+
     /// Returns the path without the query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -2,6 +2,7 @@
 
 mod decode_step;
 mod prefill_step;
+mod software_lookup;
 
 use std::{sync, time};
 
@@ -61,6 +62,10 @@
     pub(crate) trace: stream_trace::StreamTrace,
     /// Number of the last event that the caller has received.
     pub(crate) last_event: Option<u64>,
+    /// Software version that began the stream, once an engine has sent an event.
+    pub(super) software: Option<relay::SoftwareKey>,
+    /// Whether the request takes up a stream that an instance of the fleet began.
+    is_resumption: bool,
     /// Decode engines that may have run the request.
     ran_on: Vec<relay::BackendKey>,
     size: relay_request::GenerationSize,
@@ -68,8 +73,8 @@
     excluded: Vec<relay::BackendKey>,
     attempts: u32,
     counts: relay::AttemptCount,
-    /// Prefill engine that has the prompt in its cache, and its address.
-    warm_prefill: Option<(relay::BackendKey, std::net::SocketAddr)>,
+    /// Prefill engine that has the prompt in its cache.
+    warm_prefill: Option<(relay::BackendKey, relay::BackendEntry)>,
     /// Whether the decode engine of the current placement is retried without a prefill result.
     decode_retried: bool,
     /// Prefill engine whose result the decode engine refused, presumably because the result expired.
@@ -88,6 +93,8 @@
             trace,
             last_event: routed.request.resume_after,
             routed,
+            software: None,
+            is_resumption: false,
             ran_on: Vec::new(),
             size,
             excluded: Vec::new(),
@@ -280,8 +287,9 @@
             .maybe_expected_tokens(self.size.expected_tokens)
             .first_token_due(self.routed.arrived + self.routed.route.latency_target)
             .wait_until(self.wait_until())
-            .resumes(self.trace.has_started())
-            .maybe_warm_prefill(self.warm_prefill.map(|(engine, _)| engine))
+            .resumes(self.trace.has_started() || self.is_resumption)
+            .maybe_software(self.software)
+            .maybe_warm_prefill(self.warm_prefill.as_ref().map(|(engine, _)| *engine))
             .suspects(self.routed.request.suspects())
             .avoid(self.excluded.clone())
             .build();
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -19,9 +19,12 @@
         let (key, entry) = engine.clone();
         let time_left = self.routed.time_left(self.gateway.core.now());
         let source = prefill.as_ref().map(|result| result.source.clone());
-        let cache_address = self.warm_prefill.map(|(_, address)| address);
+        let warm_prefill = self.warm_prefill.as_ref().map(|(_, entry)| entry);
+        // A KV cache fits only engines of the version that wrote it.
+        let cache =
+            warm_prefill.filter(|prefill| source.is_none() && prefill.software == entry.software);
         let step = relay_client::RelayStep::Decode {
-            cache_address: cache_address.filter(|_| source.is_none()),
+            cache_address: cache.map(|prefill| prefill.address),
             source,
             resume_after: self.last_event,
         };
@@ -30,6 +33,7 @@
             return Err(self.backed_off(guard, prefill.as_ref()));
         }
         let options = self.send_options(&engine, step, time_left);
+        self.record_origin(&entry);
         guard.mark_sent();
         let opening =
             started_stream::first_event(self.gateway.client.send(&self.routed.request, options));
@@ -39,6 +43,7 @@
                 guard.mark_first_token();
                 self.counts.decodes += 1;
                 self.record_run(key);
+                self.software = Some(relay::SoftwareKey::of(&entry));
                 if prefill.is_none() {
                     self.report_lost_result();
                 }
@@ -63,8 +68,8 @@
         let was_refused = failure.outcome == relay::BackendOutcome::Refused;
         self.lost_result = prefill
             .as_ref()
-            .and(self.warm_prefill)
-            .map(|(engine, _)| engine)
+            .and(self.warm_prefill.as_ref())
+            .map(|(engine, _)| *engine)
             .filter(|_| was_refused);
         let has_result = prefill.as_ref().is_some_and(|result| result.is_usable(now));
         Err(stream_opener::StepError {
--- a/components/gateway/src/stream_opener/prefill_step.rs
+++ b/components/gateway/src/stream_opener/prefill_step.rs
@@ -53,7 +53,7 @@
             Ok(Ok(source)) => {
                 guard.record_prefill_outcome(relay::BackendOutcome::Succeeded);
                 self.counts.prefills += 1;
-                self.warm_prefill = Some((key, entry.address));
+                self.warm_prefill = Some((key, entry.clone()));
                 self.trace
                     .prefill_completed(&entry.server, now.since(started));
                 return Ok(Some(PrefillResult {
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -37,6 +37,9 @@
     }
 
     pub(crate) async fn serve(mut self) -> relay_answer::RelayAnswer {
+        if let Err(refusal) = self.opener.bind_to_origin().await {
+            return self.answer_failure(Some(refusal));
+        }
         match self
             .opener
             .open(stream_opener::OpenMode::NewPlacement)
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -95,6 +95,7 @@
                     .due_in_millis(held.cast_signed())
                     .timely_for(time::Duration::from_millis(u64::from(*remaining)))
                     .selection_seed(*held)
+                    .maybe_software_version(leaving.then_some(numbers[3]))
                     .build()
             })
             .collect();
@@ -121,6 +122,11 @@
             .last_fence(numbers[0])
             .count_window(time::Duration::from_millis(9_000))
             .paused(vec![numbers[1]])
+            .origins(vec![relay::OriginReport {
+                stream: numbers[0],
+                software: relay::SoftwareKey { service: numbers[1], version: numbers[2] },
+                remaining: time::Duration::from_millis(14_000),
+            }])
             .crashes(relay::CrashNotice {
                 reports: vec![relay::CrashReport {
                     suspect: numbers[0],
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -3,7 +3,8 @@
 use std::{collections, ops, time};
 
 use crate::{
-    backend_entry, backend_health, engine_usage, instance_update, prefill_model, stream_lease,
+    backend_entry, backend_health, engine_usage, instance_update, prefill_model, software_key,
+    stream_lease,
 };
 
 slotmap::new_key_type! {
@@ -37,6 +38,8 @@
     pub entry: backend_entry::BackendEntry,
     /// Hash of the incarnation from [`crate::incarnation_hash`].
     pub incarnation: u64,
+    /// Version of the server's software.
+    pub software: software_key::SoftwareKey,
     /// Whether the platform's list still contains the entry.
     pub listed: bool,
     /// Whether the server has reported in an answer, to this instance or another one, that it is
@@ -82,6 +85,7 @@
     pub fn new(entry: backend_entry::BackendEntry) -> Self {
         Self {
             incarnation: instance_update::incarnation_hash(&entry),
+            software: software_key::SoftwareKey::of(&entry),
             entry,
             listed: true,
             draining: false,
--- a/components/relay/src/backend_entry.rs
+++ b/components/relay/src/backend_entry.rs
@@ -54,6 +54,14 @@
     pub born_millis: u64,
 }
 
+impl BackendEntry {
+    /// Returns whether the entry is of the same process as another one of the same name.
+    #[must_use]
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.born_millis == other.born_millis && self.software == other.software
+    }
+}
+
 fn unknown_version() -> ids::SoftwareVersion {
     "".into()
 }
--- a/components/relay/src/backend_registry.rs
+++ b/components/relay/src/backend_registry.rs
@@ -41,14 +41,15 @@
 
     /// Applies the list of a view and removes servers that are neither listed nor used.
     ///
-    /// An entry with another start time is of a restarted server, which gets a new key and state.
+    /// An entry with another start time or software version is of a restarted server, which gets a
+    /// new key and state.
     pub fn apply_view(&mut self, now: clock::Timestamp, view: &site_view::BackendMap) {
         for (server, entry) in view {
             let backend = self
                 .by_name
                 .get(server)
                 .and_then(|key| self.backends.get_mut(*key))
-                .filter(|backend| backend.entry.born_millis == entry.born_millis);
+                .filter(|backend| backend.entry.is_same_incarnation(entry));
             match backend {
                 Some(backend) => backend.update_entry(entry),
                 None => self.add(entry),
--- a/components/relay/src/engine_selector.rs
+++ b/components/relay/src/engine_selector.rs
@@ -1,10 +1,10 @@
 //! Selects the engines of a request by cost.
 
-use std::time;
+use std::{collections, time};
 
 use crate::{
-    backend, backend_entry, backend_registry, engine_usage, limit_registry, memory_forecast,
-    service_rule, stream_request,
+    backend, backend_entry, backend_registry, engine_pool, engine_usage, limit_registry,
+    memory_forecast, service_rule, software_key, stream_request,
 };
 
 /// Cost of a KV cache transfer between data centres, as time.
@@ -50,6 +50,7 @@
 struct PrefillCost<'a> {
     key: backend::BackendKey,
     data_centre: &'a ids::DataCentreName,
+    software: software_key::SoftwareKey,
     /// Time until the prefill starts.
     wait: time::Duration,
     /// Time until the prefill ends, with jitter.
@@ -77,6 +78,8 @@
     pub seed: u64,
     /// Data centre from which the caller is answered; `None` to ignore the distance.
     pub data_centre: Option<&'a ids::DataCentreName>,
+    /// Software versions whose engines are left to waiting streams that are bound to them.
+    pub reserved: &'a collections::BTreeSet<software_key::SoftwareKey>,
     /// Current time.
     pub now: clock::Timestamp,
 }
@@ -89,11 +92,16 @@
             .engines(request, backend_entry::EngineStage::Prefill)
             .map(|(key, engine)| self.prefill_cost(key, engine, request))
             .collect();
-        let mut willing_prefills = self.willing(request, backend_entry::EngineStage::Prefill);
-        let has_prefill = willing_prefills.next().is_some();
+        let with_prefill: collections::BTreeSet<software_key::SoftwareKey> = self
+            .willing(request, backend_entry::EngineStage::Prefill)
+            .map(|(_, engine)| engine.software)
+            .collect();
         self.engines(request, backend_entry::EngineStage::Decode)
             .filter(|(_, engine)| self.has_capacity(engine, request))
-            .flat_map(|(decode, engine)| self.pairs(decode, engine, &prefills, has_prefill))
+            .flat_map(|(decode, engine)| {
+                let has_prefill = with_prefill.contains(&engine.software);
+                self.pairs(decode, engine, &prefills, has_prefill)
+            })
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
             .map(|(_, selection)| selection)
     }
@@ -111,16 +119,16 @@
             .map(|(decode, _)| decode)
     }
 
-    /// Returns whether any engine of a stage may receive work.
+    /// Returns whether any engine of a stage in a pool may receive work.
     #[must_use]
     pub fn has_engine(
         &self,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
         stage: backend_entry::EngineStage,
     ) -> bool {
         self.backends.iter().any(|(_, backend)| {
             backend.accepts_work(self.now)
-                && backend.entry.service == *service
+                && pool.contains(backend)
                 && backend.entry.stage == Some(stage)
         })
     }
@@ -163,8 +171,11 @@
         request: &'b stream_request::StreamRequest,
         stage: backend_entry::EngineStage,
     ) -> impl Iterator<Item = (backend::BackendKey, &'b backend::Backend)> {
+        let pool = request.pool();
         self.backends.iter().filter(move |(key, engine)| {
-            engine.entry.service == request.service
+            let is_reserved = pool.software.is_none() && self.reserved.contains(&engine.software);
+            pool.contains(engine)
+                && !is_reserved
                 && engine.entry.stage == Some(stage)
                 && engine.accepts_work(self.now)
                 && !request.avoid.contains(key)
@@ -179,6 +190,8 @@
         self.utilization_with(engine, Some(request.load())) <= self.utilization_limit
     }
 
+    /// Returns the pairs of a decode engine with prefill engines of its software version, with their
+    /// costs.
     fn pairs<'b>(
         &'b self,
         decode: backend::BackendKey,
@@ -199,6 +212,7 @@
         ));
         let available = prefills
             .iter()
+            .filter(|prefill| prefill.software == engine.software)
             .filter(|prefill| prefill.wait <= PREFILL_WAIT_LIMIT);
         let paired = available.map(move |prefill| {
             let crosses_centres = *prefill.data_centre != engine.entry.data_centre;
@@ -235,6 +249,7 @@
         PrefillCost {
             key,
             data_centre: &engine.entry.data_centre,
+            software: engine.software,
             wait,
             completion_time: wait + prefill_time + jitter,
             cost_factor: engine.health.cost_factor(self.now),
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     backend_entry, crash_notice, engine_usage, known_instance, limit_report, list_delta,
-    queue_update, service_estimate, view_announcement, view_position,
+    origin_report, queue_update, service_estimate, view_announcement, view_position,
 };
 
 /// State update of one instance, sent to the others in one datagram.
@@ -18,7 +18,7 @@
     /// Sequence number among the datagrams of the process, by which late ones are dropped.
     pub sequence: u64,
     /// Whether this is a partial update, which contains only `usage` that has changed since the
-    /// previous update, `waiting` and, if changed, `limits` and `retries`.
+    /// previous update, `waiting`, new `origins` and, if changed, `limits` and `retries`.
     #[builder(default)]
     pub partial: bool,
     /// Whether the sender is draining.
@@ -76,6 +76,9 @@
     /// changed.
     #[builder(default)]
     pub limits: Vec<limit_report::LimitReport>,
+    /// Software versions that began streams, of those that the sender tells of now.
+    #[builder(default)]
+    pub origins: Vec<origin_report::OriginReport>,
     /// Estimates from the sender's streams, keyed by [`service_hash`]. Most updates omit them.
     #[builder(default)]
     pub estimates: Vec<(u64, service_estimate::ServiceEstimate)>,
@@ -104,6 +107,7 @@
             && self.waiting.is_empty()
             && self.retries.is_empty()
             && self.limits.is_empty()
+            && self.origins.is_empty()
     }
 
     /// Returns the announcement of the sender's view.
--- a/components/relay/src/queue_update.rs
+++ b/components/relay/src/queue_update.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{engine_usage, stream_request, wait_queue};
+use crate::{engine_usage, software_key, stream_request, wait_queue};
 
 /// Waiting request of an instance, as sent in its state updates.
 #[derive(Clone, Debug, Eq, PartialEq, bon::Builder)]
@@ -23,6 +23,8 @@
     pub timely_for: time::Duration,
     /// Seed of the engine selection, the same on all instances.
     pub selection_seed: u32,
+    /// Hash of the software version to which the request is bound, if it is.
+    pub software_version: Option<u64>,
 }
 
 impl QueueUpdate {
@@ -41,6 +43,7 @@
             due_in_millis: to_i32(due_in) - to_i32(overdue),
             timely_for: waiting.timely_until.since(now),
             selection_seed: waiting.selection_seed,
+            software_version: request.software.map(|software| software.version),
         }
     }
 
@@ -58,6 +61,12 @@
         } else {
             received_at + offset
         };
+        let software = self
+            .software_version
+            .map(|version| software_key::SoftwareKey {
+                service: self.service,
+                version,
+            });
         let request = stream_request::StreamRequest::builder()
             .service(service.clone())
             .priority(self.priority)
@@ -67,6 +76,7 @@
             .first_token_due(due)
             .wait_until(clock::Timestamp::MAX)
             .resumes(self.resumes)
+            .maybe_software(software)
             .build();
         wait_queue::WaitingRequest {
             ticket: None,
--- a/components/relay/src/refusal.rs
+++ b/components/relay/src/refusal.rs
@@ -25,6 +25,11 @@
     RetryBound,
     /// The request, or a segment of its prompt, crashes servers.
     Quarantine,
+    /// Engines of several software versions serve, and no instance knows which version began the
+    /// stream.
+    VersionUnknown,
+    /// No engine of the software version that began the stream is left.
+    VersionGone,
     /// The instance is draining.
     ShuttingDown,
 }
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -9,6 +9,7 @@
 mod core_queue;
 mod core_refusals;
 mod core_routes;
+mod core_software;
 mod core_streams;
 mod core_updates;
 mod core_views;
@@ -19,13 +20,15 @@
 
 use crate::{
     backend, backend_registry, core_settings, crash_quarantine, fleet_topology, instance_registry,
-    known_instance, limit_registry, order_gate, route_rule, sent_state, service_estimate,
-    site_config, stage_planner, stream_lease, view_tracker, wait_queue,
+    known_instance, limit_registry, order_gate, origin_registry, route_rule, sent_state,
+    service_estimate, site_config, software_history, software_key, stage_planner, stream_lease,
+    view_tracker, wait_queue,
 };
 
 pub use core_calls::ServerSelection;
 pub use core_orders::StageOrder;
 pub use core_queue::PlacementOutcome;
+pub use core_software::StreamSoftware;
 pub use core_streams::{MovedStream, StreamCompletion, StreamPlacement};
 
 /// Result of matching a request against the routes.
@@ -71,9 +74,11 @@
     /// Time at which `combined_estimates` were computed.
     estimates_combined_at: Option<clock::Timestamp>,
     order_gate: order_gate::OrderGate,
-    planners: collections::BTreeMap<ids::ServiceName, stage_planner::StagePlanner>,
+    planners: collections::BTreeMap<software_key::SoftwareKey, stage_planner::StagePlanner>,
     quarantine: crash_quarantine::CrashQuarantine,
     limits: limit_registry::LimitRegistry,
+    origins: origin_registry::OriginRegistry,
+    software_history: software_history::SoftwareHistory,
     /// Time and fencing number of this instance's last order.
     last_order: Option<(clock::Timestamp, u64)>,
     /// Lower bound of the next fencing number.
@@ -127,6 +132,8 @@
             planners: collections::BTreeMap::new(),
             quarantine: crash_quarantine::CrashQuarantine::new(selection_seed),
             limits: limit_registry::LimitRegistry::default(),
+            origins: origin_registry::OriginRegistry::default(),
+            software_history: software_history::SoftwareHistory::default(),
             last_order: None,
             fence_floor: 0,
             selection_seed,
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt as _;
 
-use crate::{backend, backend_entry, backend_health, refusal, relay_core};
+use crate::{backend, backend_entry, backend_health, engine_pool, refusal, relay_core};
 
 /// Latency of a call until the first measurement, in milliseconds.
 const DEFAULT_CALL_MILLIS: f64 = 20.0;
@@ -114,7 +114,7 @@
         now: clock::Timestamp,
         service: &ids::ServiceName,
     ) -> refusal::Refusal {
-        self.backoff_refusal(now, service, None)
+        self.backoff_refusal(now, engine_pool::EnginePool::of_service(service), None)
             .or_else(|| self.limit_refusal(now, service))
             .unwrap_or(refusal::Refusal {
                 reason: refusal::RefusalReason::NoServer,
--- a/components/relay/src/relay_core/core_limits.rs
+++ b/components/relay/src/relay_core/core_limits.rs
@@ -5,7 +5,8 @@
 use rand::RngExt as _;
 
 use crate::{
-    backend, backend_entry, instance_update, limit_registry, limit_report, refusal, relay_core,
+    backend, backend_entry, engine_pool, instance_update, limit_registry, limit_report, refusal,
+    relay_core,
 };
 
 use super::core_refusals;
@@ -57,7 +58,8 @@
         now: clock::Timestamp,
         service: &ids::ServiceName,
     ) -> Option<refusal::Refusal> {
-        let wait = self.shortest_wait(service, None, |backend| {
+        let pool = engine_pool::EnginePool::of_service(service);
+        let wait = self.shortest_wait(pool, None, |backend| {
             let token_wait = self.limits.wait(now, backend.incarnation);
             token_wait.max(backend.backoff(now))
         })?;
@@ -68,23 +70,23 @@
         ))
     }
 
-    /// Returns the time until the limits of a service's engines allow one more generation after
+    /// Returns the time until the limits of a pool's engines allow one more generation after
     /// those that wait.
     pub(super) fn limit_wait(
         &self,
         now: clock::Timestamp,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
     ) -> time::Duration {
         if self.limits.is_empty() {
             return time::Duration::ZERO;
         }
         let ahead = self
             .all_waiting(now)
-            .filter(|waiting| waiting.request.service == *service)
+            .filter(|waiting| waiting.request.service == *pool.service)
             .count();
         let requests = u32::try_from(ahead).unwrap_or(u32::MAX).saturating_add(1);
-        let prefill = self.stage_wait(now, service, backend_entry::EngineStage::Prefill, requests);
-        let decode = self.stage_wait(now, service, backend_entry::EngineStage::Decode, requests);
+        let prefill = self.stage_wait(now, pool, backend_entry::EngineStage::Prefill, requests);
+        let decode = self.stage_wait(now, pool, backend_entry::EngineStage::Decode, requests);
         prefill.max(decode)
     }
 
@@ -92,7 +94,7 @@
     fn stage_wait(
         &self,
         now: clock::Timestamp,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
         stage: backend_entry::EngineStage,
         requests: u32,
     ) -> time::Duration {
@@ -100,7 +102,7 @@
         let mut available = 0.0;
         let mut has_engine = false;
         for engine in self.backends.table().values() {
-            let is_candidate = engine.entry.service == *service
+            let is_candidate = pool.contains(engine)
                 && engine.entry.stage == Some(stage)
                 && engine.accepts_work(now);
             if !is_candidate {
--- a/components/relay/src/relay_core/core_notices.rs
+++ b/components/relay/src/relay_core/core_notices.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{backend, backend_entry, refusal, relay_core};
+use crate::{backend, backend_entry, engine_pool, refusal, relay_core};
 
 /// Longest time for which a server may ask to be sent nothing.
 const MAX_BACKOFF: time::Duration = time::Duration::from_secs(3_600);
@@ -54,21 +54,21 @@
     pub(super) fn backoff_refusal(
         &self,
         now: clock::Timestamp,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
         stage: Option<backend_entry::EngineStage>,
     ) -> Option<refusal::Refusal> {
-        let retry_after = self.shortest_wait(service, stage, |backend| backend.backoff(now))?;
+        let retry_after = self.shortest_wait(pool, stage, |backend| backend.backoff(now))?;
         Some(refusal::Refusal {
             reason: refusal::RefusalReason::Backoff,
             retry_after,
         })
     }
 
-    /// Returns the shortest wait over the servers of a service; `None` if one doesn't have to be
+    /// Returns the shortest wait over the servers of a pool; `None` if one doesn't have to be
     /// waited for, or there is none.
     pub(super) fn shortest_wait(
         &self,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
         stage: Option<backend_entry::EngineStage>,
         wait_of: impl Fn(&backend::Backend) -> time::Duration,
     ) -> Option<time::Duration> {
@@ -76,7 +76,7 @@
             .backends
             .table()
             .values()
-            .filter(|backend| backend.is_current() && backend.entry.service == *service)
+            .filter(|backend| backend.is_current() && pool.contains(backend))
             .filter(|backend| backend.entry.stage == stage)
             .map(|backend| Some(wait_of(backend)).filter(|wait| !wait.is_zero()))
             .collect();
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -1,6 +1,10 @@
 //! Orders to engines to change stage.
 
-use crate::{backend, backend_entry, order_gate, relay_core, stage_planner};
+use std::collections;
+
+use crate::{
+    backend, backend_entry, engine_pool, order_gate, relay_core, software_key, stage_planner,
+};
 
 /// Utilization of a decode engine's memory under full load.
 const MEMORY_UTILIZATION: f64 = 0.8;
@@ -34,10 +38,19 @@
         }
         self.refresh_stale_usage(now);
         let services: Vec<ids::ServiceName> = self.combined_estimates.keys().cloned().collect();
-        services
-            .iter()
-            .flat_map(|service| self.service_orders(now, wall_millis, service))
-            .collect()
+        let mut orders = Vec::new();
+        for service in &services {
+            let versions = self.current_versions(service);
+            for software in &versions {
+                let pool = engine_pool::EnginePool {
+                    service,
+                    software: Some(*software),
+                };
+                let is_mixed = versions.len() > 1;
+                orders.extend(self.pool_orders(now, wall_millis, pool, is_mixed));
+            }
+        }
+        orders
     }
 
     /// Records that an engine refused an order with fencing number `fence` because it had accepted
@@ -46,23 +59,42 @@
         self.fence_floor = self.fence_floor.max(fence).saturating_mul(2);
     }
 
-    fn service_orders(
+    /// Returns the software versions of a service's engines that aren't leaving.
+    fn current_versions(
+        &self,
+        service: &ids::ServiceName,
+    ) -> collections::BTreeSet<software_key::SoftwareKey> {
+        let engines = self.backends.table().values();
+        engines
+            .filter(|engine| engine.is_current() && engine.entry.service == *service)
+            .filter(|engine| engine.entry.stage.is_some())
+            .map(|engine| engine.software)
+            .collect()
+    }
+
+    /// Returns the orders to the engines of one software version, whose prefill results don't fit
+    /// engines of another one. `is_mixed` tells whether the service has other versions.
+    fn pool_orders(
         &mut self,
         now: clock::Timestamp,
         wall_millis: u64,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
+        is_mixed: bool,
     ) -> Vec<StageOrder> {
-        let split = self.pool_split(service);
-        let Some(cost) = self.engine_cost(service) else {
+        let split = self.pool_split(pool);
+        let Some(cost) = self.engine_cost(pool.service) else {
             return Vec::new();
         };
-        let planner = self.planners.entry(service.clone()).or_default();
-        let Some(change) = planner.plan(now, split, &cost) else {
+        let planner = self
+            .planners
+            .entry(pool.software.unwrap_or_default())
+            .or_default();
+        let Some(change) = planner.plan(now, split, &cost, is_mixed) else {
             return Vec::new();
         };
         planner.record_change(now);
         (0..change.engines)
-            .map_while(|_| self.stage_order(now, wall_millis, service, change.stage, split, cost))
+            .map_while(|_| self.stage_order(now, wall_millis, pool, change.stage, split, cost))
             .collect()
     }
 
@@ -70,12 +102,12 @@
         &mut self,
         now: clock::Timestamp,
         wall_millis: u64,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
         stage: backend_entry::EngineStage,
         split: stage_planner::PoolSplit,
         cost: stage_planner::EngineCost,
     ) -> Option<StageOrder> {
-        let (key, entry) = self.least_loaded_engine(now, service, stage)?;
+        let (key, entry) = self.least_loaded_engine(now, pool, stage)?;
         let fence = self.next_fence(wall_millis);
         self.last_order = Some((now, fence));
         if let Some(engine) = self.backends.get_mut(key) {
@@ -113,13 +145,13 @@
         (term << INSTANCE_BITS) | instance
     }
 
-    fn pool_split(&self, service: &ids::ServiceName) -> stage_planner::PoolSplit {
+    fn pool_split(&self, pool: engine_pool::EnginePool<'_>) -> stage_planner::PoolSplit {
         let count = |stage| {
             let engines = self
                 .backends
                 .table()
                 .values()
-                .filter(|engine| engine.is_current() && engine.entry.service == *service)
+                .filter(|engine| engine.is_current() && pool.contains(engine))
                 .filter(|engine| engine.entry.stage == Some(stage))
                 .count();
             u32::try_from(engines).unwrap_or(u32::MAX)
@@ -144,13 +176,13 @@
     fn least_loaded_engine(
         &self,
         now: clock::Timestamp,
-        service: &ids::ServiceName,
+        pool: engine_pool::EnginePool<'_>,
         stage: backend_entry::EngineStage,
     ) -> Option<(backend::BackendKey, backend_entry::BackendEntry)> {
         self.backends
             .table()
             .iter()
-            .filter(|(_, engine)| engine.accepts_work(now) && engine.entry.service == *service)
+            .filter(|(_, engine)| engine.accepts_work(now) && pool.contains(engine))
             .filter(|(_, engine)| self.limits.has_token(now, engine.incarnation))
             .filter(|(_, engine)| engine.entry.stage.is_some_and(|current| current != stage))
             .min_by_key(|(_, engine)| (engine.running(), engine.prefill_tokens()))
--- a/components/relay/src/relay_core/core_queue.rs
+++ b/components/relay/src/relay_core/core_queue.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     backend_entry, engine_selector, instance_update, queue_update, refusal, relay_core,
-    service_rule, stream_request, wait_queue,
+    service_rule, software_key, stream_request, wait_queue,
 };
 
 use super::{core_refusals, core_streams};
@@ -80,14 +80,18 @@
         }
         self.refresh_stale_usage(now);
         let decode = Some(backend_entry::EngineStage::Decode);
-        if let Some(refusal) = self.backoff_refusal(now, &request.service, decode) {
+        if let Some(refusal) = self.backoff_refusal(now, request.pool(), decode) {
             return PlacementOutcome::Refused(refusal);
         }
         request.estimated_tokens = self.estimate_output(now, &request);
         let may_place_now = request.resumes || !self.has_timely_waiting(now, &request.service);
         if may_place_now {
             self.selection_seed = self.selection_seed.wrapping_add(1);
-            let selector = self.selector(now, size, self.utilization_limits(now).on_arrival);
+            let reserved = self.reserved_versions(now);
+            let selector = engine_selector::EngineSelector {
+                reserved: &reserved,
+                ..self.selector(now, size, self.utilization_limits(now).on_arrival)
+            };
             if let Some(selection) = selector.select(&request)
                 && let Some(placement) = self.reserve(now, &request, selection, size)
             {
@@ -95,14 +99,11 @@
             }
         }
         let selector = self.selector(now, size, core_streams::UTILIZATION_LIMIT);
-        if !selector.has_engine(&request.service, backend_entry::EngineStage::Decode) {
-            return PlacementOutcome::Refused(core_refusals::refuse(
-                refusal::RefusalReason::NoServer,
-                core_refusals::NO_ENGINE_RETRY_DELAY,
-            ));
+        if !selector.has_engine(request.pool(), backend_entry::EngineStage::Decode) {
+            return PlacementOutcome::Refused(self.no_engine_refusal(&request));
         }
         let timely_until = self.timely_until(now, &request);
-        let limit_wait = self.limit_wait(now, &request.service);
+        let limit_wait = self.limit_wait(now, request.pool());
         if now + limit_wait >= request.wait_until {
             let retry_after = self.overload_retry_delay(core_refusals::ARRIVAL_RETRY_DELAYS);
             return PlacementOutcome::Refused(core_refusals::refuse(
@@ -192,7 +193,8 @@
 
     /// Places the waiting requests of all instances in queue order: own requests get reserved
     /// slots, those of other instances count as expected usage. Stops for a service at the first
-    /// request without capacity.
+    /// request without capacity; one that is bound to a software version keeps only the engines of
+    /// that version from later requests.
     fn place_in_order(
         &mut self,
         now: clock::Timestamp,
@@ -204,16 +206,20 @@
             .collect();
         waiting.sort_unstable_by_key(|(rank, _)| *rank);
         let mut exhausted = collections::BTreeSet::new();
+        let mut reserved = collections::BTreeSet::new();
         for (_, next) in &waiting {
             let service = &next.request.service;
-            let Some(size) = self
-                .engine_size(service)
-                .filter(|_| !exhausted.contains(service))
-            else {
+            let bound_to = next.request.software;
+            let is_exhausted = exhausted.contains(service)
+                || bound_to.is_some_and(|software| reserved.contains(&software));
+            let Some(size) = self.engine_size(service).filter(|_| !is_exhausted) else {
                 continue;
             };
-            let Some(selection) = self.select_waiting(now, next, size) else {
-                exhausted.insert(service.clone());
+            let Some(selection) = self.select_waiting(now, next, size, &reserved) else {
+                match bound_to {
+                    Some(software) => reserved.insert(software),
+                    None => exhausted.insert(service.clone()),
+                };
                 continue;
             };
             match next.ticket {
@@ -234,6 +240,7 @@
         now: clock::Timestamp,
         waiting: &wait_queue::WaitingRequest,
         size: service_rule::EngineSize,
+        reserved: &collections::BTreeSet<software_key::SoftwareKey>,
     ) -> Option<engine_selector::EngineSelection> {
         let limit = if waiting.is_timely(now) {
             self.utilization_limits(now).waiting
@@ -243,6 +250,7 @@
         let selector = engine_selector::EngineSelector {
             data_centre: None,
             seed: u64::from(waiting.selection_seed),
+            reserved,
             ..self.selector(now, size, limit)
         };
         selector.select(&waiting.request)
@@ -286,9 +294,21 @@
             .chain(self.instances.waiting(now))
     }
 
-    /// Returns whether a request that can still be on time waits at any instance.
+    /// Returns whether a request that can still be on time, and may use any engine, waits at any
+    /// instance.
     fn has_timely_waiting(&self, now: clock::Timestamp, service: &ids::ServiceName) -> bool {
         self.all_waiting(now)
+            .filter(|waiting| waiting.request.software.is_none())
             .any(|waiting| waiting.request.service == *service && waiting.is_timely(now))
     }
+
+    /// Returns the software versions to which waiting streams are bound.
+    fn reserved_versions(
+        &self,
+        now: clock::Timestamp,
+    ) -> collections::BTreeSet<software_key::SoftwareKey> {
+        self.all_waiting(now)
+            .filter_map(|waiting| waiting.request.software)
+            .collect()
+    }
 }
--- a/components/relay/src/relay_core/core_refusals.rs
+++ b/components/relay/src/relay_core/core_refusals.rs
@@ -50,7 +50,7 @@
             .iter()
             .filter_map(|waiting| {
                 let request = &waiting.request;
-                let refusal = self.backoff_refusal(now, &request.service, decode)?;
+                let refusal = self.backoff_refusal(now, request.pool(), decode)?;
                 let expires = now + refusal.retry_after >= request.wait_until;
                 waiting.ticket.filter(|_| expires).zip(Some(refusal))
             })
@@ -63,7 +63,8 @@
 
     /// Returns the expected time until all requests ahead of `request` are placed.
     ///
-    /// With `timely`, only requests that can be on time count as ahead.
+    /// With `timely`, only requests that can be on time count as ahead. A stream that is bound to a
+    /// software version waits for engines of that version only, and behind other such streams.
     pub(super) fn expected_wait(
         &self,
         now: clock::Timestamp,
@@ -75,12 +76,15 @@
             .backends
             .table()
             .values()
-            .filter(|engine| engine.entry.service == request.service && engine.accepts_work(now))
+            .filter(|engine| request.pool().contains(engine) && engine.accepts_work(now))
             .filter(|engine| engine.entry.stage == Some(backend_entry::EngineStage::Decode))
             .count();
         let ahead: u64 = self
             .all_waiting(now)
             .filter(|waiting| waiting.request.service == request.service)
+            .filter(|waiting| {
+                request.software.is_none() || waiting.request.software == request.software
+            })
             .filter(|waiting| !timely || waiting.is_timely(now))
             .map(|waiting| u64::from(waiting.request.mean_tokens()))
             .sum();
@@ -95,6 +99,23 @@
         )
     }
 
+    /// Returns the refusal of a request whose pool has no engine that accepts work.
+    pub(super) fn no_engine_refusal(
+        &self,
+        request: &stream_request::StreamRequest,
+    ) -> refusal::Refusal {
+        let pool = request.pool();
+        let mut engines = self.backends.table().values();
+        let is_gone = pool.software.is_some()
+            && !engines.any(|engine| engine.is_current() && pool.contains(engine));
+        let reason = if is_gone {
+            refusal::RefusalReason::VersionGone
+        } else {
+            refusal::RefusalReason::NoServer
+        };
+        refuse(reason, NO_ENGINE_RETRY_DELAY)
+    }
+
     pub(super) fn overload_retry_delay(&mut self, delays: RetryDelays) -> time::Duration {
         delays.min + delays.spread.mul_f64(self.random.random::<f64>())
     }
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -1,12 +1,12 @@
 //! Slots of generations on prefill and decode engines, from reservation to release.
 
-use std::time;
+use std::{collections, time};
 
 use rand::RngExt as _;
 
 use crate::{
     backend, backend_entry, backend_health, engine_selector, relay_core, service_rule,
-    stream_lease, stream_request,
+    software_key, stream_lease, stream_request,
 };
 
 /// Limit on the expected utilization of a decode engine. The remaining memory absorbs answers that
@@ -20,6 +20,10 @@
 /// Number of alive instances from which the cost jitter has its full amplitude.
 const FULL_JITTER_INSTANCES: f64 = 90.0;
 
+/// No software versions whose engines are reserved.
+static NONE_RESERVED: collections::BTreeSet<software_key::SoftwareKey> =
+    collections::BTreeSet::new();
+
 /// Placement of a generation, with slots reserved on its engines.
 #[derive(Clone, Debug)]
 pub struct StreamPlacement {
@@ -144,7 +148,7 @@
         let lease = self.leases.get_mut(key)?;
         let previous = lease.decode;
         lease.request.avoid.push(previous);
-        let request = lease.request.clone();
+        let request = lease.bound_request();
         if let Some(engine) = self.backends.get_mut(previous) {
             engine.own_running = engine.own_running.saturating_sub(1);
             engine.own_streams.remove(&key);
@@ -176,7 +180,7 @@
     ) -> Option<MovedStream> {
         self.refresh_stale_usage(now);
         let lease = self.leases.get(key)?;
-        let (previous, request) = (lease.decode, lease.request.clone());
+        let (previous, request) = (lease.decode, lease.bound_request());
         let size = self.engine_size(&request.service)?;
         let draw = self.random.random::<f64>();
         let selector = self.selector(now, size, UTILIZATION_LIMIT);
@@ -227,7 +231,9 @@
         size: service_rule::EngineSize,
     ) -> Option<StreamPlacement> {
         let selector = self.selector(now, size, 1.0);
-        let fill = selector.utilization(self.backends.get(selection.decode)?);
+        let decode_engine = self.backends.get(selection.decode)?;
+        let fill = selector.utilization(decode_engine);
+        let software = decode_engine.software;
         let mut prefill_time = time::Duration::ZERO;
         let mut tokens_ahead = 0;
         let mut prefill = None;
@@ -244,6 +250,7 @@
         let key = self.leases.insert(stream_lease::StreamLease {
             prefill: selection.prefill,
             decode: selection.decode,
+            software,
             request: request.clone(),
             reserved_at: now,
             tokens_ahead,
@@ -285,6 +292,7 @@
             jitter: self.jitter(now),
             seed: self.selection_seed,
             data_centre: Some(&self.settings.data_centre),
+            reserved: &NONE_RESERVED,
             now,
         }
     }
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -46,6 +46,7 @@
         let crashes = std::mem::take(&mut update.crashes);
         let limits = std::mem::take(&mut update.limits);
         let source = self.report_source(now, &update);
+        self.apply_origins(now, &mut update);
         let announcement = update.announcement();
         let decode_rate = self.decode_rate();
         let has_view = !update.partial && update.fingerprint != 0;
@@ -131,6 +132,7 @@
             .waiting(self.queue_updates(now))
             .retries(if has_retried { retries } else { Vec::new() })
             .limits(self.sent_state.record_limits(limits))
+            .origins(self.origins.take_new(now))
             .build()
     }
 
@@ -156,6 +158,7 @@
         self.sent_state.record_retries(&retries);
         let limits = self.limits.reports(now);
         self.sent_state.record_limits(limits.clone());
+        self.adopt_origins(now);
         instance_update::InstanceUpdate::builder()
             .address(self.settings.address)
             .incarnation(self.settings.incarnation)
@@ -179,6 +182,7 @@
             .unreachable(self.backends.own_unreachable(now))
             .crashes(self.quarantine.notice(now))
             .limits(limits)
+            .origins(self.origins.take_due(now))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
             .last_order_age(
                 self.last_order
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -135,7 +135,9 @@
     }
 
     pub(super) fn apply_view(&mut self, now: clock::Timestamp) {
-        self.backends.apply_view(now, &self.tracker.view().backends);
+        let entries = &self.tracker.view().backends;
+        self.backends.apply_view(now, entries);
+        self.software_history.apply_list(now, entries.values());
         let config = self.tracker.view().config.as_ref();
         let services = config.iter().flat_map(|config| &config.services);
         let generating = services.filter(|(_, rule)| rule.engine.is_some());
--- a/components/relay/src/site_view.rs
+++ b/components/relay/src/site_view.rs
@@ -48,6 +48,7 @@
                 entry.stage.map_or(0, |stage| stage as u8 + 1),
             ]);
             hash.update(&entry.born_millis.to_le_bytes());
+            hash.update(entry.software.as_str().as_bytes());
         }
         hash.digest()
     }
--- a/components/relay/src/stage_planner.rs
+++ b/components/relay/src/stage_planner.rs
@@ -7,6 +7,10 @@
 /// Time for which another split must be better before an engine changes stage.
 const MIN_BENEFIT_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// That time while a service has engines of several software versions, whose numbers change during a
+/// release.
+const MIXED_BENEFIT_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// Smallest time between two changes of a service's engines; a change itself takes seconds.
 const MIN_CHANGE_INTERVAL: time::Duration = time::Duration::from_secs(8);
 
@@ -31,7 +35,7 @@
     pub decode_millis: f64,
 }
 
-/// Number of engines of one service by stage.
+/// Number of engines of one software version of a service by stage.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PoolSplit {
     /// Prefill engines.
@@ -78,11 +82,14 @@
 
 impl StagePlanner {
     /// Returns the change of stage to make now, once another split has been better for long enough.
+    ///
+    /// `is_mixed` tells whether the service also has engines of other software versions.
     pub fn plan(
         &mut self,
         now: clock::Timestamp,
         split: PoolSplit,
         cost: &EngineCost,
+        is_mixed: bool,
     ) -> Option<StageChange> {
         let better = better_split(split, cost);
         let since = match (better, self.candidate) {
@@ -93,7 +100,12 @@
         let interval_passed = self
             .changed_at
             .is_none_or(|at| now.since(at) >= MIN_CHANGE_INTERVAL);
-        let is_stable = split.lacks_stage() || now.since(since) >= MIN_BENEFIT_TIME;
+        let benefit_time = match (is_mixed, split.lacks_stage()) {
+            (true, _) => MIXED_BENEFIT_TIME,
+            (false, true) => time::Duration::ZERO,
+            (false, false) => MIN_BENEFIT_TIME,
+        };
+        let is_stable = now.since(since) >= benefit_time;
         better.filter(|_| interval_passed && is_stable)
     }
 
--- a/components/relay/src/stream_lease.rs
+++ b/components/relay/src/stream_lease.rs
@@ -1,6 +1,6 @@
 //! Reserved slots of a generation.
 
-use crate::{backend, stream_request};
+use crate::{backend, software_key, stream_request};
 
 slotmap::new_key_type! {
     /// Key of a lease.
@@ -14,6 +14,8 @@
     pub prefill: Option<backend::BackendKey>,
     /// Decode engine.
     pub decode: backend::BackendKey,
+    /// Software version of both engines.
+    pub software: software_key::SoftwareKey,
     /// Request that was placed.
     pub request: stream_request::StreamRequest,
     /// Time of the reservation.
@@ -31,3 +33,14 @@
     /// Whether the prefill is still pending.
     pub prefilling: bool,
 }
+
+impl StreamLease {
+    /// Returns the request, bound to the software version of the prefill result.
+    #[must_use]
+    pub fn bound_request(&self) -> stream_request::StreamRequest {
+        stream_request::StreamRequest {
+            software: Some(self.software),
+            ..self.request.clone()
+        }
+    }
+}
--- a/components/relay/src/stream_request.rs
+++ b/components/relay/src/stream_request.rs
@@ -1,6 +1,6 @@
 //! Placement request of a generation.
 
-use crate::{backend, engine_usage};
+use crate::{backend, engine_pool, engine_usage, software_key};
 
 /// Request for slots on a prefill and a decode engine.
 #[derive(Clone, Debug, bon::Builder)]
@@ -26,6 +26,8 @@
     /// Whether the caller has already received a part of the answer.
     #[builder(default)]
     pub resumes: bool,
+    /// Software version that began the stream; `None` for a new one.
+    pub software: Option<software_key::SoftwareKey>,
     /// Prefill engine that has prefilled the prompt before and may still have it in its cache.
     pub warm_prefill: Option<backend::BackendKey>,
     /// What may crash engines: hashes of the prompt's segments, without the last one, and of the whole
@@ -38,6 +40,15 @@
 }
 
 impl StreamRequest {
+    /// Returns the engines that may serve the request.
+    #[must_use]
+    pub const fn pool(&self) -> engine_pool::EnginePool<'_> {
+        engine_pool::EnginePool {
+            service: &self.service,
+            software: self.software,
+        }
+    }
+
     /// Returns the load that the request puts on a decode engine at its start.
     #[must_use]
     pub const fn load(&self) -> engine_usage::StreamLoad {
--- a/components/relay/tests/stage_orders.rs
+++ b/components/relay/tests/stage_orders.rs
@@ -18,8 +18,8 @@
         decode: split.1,
     };
     let mut planner = relay::StagePlanner::default();
-    planner.plan(at(0), split, &COST);
-    let change = planner.plan(at(millis), split, &COST)?;
+    planner.plan(at(0), split, &COST, false);
+    let change = planner.plan(at(millis), split, &COST, false)?;
     Some((change.stage, change.engines))
 }
 
@@ -55,12 +55,12 @@
         decode: 3,
     };
     let mut planner = relay::StagePlanner::default();
-    planner.plan(at(0), split, &COST);
-    assert!(planner.plan(at(2_000), split, &COST).is_some());
+    planner.plan(at(0), split, &COST, false);
+    assert!(planner.plan(at(2_000), split, &COST, false).is_some());
     planner.record_change(at(2_000));
 
-    assert!(planner.plan(at(4_000), split, &COST).is_none());
-    assert!(planner.plan(at(10_001), split, &COST).is_some());
+    assert!(planner.plan(at(4_000), split, &COST, false).is_none());
+    assert!(planner.plan(at(10_001), split, &COST, false).is_some());
 }
 
 fn order_context(wall_millis: u64) -> relay::OrderContext {
@@ -201,3 +201,35 @@
 
     assert_eq!(stages.first(), Some(&EngineStage::Prefill), "{stages:?}");
 }
+
+#[test]
+fn version_without_prefill_engine_never_gets_one_beside_another_version() {
+    let of_version = |version: &str, stage| relay::BackendEntry {
+        software: version.into(),
+        ..common::engine(&format!("{version}-{stage}"), stage, "a")
+    };
+    let mut entries = vec![
+        of_version("v1", EngineStage::Prefill),
+        of_version("v1", EngineStage::Decode),
+    ];
+    entries.extend((0..4).map(|number| relay::BackendEntry {
+        server: format!("v2-{number}").as_str().into(),
+        ..of_version("v2", EngineStage::Decode)
+    }));
+    let mut core = common::core_with(&entries);
+    let placement = common::placed(core.place(at(0), common::request(at(0), 5_000)));
+    core.release(
+        at(1),
+        placement.key,
+        common::completion(BackendOutcome::Abandoned),
+    );
+    let mut orders = Vec::new();
+
+    for millis in (0..20_000).step_by(250) {
+        orders.extend(core.due_orders(at(millis), 1_000_000 + millis));
+    }
+
+    let first = orders.first().expect("an engine is ordered");
+    assert_eq!(first.stage, EngineStage::Prefill);
+    assert_eq!(first.entry.software, "v2".into());
+}
