--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -4,7 +4,7 @@
 
 use hyper::client::conn::http1;
 
-use crate::{pool_settings, pooled_answer, trace_scope};
+use crate::{pool_settings, pooled_answer, server_dialer, trace_scope};
 
 /// A body that is in memory before it is sent.
 pub type WholeBody = http_body_util::Full<bytes::Bytes>;
@@ -27,6 +27,7 @@
 pub struct ConnectionPool {
     settings: pool_settings::PoolSettings,
     clock: sync::Arc<dyn clock::ClockSource>,
+    dialer: sync::Arc<dyn server_dialer::ServerDialer>,
     servers: sync::Mutex<collections::BTreeMap<net::SocketAddr, ServerConnections>>,
 }
 
@@ -36,10 +37,21 @@
     pub fn new(
         settings: pool_settings::PoolSettings,
         clock: sync::Arc<dyn clock::ClockSource>,
+    ) -> sync::Arc<Self> {
+        Self::with_dialer(settings, clock, sync::Arc::new(server_dialer::TcpDialer))
+    }
+
+    /// Makes a pool without connections that opens them through `dialer`.
+    #[must_use]
+    pub fn with_dialer(
+        settings: pool_settings::PoolSettings,
+        clock: sync::Arc<dyn clock::ClockSource>,
+        dialer: sync::Arc<dyn server_dialer::ServerDialer>,
     ) -> sync::Arc<Self> {
         sync::Arc::new(Self {
             settings,
             clock,
+            dialer,
             servers: sync::Mutex::default(),
         })
     }
@@ -118,7 +130,7 @@
     /// Returns whether a server refuses a new connection, so that no process listens there any more. A
     /// server from which no answer arrives may be cut off.
     pub async fn is_refused(&self, server: net::SocketAddr) -> bool {
-        let opening = tokio::net::TcpStream::connect(server);
+        let opening = self.dialer.dial(server);
         let result = tokio::time::timeout(self.settings.connect_timeout, opening).await;
         matches!(result, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
     }
@@ -193,14 +205,11 @@
         &self,
         server: net::SocketAddr,
     ) -> Result<http1::SendRequest<WholeBody>, border::BorderError> {
-        let opening = tokio::net::TcpStream::connect(server);
+        let opening = self.dialer.dial(server);
         let stream = tokio::time::timeout(self.settings.connect_timeout, opening)
             .await
             .map_err(|_| not_sent("the connection didn't open in time"))?
             .map_err(|error| not_sent(error.to_string()))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|error| not_sent(error.to_string()))?;
         let io = hyper_util::rt::TokioIo::new(stream);
         let (sender, connection) = http1::handshake(io)
             .await
