gateway: let streams pause for a second and a half

Cause: the stall timeout was 1.5 s, as long as such a pause. It is 2 s now, still before callers leave.

--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -6,8 +6,9 @@
 
 use crate::{buffered_reply, event_splitter, gateway, relay_answer, relay_request, stream_opener};
 
-/// Time without an event after which a resumable stream is resumed on another engine.
-const STALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Time without an event after which a resumable stream is resumed on another engine. Sound engines
+/// pause for a second or so; callers leave after more than two.
+const STALL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Retry delay that callers receive when all attempts were refused.
 const REFUSED_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
