relay, gateway, platform, client: let other instances serve the requests of one that reaches no server

Cause: an instance used its own connections alone, so that nobody carried its requests while the engines had room; it found out late, since connections had no keep-alive probes and no TCP_USER_TIMEOUT; and two cut instances of two data centres could take servers away from the others.

An instance notes for each server whether its last request was answered. When most servers of a stage that it knows of are lost, or two were unreachable under one request, another instance serves the request: one that is in touch and reports to reach the service, with the fewest of its requests, the nearest of these. That one serves it like its own, once, never passes it on, and says whether a worker, itself or nobody has answered, so that 'not run' stays true. Limits, crashes and retries are counted there, the request here. Probes find the servers again, two at a time until one answers. Reports of servers that can't be reached don't count against own answers of the last second, and an instance leaves out services that are out of its reach. Timeouts below 1.5 s no longer eject engines.

Why it works: reaching the servers isn't needed, one hop is, and it is taken before the request is lost.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -38,7 +38,11 @@
         settings: pool_settings::PoolSettings,
         clock: sync::Arc<dyn clock::ClockSource>,
     ) -> sync::Arc<Self> {
-        Self::with_dialer(settings, clock, sync::Arc::new(server_dialer::TcpDialer))
+        Self::with_dialer(
+            settings,
+            clock,
+            sync::Arc::new(server_dialer::TcpDialer::default()),
+        )
     }
 
     /// Makes a pool without connections that opens them through `dialer`.
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -59,6 +59,8 @@
     attempts: u32,
     /// Number of attempts that may have run the call.
     runs: u32,
+    /// Number of servers that couldn't be reached.
+    unreachable: u32,
     server: Option<ids::ServerName>,
     ended: bool,
 }
@@ -82,6 +84,7 @@
             excluded: Vec::new(),
             attempts: 0,
             runs: 0,
+            unreachable: 0,
             server: None,
             ended: false,
         }
@@ -90,6 +93,9 @@
     pub(crate) async fn serve(mut self) -> relay_answer::RelayAnswer {
         let suspects = self.routed.request.suspects();
         loop {
+            if let Some(answer) = self.hand_over().await {
+                return answer;
+            }
             let service = &self.routed.service;
             let selected = self.gateway.core.decide(|core, now| {
                 core.quarantine_refusal(now, &suspects)
@@ -117,16 +123,32 @@
             if !not_run {
                 self.runs += 1;
             }
+            self.unreachable += u32::from(outcome == relay::BackendOutcome::Unreachable);
             let will_retry = granted || self.may_retry(not_run, was_sent);
             let took = self.gateway.core.now().since(started);
             self.report_crash(key, outcome, started);
             self.log_failure(&server, outcome, not_run, &error, took, will_retry);
             if !will_retry {
+                if let Some(answer) = self.hand_over().await {
+                    return answer;
+                }
                 return self.answer_failure(None, reply);
             }
         }
     }
 
+    /// Lets another instance serve a call that no server has run, if this one doesn't reach the
+    /// servers; returns `None` when none has taken it.
+    async fn hand_over(&mut self) -> Option<relay_answer::RelayAnswer> {
+        if self.runs > 0 || !self.gateway.prefers_proxy(&self.routed, self.unreachable) {
+            return None;
+        }
+        let answer = self.gateway.proxy(&self.routed).await?;
+        // The other instance's answer is logged already.
+        self.ended = true;
+        Some(answer)
+    }
+
     async fn attempt(
         &mut self,
         selection: relay::ServerSelection,
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -289,6 +289,29 @@
         /// Longest remaining time.
         remaining_ms: u64,
     },
+    /// The instance lost most servers of a service while others may reach them, or reaches them again.
+    ReachChanged {
+        /// Whether a service is out of reach.
+        lost: bool,
+    },
+    /// A request was sent to another instance, which serves it.
+    Proxied {
+        /// Id of the request.
+        id: &'a str,
+        /// Name of the route.
+        route: &'a str,
+        /// Address of the other instance.
+        proxy: std::net::Ipv4Addr,
+    },
+    /// Another instance didn't take a request.
+    ProxyDeclined {
+        /// Id of the request.
+        id: &'a str,
+        /// Address of the other instance.
+        proxy: std::net::Ipv4Addr,
+        /// Why it didn't take the request.
+        error: &'a str,
+    },
     /// A request was answered, or its caller disconnected.
     Ended {
         /// Id of the request.
@@ -327,6 +350,7 @@
             Self::CallSent { .. }
                 | Self::Placed { .. }
                 | Self::PromptRead { .. }
+                | Self::Proxied { .. }
                 | Self::Ended {
                     outcome: "relayed" | "caller_left",
                     ..
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -2,14 +2,23 @@
 
 use std::{sync, time};
 
+use futures_util::StreamExt as _;
+
 use crate::{
-    call_session, decision_event, decision_log, gateway_metrics, relay_answer, relay_client,
-    relay_request, shared_core, stream_session,
+    call_session, decision_event, decision_log, gateway_metrics, proxy_client, proxy_session,
+    relay_answer, relay_client, relay_request, shared_core, stream_session,
 };
 
 /// Retry delay that callers receive while the instance has no configuration.
 const NO_CONFIG_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
+/// Requests that are served for other instances at the same time, so that they leave the memory and the
+/// processor to the own callers.
+const MAX_PROXIED_REQUESTS: usize = 128;
+
+/// Servers that a request finds unreachable before another instance serves it.
+const UNREACHABLE_LIMIT: u32 = 2;
+
 /// A request with its route, its service and its deadline.
 #[derive(Clone)]
 pub(crate) struct RoutedRequest {
@@ -18,6 +27,8 @@
     pub(crate) service: ids::ServiceName,
     pub(crate) config_version: u64,
     pub(crate) arrived: clock::Timestamp,
+    /// Whether the request is served for another instance, so that it isn't passed on.
+    pub(crate) is_proxied: bool,
     /// Deadline of the request: the earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: clock::Timestamp,
 }
@@ -30,30 +41,20 @@
 }
 
 /// Relays requests of callers to backend servers and engines.
+#[derive(bon::Builder)]
 pub struct Gateway {
     pub(crate) core: sync::Arc<shared_core::SharedCore>,
     pub(crate) client: sync::Arc<dyn relay_client::RelayClient>,
+    /// Sends requests to other instances while this one doesn't reach the servers.
+    pub(crate) proxies: sync::Arc<dyn proxy_client::ProxyClient>,
     pub(crate) log: sync::Arc<decision_log::DecisionLog>,
     pub(crate) metrics: sync::Arc<gateway_metrics::GatewayMetrics>,
+    /// Requests that may still be served for other instances at the same time.
+    #[builder(default = sync::Arc::new(tokio::sync::Semaphore::new(MAX_PROXIED_REQUESTS)))]
+    proxied_slots: sync::Arc<tokio::sync::Semaphore>,
 }
 
 impl Gateway {
-    /// Creates a gateway.
-    #[must_use]
-    pub const fn new(
-        core: sync::Arc<shared_core::SharedCore>,
-        client: sync::Arc<dyn relay_client::RelayClient>,
-        log: sync::Arc<decision_log::DecisionLog>,
-        metrics: sync::Arc<gateway_metrics::GatewayMetrics>,
-    ) -> Self {
-        Self {
-            core,
-            client,
-            log,
-            metrics,
-        }
-    }
-
     /// Relays a request that arrived at `arrived`.
     ///
     /// Dropping the future or the answer's body cancels the request.
@@ -91,12 +92,50 @@
                     service,
                     config_version: version,
                     arrived,
+                    is_proxied: false,
                 };
                 self.serve_routed(routed).await
             }
         }
     }
 
+    /// Serves a request of another instance that doesn't reach the servers; `arrived` is the time of
+    /// its arrival there. Returns `None`, without having run it, if this instance can't help: it has
+    /// no configuration with such a route, drains, serves too many such requests, or doesn't reach the
+    /// servers either.
+    pub async fn serve_for_peer(
+        self: &sync::Arc<Self>,
+        request: relay_request::RelayRequest,
+        arrived: clock::Timestamp,
+    ) -> Option<relay_answer::RelayAnswer> {
+        let slots = sync::Arc::clone(&self.proxied_slots);
+        let slot = slots.try_acquire_owned().ok()?;
+        let routed = self.core.decide(|core, now| {
+            let matched = core.route_for_peer(request.host_name(), request.path());
+            let relay::RouteMatch::Found {
+                version,
+                route,
+                service,
+            } = matched
+            else {
+                return None;
+            };
+            let can_serve = core.is_ready() && !core.is_out_of_reach(now, &service);
+            can_serve.then(|| RoutedRequest {
+                deadline: arrived + request.time_left.min(route.timeout),
+                request,
+                route,
+                service,
+                config_version: version,
+                arrived,
+                is_proxied: true,
+            })
+        })?;
+        self.metrics.proxied("served");
+        let answer = self.serve_routed(routed).await;
+        Some(hold_slot(answer, slot))
+    }
+
     async fn serve_routed(
         self: &sync::Arc<Self>,
         routed: RoutedRequest,
@@ -117,6 +156,29 @@
         }
     }
 
+    /// Returns whether another instance should serve a request, after `unreachable` servers were tried
+    /// in vain.
+    pub(crate) fn prefers_proxy(&self, routed: &RoutedRequest, unreachable: u32) -> bool {
+        let service = &routed.service;
+        !routed.is_proxied
+            && self.core.decide(|core, now| {
+                let is_lost =
+                    unreachable >= UNREACHABLE_LIMIT || core.is_out_of_reach(now, service);
+                is_lost && core.has_proxy(now, service)
+            })
+    }
+
+    /// Lets another instance serve a request; returns `None` when none has taken it.
+    pub(crate) async fn proxy(
+        self: &sync::Arc<Self>,
+        routed: &RoutedRequest,
+    ) -> Option<relay_answer::RelayAnswer> {
+        let gateway = sync::Arc::clone(self);
+        proxy_session::ProxySession::new(gateway, routed.clone())
+            .serve()
+            .await
+    }
+
     /// Logs, counts and answers a request that is invalid or has no route.
     pub fn refuse_unrouted(
         &self,
@@ -166,6 +228,31 @@
     }
 }
 
+/// Keeps a slot until the answer's body is dropped.
+fn hold_slot(
+    answer: relay_answer::RelayAnswer,
+    slot: tokio::sync::OwnedSemaphorePermit,
+) -> relay_answer::RelayAnswer {
+    match answer {
+        relay_answer::RelayAnswer::Stream {
+            status,
+            headers,
+            body,
+        } => {
+            let body = body.map(move |chunk| {
+                let _held = &slot;
+                chunk
+            });
+            relay_answer::RelayAnswer::Stream {
+                status,
+                headers,
+                body: Box::pin(body),
+            }
+        }
+        answer => answer,
+    }
+}
+
 /// Returns a duration in whole milliseconds.
 pub(crate) fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -31,6 +31,7 @@
     phases: HistogramFamily,
     refusals: family::Family<NameLabel, counter::Counter>,
     failed_attempts: family::Family<NameLabel, counter::Counter>,
+    proxied: family::Family<NameLabel, counter::Counter>,
     store_reads: family::Family<NameLabel, counter::Counter>,
     copied_bytes: family::Family<NameLabel, counter::Counter>,
     quarantined: gauge::Gauge,
@@ -51,6 +52,7 @@
         let phases: HistogramFamily = family::Family::new_with_constructor(phase_histogram);
         let refusals = family::Family::default();
         let failed_attempts = family::Family::default();
+        let proxied = family::Family::default();
         let store_reads = family::Family::default();
         let copied_bytes = family::Family::default();
         let quarantined = gauge::Gauge::default();
@@ -74,6 +76,11 @@
             "Attempts that failed, by stage",
             failed_attempts.clone(),
         );
+        registry.register(
+            "relay_proxied_requests",
+            "Requests passed to other instances (sent, declined), and served for them (served)",
+            proxied.clone(),
+        );
         registry.register(
             "relay_store_reads",
             "Reads of the platform by outcome",
@@ -135,6 +142,7 @@
             phases,
             refusals,
             failed_attempts,
+            proxied,
             store_reads,
             copied_bytes,
             quarantined,
@@ -180,6 +188,11 @@
         self.failed_attempts.get_or_create(&label(step)).inc();
     }
 
+    /// Counts a request that passes between instances.
+    pub fn proxied(&self, name: &str) {
+        self.proxied.get_or_create(&label(name)).inc();
+    }
+
     /// Counts a read of the platform's store by its outcome.
     pub fn store_read(&self, outcome: &str) {
         self.store_reads.get_or_create(&label(outcome)).inc();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -22,8 +22,12 @@
 mod peer_link;
 mod peer_message;
 mod placement_guard;
+mod proxy_client;
+mod proxy_log;
+mod proxy_session;
 mod queue_message;
 mod queue_timer;
+mod reach_prober;
 mod relay_answer;
 mod relay_client;
 mod relay_request;
@@ -46,7 +50,9 @@
 pub use order_sender::run_order_sender;
 pub use peer_link::PeerLink;
 pub use peer_message::{decode as decode_update, encode as encode_update};
+pub use proxy_client::{ProxyClient, ProxyReply, ProxyTarget};
 pub use queue_timer::run_queue_timer;
+pub use reach_prober::run_reach_prober;
 pub use relay_answer::{LocalAnswer, RelayAnswer};
 pub use relay_client::{
     KvSource, OrderReply, RelayClient, RelayReply, RelayStep, ReplyBody, SendOptions,
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -108,6 +108,9 @@
     limits: Vec<limit_message::LimitMessage>,
     #[prost(message, repeated, tag = "32")]
     origins: Vec<origin_message::OriginMessage>,
+    /// Hashes of the names of services that are out of reach.
+    #[prost(fixed64, repeated, tag = "33")]
+    out_of_reach: Vec<u64>,
 }
 
 /// Number of requests and retries of one service.
@@ -192,6 +195,7 @@
         crashes: crash_message::encode(&update.crashes),
         limits: update.limits.iter().map(limit_message::encode).collect(),
         origins: origin_message::encode(&update.origins),
+        out_of_reach: update.out_of_reach.clone(),
         estimates: update
             .estimates
             .iter()
@@ -267,6 +271,7 @@
         .paused(message.paused)
         .draining(message.draining)
         .unreachable(message.unreachable)
+        .out_of_reach(message.out_of_reach)
         .crashes(
             message
                 .crashes
--- a/components/gateway/src/relay_answer.rs
+++ b/components/gateway/src/relay_answer.rs
@@ -6,7 +6,16 @@
 
 /// Answers that come from this instance instead of a backend server.
 #[derive(
-    Clone, Copy, Debug, Eq, Hash, PartialEq, strum::Display, strum::EnumIter, strum::IntoStaticStr,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    PartialEq,
+    strum::Display,
+    strum::EnumIter,
+    strum::EnumString,
+    strum::IntoStaticStr,
 )]
 #[strum(serialize_all = "snake_case")]
 pub enum LocalAnswer {
--- a/components/gateway/src/relay_client.rs
+++ b/components/gateway/src/relay_client.rs
@@ -109,6 +109,9 @@
     /// The errors of [`RelayClient::send`].
     async fn order(&self, order: &relay::StageOrder) -> Result<OrderReply, border::BorderError>;
 
+    /// Returns whether a server that this instance has lost answers a probe, whatever the answer.
+    async fn probe(&self, probe: &relay::ServerProbe) -> bool;
+
     /// Returns whether the process at an address has ended, so that connections are refused.
     async fn has_ended(&self, address: net::SocketAddr) -> bool;
 
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -1,6 +1,6 @@
 //! A request that is relayed to a backend server.
 
-use std::time;
+use std::{net, time};
 
 /// Sizes of a generation, which the caller states in header fields.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -24,6 +24,8 @@
     pub target: String,
     /// Host of the request, possibly with a port.
     pub host: String,
+    /// Address of the caller.
+    pub caller: net::IpAddr,
     /// End-to-end header fields, without those that the system itself sets.
     pub headers: http::HeaderMap,
     /// Body.
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -51,6 +51,8 @@
     Refused(relay::Refusal),
     /// The last attempt failed without an answer.
     Failed,
+    /// The engines are out of reach, and another instance may reach them.
+    OutOfReach,
     /// The engine answered with an error that is relayed to the caller.
     Reply(buffered_reply::BufferedReply),
 }
@@ -72,6 +74,8 @@
     /// Engines that failed and are excluded from new placements.
     excluded: Vec<relay::BackendKey>,
     attempts: u32,
+    /// Number of engines that couldn't be reached.
+    unreachable: u32,
     counts: relay::AttemptCount,
     /// Prefill engine that has the prompt in its cache.
     warm_prefill: Option<(relay::BackendKey, relay::BackendEntry)>,
@@ -99,6 +103,7 @@
             size,
             excluded: Vec::new(),
             attempts: 0,
+            unreachable: 0,
             counts: relay::AttemptCount::default(),
             warm_prefill: None,
             decode_retried: false,
@@ -128,6 +133,11 @@
                 Err(failed) => failed,
             };
             next = self.next_step(&failed, started);
+            if self.should_hand_over() {
+                self.release_placement(&mut guard, &failed);
+                self.free_prefill_result(&mut prefill);
+                return Err(OpenError::OutOfReach);
+            }
             match next {
                 relay::NextStep::MoveDecode if guard.move_decode(failed.failure.outcome) => {}
                 relay::NextStep::RetryDecode => {
@@ -163,6 +173,8 @@
             .core
             .decide(|core, now| core.may_repeat(now, failed.engine));
         self.report_crash(failed);
+        let is_unreachable = failed.failure.outcome == relay::BackendOutcome::Unreachable;
+        self.unreachable += u32::from(is_unreachable);
         let next = self.allowed_step(failed.engine, &failure, failure.preferred_step());
         if next == relay::NextStep::Restart {
             self.excluded.push(failed.engine);
@@ -186,6 +198,14 @@
         next
     }
 
+    /// Returns whether another instance should serve the request: this one doesn't reach the engines,
+    /// and none has run it.
+    pub(crate) fn should_hand_over(&self) -> bool {
+        !self.trace.has_started()
+            && !self.may_have_run()
+            && self.gateway.prefers_proxy(&self.routed, self.unreachable)
+    }
+
     /// Reports an engine that broke off.
     fn report_crash(&self, failed: &StepError) {
         let is_broken = failed.failure.outcome == relay::BackendOutcome::Broken;
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -41,11 +41,22 @@
         if let Err(refusal) = self.opener.bind_to_origin().await {
             return self.answer_failure(Some(refusal));
         }
-        match self
+        if self.opener.should_hand_over()
+            && let Some(answer) = self.hand_over().await
+        {
+            return answer;
+        }
+        let mut opened = self
             .opener
             .open(stream_opener::OpenMode::NewPlacement)
-            .await
-        {
+            .await;
+        if matches!(opened, Err(stream_opener::OpenError::OutOfReach)) {
+            if let Some(answer) = self.hand_over().await {
+                return answer;
+            }
+            opened = Err(stream_opener::OpenError::Failed);
+        }
+        match opened {
             Ok(placed) => {
                 let status = placed.stream.status;
                 let headers = placed.stream.headers.clone();
@@ -58,10 +69,20 @@
             }
             Err(stream_opener::OpenError::Reply(reply)) => self.relay_reply(reply),
             Err(stream_opener::OpenError::Refused(refusal)) => self.answer_failure(Some(refusal)),
-            Err(stream_opener::OpenError::Failed) => self.answer_failure(None),
+            Err(stream_opener::OpenError::Failed | stream_opener::OpenError::OutOfReach) => {
+                self.answer_failure(None)
+            }
         }
     }
 
+    /// Lets another instance serve the request; returns `None` when none has taken it.
+    async fn hand_over(&mut self) -> Option<relay_answer::RelayAnswer> {
+        let gateway = sync::Arc::clone(&self.opener.gateway);
+        let answer = gateway.proxy(&self.opener.routed).await?;
+        self.opener.trace.handed_over();
+        Some(answer)
+    }
+
     fn relay_reply(mut self, reply: buffered_reply::BufferedReply) -> relay_answer::RelayAnswer {
         self.opener.record_answer();
         self.opener
--- a/components/gateway/src/stream_trace.rs
+++ b/components/gateway/src/stream_trace.rs
@@ -116,6 +116,11 @@
         self.events += 1;
     }
 
+    /// Records that another instance serves the request, which is logged apart.
+    pub(crate) const fn handed_over(&mut self) {
+        self.ended = true;
+    }
+
     /// Logs and counts the completion of the request; dropping the trace then records nothing.
     pub(crate) fn ended(
         &mut self,
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -122,6 +122,7 @@
             .last_fence(numbers[0])
             .count_window(time::Duration::from_millis(9_000))
             .paused(vec![numbers[1]])
+            .out_of_reach(vec![numbers[5]])
             .origins(vec![relay::OriginReport {
                 stream: numbers[0],
                 software: relay::SoftwareKey { service: numbers[1], version: numbers[2] },
--- a/components/relay/src/backend.rs
+++ b/components/relay/src/backend.rs
@@ -3,8 +3,8 @@
 use std::{collections, ops, time};
 
 use crate::{
-    backend_entry, backend_health, engine_usage, instance_update, prefill_model, software_key,
-    stream_lease,
+    backend_entry, backend_health, engine_usage, instance_update, prefill_model, server_reach,
+    software_key, stream_lease,
 };
 
 slotmap::new_key_type! {
@@ -61,6 +61,8 @@
     pub expected_prefill_tokens: u32,
     /// Failure share, latency and ejection.
     pub health: backend_health::BackendHealth,
+    /// What requests of this instance show about its path to the server.
+    pub reach: server_reach::ServerReach,
     /// Duration of a prefill on an engine of the service.
     prefill_model: prefill_model::PrefillModel,
     /// Ratio of the duration of a prefill on this engine to that of the model.
@@ -96,6 +98,7 @@
             expected: Vec::new(),
             expected_prefill_tokens: 0,
             health: backend_health::BackendHealth::default(),
+            reach: server_reach::ServerReach::default(),
             prefill_model: prefill_model::PrefillModel::default(),
             slowdown: 1.0,
             refusal_pause_until: clock::Timestamp::default(),
@@ -144,6 +147,8 @@
         outcome: backend_health::BackendOutcome,
         latency: time::Duration,
     ) -> bool {
+        self.reach.record(now, outcome, latency);
+        let outcome = outcome.after(latency);
         let ejected = self.health.record(now, outcome, latency);
         if ejected && outcome == backend_health::BackendOutcome::Unreachable {
             self.unreachable_until = self.health.ejected_until(now).unwrap_or(now);
@@ -151,6 +156,14 @@
         ejected
     }
 
+    /// Records that the server answers again after this instance had lost the path to it. What was
+    /// observed meanwhile doesn't count against the server.
+    pub fn record_return(&mut self, now: clock::Timestamp) {
+        self.reach.record_answer(now);
+        self.health.readmit();
+        self.unreachable_until = clock::Timestamp::default();
+    }
+
     /// Returns whether this instance found that no connection to the server can be opened, and
     /// sends it nothing for that reason.
     #[must_use]
--- a/components/relay/src/backend_health.rs
+++ b/components/relay/src/backend_health.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::server_reach;
+
 /// Weight of a new outcome in the moving averages.
 const OUTCOME_SMOOTHING: f64 = 0.15;
 
@@ -39,6 +41,18 @@
     Abandoned,
 }
 
+impl BackendOutcome {
+    /// Returns the outcome for the health of a server: one that was silent for a shorter time than
+    /// sound servers may be has failed, which doesn't eject it.
+    #[must_use]
+    pub fn after(self, silence: time::Duration) -> Self {
+        if self == Self::TimedOut && silence < server_reach::SILENCE_LIMIT {
+            return Self::Failed;
+        }
+        self
+    }
+}
+
 /// Failure share, latency and ejection of a backend server.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BackendHealth {
@@ -127,6 +141,12 @@
         false
     }
 
+    /// Ends an ejection and forgets the failures before it.
+    pub fn readmit(&mut self) {
+        self.ejection = call::ServerHealth::default();
+        self.failure_share = 0.0;
+    }
+
     fn decay(&self, now: clock::Timestamp) -> f64 {
         let age = now.since(self.updated_at).as_secs_f64();
         0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
--- a/components/relay/src/backend_registry.rs
+++ b/components/relay/src/backend_registry.rs
@@ -11,6 +11,9 @@
 /// listed again after an outage of the platform's store.
 const DRAIN_MEMORY: time::Duration = time::Duration::from_secs(60);
 
+/// Time for which an answer of a server goes before reports of others that it can't be reached.
+const ANSWER_EVIDENCE: time::Duration = time::Duration::from_secs(1);
+
 /// Registry of the backend servers that are listed or still in use by this instance.
 #[derive(Debug, Default)]
 pub struct BackendRegistry {
@@ -160,22 +163,33 @@
     }
 
     /// Returns the servers that this instance can't reach, by [`crate::incarnation_hash`], for its
-    /// state updates.
+    /// state updates. Those of services in `out_of_reach` are left out, since the cause is more likely
+    /// this instance's path.
     #[must_use]
-    pub fn own_unreachable(&self, now: clock::Timestamp) -> Vec<u64> {
+    pub fn own_unreachable(
+        &self,
+        now: clock::Timestamp,
+        out_of_reach: &[ids::ServiceName],
+    ) -> Vec<u64> {
         self.backends
             .values()
             .filter(|backend| backend.listed && backend.is_unreachable(now))
+            .filter(|backend| !out_of_reach.contains(&backend.entry.service))
             .map(|backend| instance_update::incarnation_hash(&backend.entry))
             .collect()
     }
 
     /// Sets the servers that several data centres report as unreachable, by
-    /// [`crate::incarnation_hash`].
-    pub fn set_peer_unreachable(&mut self, unreachable: &collections::BTreeSet<u64>) {
+    /// [`crate::incarnation_hash`]. One that has just answered this instance isn't.
+    pub fn set_peer_unreachable(
+        &mut self,
+        now: clock::Timestamp,
+        unreachable: &collections::BTreeSet<u64>,
+    ) {
         for (_, backend) in &mut self.backends {
-            let hash = instance_update::incarnation_hash(&backend.entry);
-            backend.unreachable_by_peers = unreachable.contains(&hash);
+            let has_answered = backend.reach.has_answered_within(now, ANSWER_EVIDENCE);
+            backend.unreachable_by_peers =
+                unreachable.contains(&backend.incarnation) && !has_answered;
         }
     }
 
--- a/components/relay/src/instance_registry/fleet_reports.rs
+++ b/components/relay/src/instance_registry/fleet_reports.rs
@@ -121,6 +121,22 @@
             .collect()
     }
 
+    /// Returns the instances that may serve requests of a service for this one, with their data
+    /// centres: those that are alive, have a view, aren't draining and reach the service's servers.
+    pub fn reaching(
+        &self,
+        now: clock::Timestamp,
+        service: u64,
+    ) -> impl Iterator<Item = (net::Ipv4Addr, u32)> {
+        self.states
+            .iter()
+            .filter(move |(_, state)| now.since(state.received_at) < ALIVE_TIMEOUT)
+            .map(|(address, state)| (*address, &state.update))
+            .filter(|(_, update)| !update.leaving && update.fingerprint != 0)
+            .filter(move |(_, update)| !update.out_of_reach.contains(&service))
+            .map(|(address, update)| (address, update.data_centre))
+    }
+
     /// Returns the requests and retries of a service counted by the other instances.
     #[must_use]
     pub fn fleet_count(
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -69,6 +69,10 @@
     /// Servers to which the sender can't open connections, by [`incarnation_hash`].
     #[builder(default)]
     pub unreachable: Vec<u64>,
+    /// Services of which the sender has lost most servers, by [`service_hash`], while others may reach
+    /// them. Partial updates omit them.
+    #[builder(default)]
+    pub out_of_reach: Vec<u64>,
     /// What the sender knows of requests that crash servers. Partial updates omit it.
     #[builder(default)]
     pub crashes: crash_notice::CrashNotice,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod route_rule;
 mod sent_state;
 mod server_limit;
+mod server_reach;
 mod service_estimate;
 mod service_rule;
 mod site_config;
@@ -92,13 +93,14 @@
 pub use read_schedule::ViewStep;
 pub use refusal::{Refusal, RefusalReason};
 pub use relay_core::{
-    MovedStream, PlacementOutcome, RelayCore, RouteMatch, ServerSelection, StageOrder,
+    MovedStream, PlacementOutcome, RelayCore, RouteMatch, ServerProbe, ServerSelection, StageOrder,
     StreamCompletion, StreamPlacement, StreamSoftware,
 };
 pub use request_identity::{RequestIdentity, RequestParts};
 pub use request_kind::RequestKind;
 pub use retry::{FleetCount, RetryBound, RetryCount, RetryWindow};
 pub use route_rule::{RouteRule, ServiceShare};
+pub use server_reach::ServerReach;
 pub use service_estimate::{ServiceEstimate, StreamSample};
 pub use service_rule::{EngineSize, ServiceRule};
 pub use site_config::{RequestBounds, SiteConfig};
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -7,6 +7,7 @@
 mod core_orders;
 mod core_quarantine;
 mod core_queue;
+mod core_reach;
 mod core_refusals;
 mod core_routes;
 mod core_software;
@@ -14,7 +15,7 @@
 mod core_updates;
 mod core_views;
 
-use std::{collections, sync};
+use std::{collections, net, sync};
 
 use rand::SeedableRng as _;
 
@@ -28,6 +29,7 @@
 pub use core_calls::ServerSelection;
 pub use core_orders::StageOrder;
 pub use core_queue::PlacementOutcome;
+pub use core_reach::ServerProbe;
 pub use core_software::StreamSoftware;
 pub use core_streams::{MovedStream, StreamCompletion, StreamPlacement};
 
@@ -79,6 +81,8 @@
     limits: limit_registry::LimitRegistry,
     origins: origin_registry::OriginRegistry,
     software_history: software_history::SoftwareHistory,
+    /// Requests of this instance that other instances serve, by instance.
+    proxied: collections::BTreeMap<net::Ipv4Addr, u32>,
     /// Time and fencing number of this instance's last order.
     last_order: Option<(clock::Timestamp, u64)>,
     /// Lower bound of the next fencing number.
@@ -134,6 +138,7 @@
             limits: limit_registry::LimitRegistry::default(),
             origins: origin_registry::OriginRegistry::default(),
             software_history: software_history::SoftwareHistory::default(),
+            proxied: collections::BTreeMap::new(),
             last_order: None,
             fence_floor: 0,
             selection_seed,
@@ -190,6 +195,17 @@
 
     /// Matches the route of a request, selects its service and counts the request.
     pub fn route(&mut self, now: clock::Timestamp, host: &str, path: &str) -> RouteMatch {
+        let matched = self.route_for_peer(host, path);
+        if let RouteMatch::Found { service, .. } = &matched {
+            let bound = self.settings.retry_bound;
+            self.window(service).count_request(now, &bound);
+        }
+        matched
+    }
+
+    /// Matches the route of a request of another instance, which has counted it, and selects its
+    /// service.
+    pub fn route_for_peer(&mut self, host: &str, path: &str) -> RouteMatch {
         let Some(config) = self.config() else {
             return RouteMatch::NoConfig;
         };
@@ -201,8 +217,6 @@
         let Some((route, service)) = matched else {
             return RouteMatch::NoRoute { version };
         };
-        let bound = self.settings.retry_bound;
-        self.window(service).count_request(now, &bound);
         RouteMatch::Found {
             version,
             route: route.clone(),
--- a/components/relay/src/relay_core/core_calls.rs
+++ b/components/relay/src/relay_core/core_calls.rs
@@ -134,13 +134,14 @@
             return false;
         };
         backend.own_running = backend.own_running.saturating_sub(1);
-        // A timeout may be caused by a long call: it counts as a failure, but doesn't eject the
-        // server at once.
-        let outcome = match outcome {
-            backend_health::BackendOutcome::TimedOut => backend_health::BackendOutcome::Failed,
-            other => other,
+        // A call may simply take long: it doesn't eject the server, however long it was silent.
+        let ejected = if outcome == backend_health::BackendOutcome::TimedOut {
+            backend.reach.record(now, outcome, latency);
+            let failure = backend_health::BackendOutcome::Failed;
+            backend.health.record(now, failure, latency)
+        } else {
+            backend.record_outcome(now, outcome, latency)
         };
-        let ejected = backend.record_outcome(now, outcome, latency);
         if !backend.listed {
             self.backends.remove_unlisted();
         }
--- a/components/relay/src/relay_core/core_estimates.rs
+++ b/components/relay/src/relay_core/core_estimates.rs
@@ -39,6 +39,9 @@
         };
         if let Some(engine) = self.backends.get_mut(lease.decode) {
             engine.own_streams.insert(key, load);
+            if is_first {
+                engine.reach.record_answer(now);
+            }
         }
         if is_first {
             self.observe_first_event(now, key);
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -40,6 +40,9 @@
         let services: Vec<ids::ServiceName> = self.combined_estimates.keys().cloned().collect();
         let mut orders = Vec::new();
         for service in &services {
+            if self.is_out_of_reach(now, service) {
+                continue;
+            }
             let versions = self.current_versions(service);
             for software in &versions {
                 let pool = engine_pool::EnginePool {
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -5,8 +5,8 @@
 use rand::RngExt as _;
 
 use crate::{
-    backend, backend_entry, backend_health, engine_selector, relay_core, service_rule,
-    software_key, stream_lease, stream_request,
+    backend, backend_entry, backend_health, engine_selector, relay_core, server_reach,
+    service_rule, software_key, stream_lease, stream_request,
 };
 
 /// Limit on the expected utilization of a decode engine. The remaining memory absorbs answers that
@@ -131,7 +131,12 @@
         if completion.outcome == backend_health::BackendOutcome::Refused {
             engine.record_refusal(now);
         }
-        let ejected = engine.record_outcome(now, completion.outcome, completion.first_token);
+        let latency = match completion.outcome {
+            // A stream is given up only after a long silence.
+            backend_health::BackendOutcome::TimedOut => server_reach::SILENCE_LIMIT,
+            _ => completion.first_token,
+        };
+        let ejected = engine.record_outcome(now, completion.outcome, latency);
         self.backends.remove_unlisted();
         ejected
     }
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -82,7 +82,7 @@
         self.backends.set_peer_usage(&usage);
         self.backends.set_peer_paused(&self.instances.paused(now));
         self.backends
-            .set_peer_unreachable(&self.instances.unreachable(now));
+            .set_peer_unreachable(now, &self.instances.unreachable(now));
         self.backends
             .add_peer_draining(now, &self.instances.draining(now));
         self.refresh_limits(now);
@@ -103,7 +103,8 @@
             fence: self.last_order.map_or(0, |(_, fence)| fence),
             paused: self.backends.own_paused(now),
             draining: self.backends.reported_draining(),
-            unreachable: self.backends.own_unreachable(now),
+            unreachable: self.reported_unreachable(now),
+            out_of_reach: self.out_of_reach(now),
             crash_reports: crashes.reports,
             cleared_suspects: crashes.cleared,
             quarantined_suspects: crashes
@@ -179,7 +180,8 @@
             .count_window(now.since(clock::Timestamp::default()).min(window))
             .paused(self.backends.own_paused(now))
             .draining(self.backends.reported_draining())
-            .unreachable(self.backends.own_unreachable(now))
+            .unreachable(self.reported_unreachable(now))
+            .out_of_reach(self.out_of_reach(now))
             .crashes(self.quarantine.notice(now))
             .limits(limits)
             .origins(self.origins.take_due(now))
--- a/components/relay/src/sent_state.rs
+++ b/components/relay/src/sent_state.rs
@@ -17,6 +17,8 @@
     pub(crate) draining: Vec<u64>,
     /// Servers that can't be reached.
     pub(crate) unreachable: Vec<u64>,
+    /// Services that are out of reach.
+    pub(crate) out_of_reach: Vec<u64>,
     /// Reports of crashes.
     pub(crate) crash_reports: Vec<crash_report::CrashReport>,
     /// Suspects that are cleared.
--- a/components/relay/src/service_rule.rs
+++ b/components/relay/src/service_rule.rs
@@ -21,4 +21,7 @@
 pub struct ServiceRule {
     /// Capacity of an engine, for a service that generates tokens; `None` for a plain service.
     pub engine: Option<EngineSize>,
+    /// Path of the health check of the service's servers.
+    #[serde(default)]
+    pub health_path: Option<String>,
 }
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -132,7 +132,10 @@
         .tokens_per_event(event_tokens)
         .retention(ms(500))
         .build();
-    let rule = |engine| relay::ServiceRule { engine };
+    let rule = |engine| relay::ServiceRule {
+        engine,
+        health_path: Some("/health".to_owned()),
+    };
     sync::Arc::new(relay::SiteConfig {
         version,
         routes,
