soak: two versions of the engines, streams taken up elsewhere, processes cut off from the workers

It plays them now in two of fifteen faults: versions that come and go in the list, and processes whose connections to all workers are reset or fall silent, told by the address that they come from; callers leave streams after two events and take them up at another process. Events of the fakes name the version.

--- a/tests/node_soak/caller_load.rs
+++ b/tests/node_soak/caller_load.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::common::{caller, fake_worker};
+use crate::common::{caller, fake_engine, fake_worker};
 
 /// Segment of prompts on which the decode engines crash.
 pub const POISON_SEGMENT: &str = "dead";
@@ -26,6 +26,9 @@
 pub struct CallerRecord {
     pub id: String,
     pub path: &'static str,
+    /// Index of the process that received the request.
+    pub process: usize,
+    pub sent_at: time::Instant,
     /// `None` if the connection failed or no answer arrived in time.
     pub answer: Option<caller::CallerAnswer>,
 }
@@ -44,6 +47,7 @@
             let expected: String = (1..=fake_worker::EVENTS)
                 .map(|number| format!("id: {number}\ndata: e{number}\n\n"))
                 .collect();
+            let text = without_versions(&text);
             let matches = if answer.complete {
                 text == expected
             } else {
@@ -58,11 +62,20 @@
     }
 }
 
+/// Returns the text of a stream without the versions that its events name.
+fn without_versions(text: &str) -> String {
+    let lines = text.split_inclusive('\n').map(|line| {
+        let end = line.find(fake_engine::VERSION_MARK);
+        end.map_or_else(|| line.to_owned(), |end| format!("{}\n", &line[..end]))
+    });
+    lines.collect()
+}
+
 /// Sends requests one after the other until `stop` is set, each on a new connection.
 pub async fn send_requests(
     number: usize,
     path: &'static str,
-    address: net::SocketAddr,
+    (process, address): (usize, net::SocketAddr),
     stop: sync::Arc<sync::atomic::AtomicBool>,
     records: sync::Arc<sync::Mutex<Vec<CallerRecord>>>,
 ) {
@@ -83,12 +96,19 @@
         } else {
             caller::request("POST", path, &id, "X-Deadline-Ms: 1200\r\n", "body")
         };
+        let sent_at = time::Instant::now();
         let answer = caller::try_send(address, &request).await;
         let pause = if answer.is_none() { 100 } else { 20 };
         records
             .lock()
             .expect("no caller panicked")
-            .push(CallerRecord { id, path, answer });
+            .push(CallerRecord {
+                id,
+                path,
+                process,
+                sent_at,
+                answer,
+            });
         tokio::time::sleep(time::Duration::from_millis(pause)).await;
     }
 }
--- a/tests/node_soak/main.rs
+++ b/tests/node_soak/main.rs
@@ -4,7 +4,9 @@
 //! of a path without retries ran twice, no caller received a wrong stream or another caller's
 //! answer, no request that was answered with 503 ran, no draining server received requests after
 //! the drain timeout, few requests reached workers that had crashed several of them, no server got more
-//! than the limit that it named, and no request is still running at the end.
+//! than the limit that it named, no more than two streams hold events of two software versions, callers
+//! of processes that reach no worker are served nearly as often as the others, and no request is still
+//! running at the end.
 //!
 //! Environment variables:
 //! - `SOAK_SEEDS=1..50` runs the seeds 1 to 49 instead of the default ones, for example in
@@ -20,8 +22,10 @@
 mod caller_load;
 mod limited_servers;
 mod node_process;
+mod process_cuts;
 mod process_fault;
 mod soak_run;
+mod taken_up_streams;
 mod violation_checks;
 
 use std::{ops, sync, time};
--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -7,7 +7,7 @@
 use crate::{
     caller_load,
     common::{fake_store, fake_worker, fault_proxy, site},
-    limited_servers, node_process, process_fault,
+    limited_servers, node_process, process_cuts, process_fault, taken_up_streams,
 };
 
 /// Minimum number of callers of each path.
@@ -27,19 +27,18 @@
     config_version: u64,
     pub process_faults: Vec<process_fault::ProcessFault>,
     pub limits: limited_servers::LimitedServers,
-    random: rand_chacha::ChaCha8Rng,
+    pub cuts: Vec<process_cuts::ProcessCut>,
+    pub taken_up: sync::Arc<sync::Mutex<Vec<taken_up_streams::TakenUpStream>>>,
+    pub random: rand_chacha::ChaCha8Rng,
 }
 
 impl SoakRun {
     pub async fn start(seed: u64, process_count: usize) -> Self {
-        let site = site::Site::start().await;
+        let mut site = site::Site::start().await;
+        site.add_engines_of("v2").await;
+        taken_up_streams::mark_engines(&site.decodes);
         let mut proxies = Vec::new();
-        for worker in site
-            .servers
-            .iter()
-            .chain(&site.prefills)
-            .chain(&site.decodes)
-        {
+        for worker in site.workers() {
             let proxy = fault_proxy::FaultProxy::start(worker).await;
             worker.set_listed_address(proxy.address);
             proxies.push(proxy);
@@ -59,6 +58,8 @@
             config_version: 1,
             process_faults: Vec::new(),
             limits: limited_servers::LimitedServers::default(),
+            cuts: Vec::new(),
+            taken_up: sync::Arc::default(),
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
         };
         run.list_all();
@@ -96,16 +97,21 @@
         ));
         let callers = (0..(CALLERS_PER_PATH * paths.len()).max(addresses.len())).map(|number| {
             let path = paths[number % paths.len()];
-            let address = addresses[number % addresses.len()];
+            let process = number % addresses.len();
             tokio::spawn(caller_load::send_requests(
                 number,
                 path,
-                address,
+                (process, addresses[process]),
                 sync::Arc::clone(stop),
                 sync::Arc::clone(&self.records),
             ))
         });
-        callers.chain([fatal]).collect()
+        let taken_up = tokio::spawn(taken_up_streams::take_streams_up(
+            addresses.clone(),
+            sync::Arc::clone(stop),
+            sync::Arc::clone(&self.taken_up),
+        ));
+        callers.chain([fatal, taken_up]).collect()
     }
 
     /// Injects one random fault.
@@ -113,7 +119,7 @@
         let pause = time::Duration::from_millis(self.random.random_range(50..700));
         let number = self.random.random_range(0..self.processes.len());
         let started = time::Instant::now();
-        let kind = self.random.random_range(0..13);
+        let kind = self.random.random_range(0..15);
         match kind {
             0 => {
                 self.processes[number].kill();
@@ -136,6 +142,8 @@
             7 => self.drain_server(pause).await,
             8 => self.restore_store(pause).await,
             9 => self.enlarge_configuration(),
+            13 => self.cut_process(number),
+            14 => self.hide_version(pause).await,
             10 => self.limits.change(&self.site, &mut self.random),
             _ => self.inject_worker_faults(),
         }
@@ -164,6 +172,18 @@
         self.site.store.put("op/config", config.to_string());
     }
 
+    /// Removes the entries of the engines of one version for a time, as if a release went forth and
+    /// back.
+    async fn hide_version(&mut self, pause: time::Duration) {
+        let version = if self.random.random() { "v1" } else { "v2" };
+        let engines = self.site.prefills.iter().chain(&self.site.decodes);
+        for engine in engines.filter(|engine| engine.software() == version) {
+            self.site.store.remove(&format!("servers/{}", engine.id));
+        }
+        tokio::time::sleep(pause * 2).await;
+        self.list_all();
+    }
+
     async fn inject_store_fault(&mut self, pause: time::Duration) {
         let modes = [
             fake_store::StoreMode::Busy,
--- a/tests/node_soak/violation_checks.rs
+++ b/tests/node_soak/violation_checks.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{caller_load, common::fake_worker, process_fault, soak_run};
+use crate::{caller_load, common::fake_worker, process_fault, soak_run, taken_up_streams};
 
 /// Time after which a draining server receives no new requests.
 const DRAIN_TIMEOUT: time::Duration = time::Duration::from_secs(2);
@@ -32,6 +32,8 @@
                 violations.extend(caller_load::answer_violation(record, answer, run_count));
             }
         }
+        violations.extend(self.cut_violations(&records));
+        violations.extend(self.stream_violations(&records));
         violations.extend(self.poison_violation());
         violations.extend(self.fatal_violation());
         let excuse = |id: &str, at| self.is_excused(id, at);
@@ -56,6 +58,24 @@
         violations
     }
 
+    /// Returns the violations that streams show which callers took up at another process.
+    fn stream_violations(&self, records: &[caller_load::CallerRecord]) -> Vec<String> {
+        let new: Vec<bool> = records
+            .iter()
+            .filter(|record| record.path == "/draft/x")
+            .filter(|record| !record.id.starts_with(caller_load::POISON_PREFIX))
+            .filter(|record| !self.is_disturbed(record.process, record.sent_at))
+            .map(|record| {
+                let answer = record.answer.as_ref();
+                answer.is_some_and(|answer| answer.status == 200)
+            })
+            .collect();
+        let served = new.iter().filter(|served| **served).count() as f64 / new.len().max(1) as f64;
+        let streams = self.taken_up.lock().expect("no caller panicked");
+        let is_excused = |process, at| self.is_disturbed(process, at);
+        taken_up_streams::violations(&streams, is_excused, served)
+    }
+
     /// Returns the violation that prompts with a segment on which engines crash show, if any.
     fn poison_violation(&self) -> Option<String> {
         let engines = self.site.decodes.iter();
