--- a/components/relay/tests/server_reach.rs
+++ b/components/relay/tests/server_reach.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use common::{at, instance, ms};
-use relay::BackendOutcome;
 
 /// Returns four plain servers.
 fn servers() -> Vec<relay::BackendEntry> {
@@ -17,7 +16,7 @@
 }
 
 /// Sends a call to each server, with an outcome.
-fn call_each(core: &mut relay::RelayCore, now: clock::Timestamp, outcome: BackendOutcome) {
+fn call_each(core: &mut relay::RelayCore, now: clock::Timestamp, outcome: relay::BackendOutcome) {
     let mut tried = Vec::new();
     while let Ok(selection) = core.select_server(now, &service(), &tried) {
         tried.push(selection.key);
@@ -38,7 +37,7 @@
 fn cut_instances_take_servers_away_from_those_that_reach_them() {
     let entries = servers();
     let mut core = common::core_with(&entries);
-    call_each(&mut core, at(900), BackendOutcome::Succeeded);
+    call_each(&mut core, at(900), relay::BackendOutcome::Succeeded);
     for (number, centre) in [(2, "b"), (3, "c")] {
         let mut report = update(number, 1, centre);
         report.unreachable = entries.iter().map(relay::incarnation_hash).collect();
@@ -56,7 +55,7 @@
 fn cut_instance_reports_servers_as_unreachable() {
     let mut core = common::core_with(&servers());
 
-    call_each(&mut core, at(100), BackendOutcome::Unreachable);
+    call_each(&mut core, at(100), relay::BackendOutcome::Unreachable);
     let update = core.full_update(at(110));
 
     assert!(update.unreachable.is_empty());
@@ -66,12 +65,12 @@
 #[test]
 fn instance_passes_requests_on_because_one_server_has_crashed() {
     let mut core = common::core_with(&servers());
-    call_each(&mut core, at(100), BackendOutcome::Succeeded);
+    call_each(&mut core, at(100), relay::BackendOutcome::Succeeded);
     let crashed = core
         .select_server(at(200), &service(), &[])
         .expect("a server accepts work");
 
-    core.record_call_outcome(at(200), crashed.key, BackendOutcome::Broken, ms(10));
+    core.record_call_outcome(at(200), crashed.key, relay::BackendOutcome::Broken, ms(10));
 
     assert!(!core.is_out_of_reach(at(200), &service()));
     assert_eq!(core.full_update(at(210)).out_of_reach, Vec::<u64>::new());
@@ -81,9 +80,9 @@
 fn short_silences_of_slow_servers_count_as_a_lost_path() {
     let mut core = common::core_with(&servers());
 
-    call_each(&mut core, at(1_000), BackendOutcome::TimedOut);
+    call_each(&mut core, at(1_000), relay::BackendOutcome::TimedOut);
     let soon = core.is_out_of_reach(at(1_000), &service());
-    call_each(&mut core, at(3_000), BackendOutcome::TimedOut);
+    call_each(&mut core, at(3_000), relay::BackendOutcome::TimedOut);
     let late = core.is_out_of_reach(at(3_000), &service());
 
     assert_eq!((soon, late), (false, true));
@@ -140,7 +139,7 @@
 #[test]
 fn callers_pay_for_finding_out_that_servers_are_back() {
     let mut core = common::core_with(&servers());
-    call_each(&mut core, at(100), BackendOutcome::Unreachable);
+    call_each(&mut core, at(100), relay::BackendOutcome::Unreachable);
 
     let first = core.due_probes(at(200));
     let second = core.due_probes(at(700));
--- a/components/relay/tests/stream_software.rs
+++ b/components/relay/tests/stream_software.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use common::{at, ms, network};
-use relay::{EngineStage, RefusalReason, StreamSoftware};
 
 /// Number of streams that a test begins.
 const STREAMS: u64 = 40;
@@ -20,7 +19,7 @@
 const FLEETS: [(usize, usize); 2] = [(8, 4), (90, 5)];
 
 /// Returns an engine of a software version.
-fn engine(name: &str, stage: EngineStage, version: &str) -> relay::BackendEntry {
+fn engine(name: &str, stage: relay::EngineStage, version: &str) -> relay::BackendEntry {
     relay::BackendEntry {
         software: version.into(),
         ..common::engine(name, stage, "a")
@@ -30,9 +29,21 @@
 /// Returns a prefill and two decode engines of a version.
 fn engines_of(version: &str) -> Vec<relay::BackendEntry> {
     vec![
-        engine(&format!("p-{version}"), EngineStage::Prefill, version),
-        engine(&format!("d1-{version}"), EngineStage::Decode, version),
-        engine(&format!("d2-{version}"), EngineStage::Decode, version),
+        engine(
+            &format!("p-{version}"),
+            relay::EngineStage::Prefill,
+            version,
+        ),
+        engine(
+            &format!("d1-{version}"),
+            relay::EngineStage::Decode,
+            version,
+        ),
+        engine(
+            &format!("d2-{version}"),
+            relay::EngineStage::Decode,
+            version,
+        ),
     ]
 }
 
@@ -44,7 +55,7 @@
 }
 
 fn software(version: &str) -> relay::SoftwareKey {
-    relay::SoftwareKey::of(&engine("d", EngineStage::Decode, version))
+    relay::SoftwareKey::of(&engine("d", relay::EngineStage::Decode, version))
 }
 
 /// Makes a core read a list of engines.
@@ -61,7 +72,7 @@
     core
 }
 
-fn lookup(core: &relay::RelayCore, now: clock::Timestamp, stream: u64) -> StreamSoftware {
+fn lookup(core: &relay::RelayCore, now: clock::Timestamp, stream: u64) -> relay::StreamSoftware {
     core.stream_software(now, &common::GENERATING_SERVICE.into(), Some(stream))
 }
 
@@ -106,7 +117,7 @@
 /// Returns the number of streams whose version an instance knows.
 fn known_streams(fleet: &mut network::FleetNetwork, index: usize) -> u64 {
     let is_known = |stream: &u64| {
-        let expected = StreamSoftware::Known(software(version_of(*stream)));
+        let expected = relay::StreamSoftware::Known(software(version_of(*stream)));
         fleet.decide(index, |core, now| lookup(core, now, *stream)) == expected
     };
     (0..STREAMS).filter(is_known).count() as u64
@@ -185,8 +196,8 @@
 
     let cut_off = fleet.decide(7, |core, now| lookup(core, now, 99));
 
-    assert_eq!(in_touch, StreamSoftware::Only(software("v1")));
-    assert_eq!(cut_off, StreamSoftware::Unknown);
+    assert_eq!(in_touch, relay::StreamSoftware::Only(software("v1")));
+    assert_eq!(cut_off, relay::StreamSoftware::Unknown);
 }
 
 #[test]
@@ -200,18 +211,18 @@
     let soon = lookup(&core, at(12_000), 1);
     let late = lookup(&core, at(45_000), 1);
 
-    assert_eq!(soon, StreamSoftware::Unknown);
-    assert_eq!(late, StreamSoftware::Only(software("v2")));
+    assert_eq!(soon, relay::StreamSoftware::Unknown);
+    assert_eq!(late, relay::StreamSoftware::Only(software("v2")));
 }
 
 #[test]
 fn starting_instance_decides_before_the_others_have_told_it_anything() {
     let core = core_with(&["v1"]);
 
-    assert_eq!(lookup(&core, at(500), 1), StreamSoftware::Learning);
+    assert_eq!(lookup(&core, at(500), 1), relay::StreamSoftware::Learning);
     assert_eq!(
         lookup(&core, at(1_500), 1),
-        StreamSoftware::Only(software("v1"))
+        relay::StreamSoftware::Only(software("v1"))
     );
 }
 
@@ -230,9 +241,9 @@
 
     assert_eq!(
         lookup(&core, at(1_500), 7),
-        StreamSoftware::Known(software("v1"))
+        relay::StreamSoftware::Known(software("v1"))
     );
-    assert_eq!(lookup(&core, at(1_500), 8), StreamSoftware::Unknown);
+    assert_eq!(lookup(&core, at(1_500), 8), relay::StreamSoftware::Unknown);
 }
 
 #[test]
@@ -270,7 +281,7 @@
     let relay::PlacementOutcome::Refused(refusal) = outcome else {
         panic!("not refused: {outcome:?}");
     };
-    assert_eq!(refusal.reason, RefusalReason::VersionGone);
+    assert_eq!(refusal.reason, relay::RefusalReason::VersionGone);
     assert!(!refusal.retry_after.is_zero());
 }
 
@@ -299,8 +310,8 @@
     let mut core = common::empty_core();
     let config = common::config(1, vec![common::draft_route()]);
     let entries = [
-        engine("p", EngineStage::Prefill, "v1"),
-        engine("d", EngineStage::Decode, "v2"),
+        engine("p", relay::EngineStage::Prefill, "v1"),
+        engine("d", relay::EngineStage::Decode, "v2"),
     ];
     core.apply_store_read(
         at(0),
