--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -1,6 +1,7 @@
 //! One call to a plain service, with its retries.
 
 mod attempt_result;
+mod call_guard;
 mod call_log;
 
 use std::{sync, time};
@@ -14,42 +15,6 @@
 /// Retry delay that callers receive when all servers refused.
 const REFUSED_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
 
-/// Reports the outcome of a call at a server to the core; a call whose guard is dropped counts as
-/// abandoned.
-struct CallGuard {
-    gateway: sync::Arc<gateway::Gateway>,
-    selection: relay::ServerSelection,
-    sent_at: clock::Timestamp,
-    ended: bool,
-}
-
-impl CallGuard {
-    fn end(&mut self, id: &str, outcome: relay::BackendOutcome) {
-        self.ended = true;
-        let key = self.selection.key;
-        let sent_at = self.sent_at;
-        let ejected = self
-            .gateway
-            .core
-            .decide(|core, now| core.record_call_outcome(now, key, outcome, now.since(sent_at)));
-        if self.selection.rate_limit.is_some() {
-            self.gateway.core.state_changed.notify_one();
-        }
-        if ejected {
-            let server = self.selection.entry.server.as_str();
-            self.gateway.log_ejection(server, id, outcome);
-        }
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        if !self.ended {
-            self.end("", relay::BackendOutcome::Abandoned);
-        }
-    }
-}
-
 /// One call to a plain service, with its retries.
 pub(crate) struct CallSession {
     gateway: sync::Arc<gateway::Gateway>,
@@ -163,7 +128,7 @@
             self.gateway.core.state_changed.notify_one();
         }
         let now = self.gateway.core.now();
-        let mut guard = CallGuard {
+        let mut guard = call_guard::CallGuard {
             gateway: sync::Arc::clone(&self.gateway),
             selection,
             sent_at: now,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod stream_opener;
 mod stream_session;
 mod stream_trace;
+mod usage_message;
 mod view_message;
 mod view_reader;
 mod view_transfer;
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -2,29 +2,13 @@
 
 use std::{net, time};
 
-use crate::{crash_message, estimate_message, limit_message, origin_message, queue_message};
+use crate::{
+    crash_message, estimate_message, limit_message, origin_message, queue_message, usage_message,
+};
 
 /// Maximum size of a change of the platform's list of backend servers in a state update, in bytes.
 const MAX_DELTA_BYTES: usize = 4 * 1024;
 
-/// Load of one instance on one backend server.
-#[derive(Clone, PartialEq, prost::Message)]
-struct UsageMessage {
-    /// Hash of the server's name.
-    #[prost(fixed64, tag = "1")]
-    server: u64,
-    #[prost(uint32, tag = "2")]
-    running: u32,
-    #[prost(uint32, tag = "3")]
-    prefill_tokens: u32,
-    /// Tokens in the engine's memory, for each stream.
-    #[prost(uint32, repeated, tag = "4")]
-    held: Vec<u32>,
-    /// Tokens that are expected to follow, for each stream in the same order.
-    #[prost(uint32, repeated, tag = "5")]
-    remaining: Vec<u32>,
-}
-
 /// State update of one instance.
 #[derive(Clone, PartialEq, prost::Message)]
 struct UpdateMessage {
@@ -43,7 +27,7 @@
     #[prost(uint32, tag = "7")]
     view_age_ms: u32,
     #[prost(message, repeated, tag = "8")]
-    usage: Vec<UsageMessage>,
+    usage: Vec<usage_message::UsageMessage>,
     /// Addresses of other instances that the sender considers alive.
     #[prost(fixed32, repeated, tag = "9")]
     known: Vec<u32>,
@@ -169,13 +153,7 @@
         usage: update
             .usage
             .iter()
-            .map(|(server, usage)| UsageMessage {
-                server: *server,
-                running: usage.running,
-                prefill_tokens: usage.prefill_tokens,
-                held: usage.streams.iter().map(|load| load.held).collect(),
-                remaining: usage.streams.iter().map(|load| load.remaining).collect(),
-            })
+            .map(|(server, usage)| usage_message::encode(*server, usage))
             .collect(),
         retries: update
             .retries
@@ -256,13 +234,7 @@
         .config_version(message.config_version)
         .fingerprint(message.fingerprint)
         .view_age(time::Duration::from_millis(u64::from(message.view_age_ms)))
-        .usage(
-            message
-                .usage
-                .iter()
-                .map(|usage| (usage.server, decode_usage(usage)))
-                .collect(),
-        )
+        .usage(message.usage.iter().map(usage_message::decode).collect())
         .waiting(message.waiting.iter().map(queue_message::decode).collect())
         .count_window(time::Duration::from_millis(u64::from(
             message.count_window_ms,
@@ -331,20 +303,6 @@
         .collect()
 }
 
-fn decode_usage(message: &UsageMessage) -> relay::EngineUsage {
-    let streams = message.held.iter().zip(&message.remaining);
-    relay::EngineUsage {
-        running: message.running,
-        prefill_tokens: message.prefill_tokens,
-        streams: streams
-            .map(|(held, remaining)| relay::StreamLoad {
-                held: *held,
-                remaining: *remaining,
-            })
-            .collect(),
-    }
-}
-
 /// Encodes a change of the platform's list of backend servers. Returns no bytes when the change is
 /// too large for a datagram; the receivers read the store instead.
 fn encode_delta(delta: &relay::ListDelta) -> Vec<u8> {
