--- a/components/relay/src/relay_core/core_reach.rs
+++ b/components/relay/src/relay_core/core_reach.rs
@@ -82,8 +82,8 @@
             .collect()
     }
 
-    /// Returns the servers that other instances shouldn't avoid because of this one: those of the
-    /// services that only this one may have lost.
+    /// Returns the servers that this instance reports as unreachable. Those of services that are out of
+    /// its reach are left out, since others may reach them.
     pub(super) fn reported_unreachable(&self, now: clock::Timestamp) -> Vec<u64> {
         let lost = self.lost_services(now);
         self.backends.own_unreachable(now, &lost)
