--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -8,6 +8,7 @@
 mod link;
 mod node;
 mod record;
+mod other_items;
 mod site;
 mod store;
 mod two_leaders;
@@ -27,6 +28,7 @@
     let record = record::Record::start();
     record.write(format!("case {case}, with the disruption: {trouble}"));
     let status = match case.as_str() {
+        "other_items" => other_items::run(trouble, &directory, &record),
         "late_work" => late_work::run(trouble, &directory, &record),
         "two_leaders" => two_leaders::run(trouble, &directory, &record),
         _ => {
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -9,7 +9,9 @@
 
 use crate::http;
 
+/// Largest number of items in a page, and of the bytes of their values in base64.
 const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1024 * 1024 * 4 / 3;
 
 #[derive(Default)]
 struct State {
@@ -105,21 +107,24 @@
         let prefix = decode(request.query("prefix").unwrap_or(""));
         let after = decode(request.query("after").unwrap_or(""));
         let state = self.state.0.lock().unwrap();
-        let mut found = state
+        let found = state
             .items
             .iter()
             .filter(|(key, _)| key.starts_with(&prefix) && **key > after);
-        let page: Vec<String> = found
-            .by_ref()
-            .take(PAGE_ITEMS)
-            .map(|(key, (value, revision, created))| {
-                format!("{{{}}}", item(key, value, *revision, *created))
-            })
-            .collect();
+        let mut page = Vec::new();
+        let mut bytes = 0;
+        let mut has_more = false;
+        for (key, (value, revision, created)) in found {
+            bytes += value.len();
+            if page.len() == PAGE_ITEMS || (bytes > PAGE_BYTES && !page.is_empty()) {
+                has_more = true;
+                break;
+            }
+            page.push(format!("{{{}}}", item(key, value, *revision, *created)));
+        }
         format!(
-            "{{\"items\":[{}],\"hasMore\":{},\"atRevision\":{}}}",
+            "{{\"items\":[{}],\"hasMore\":{has_more},\"atRevision\":{}}}",
             page.join(","),
-            found.next().is_some(),
             state.revision
         )
     }
