--- a/review/2/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/stand_in ] && [ -x target/release/plantainreach ] || exit 2
-exec target/review/stand_in two_leaders review/2/record.txt
+exec target/review/stand_in joined review/1/record.txt
--- a/review/stand_in/engine.rs
+++ b/review/stand_in/engine.rs
@@ -19,6 +19,10 @@
     pub service: String,
     pub zone: String,
     pub stage: &'static str,
+    /// Version of the software.
+    pub version: &'static str,
+    /// Whether events name the version.
+    pub marks_events: bool,
     pub kv_tokens: u64,
     pub tokens_per_ms: f64,
     pub event_ms: u64,
@@ -60,6 +64,8 @@
     ended: bool,
     connections: Vec<TcpStream>,
     prefills: Vec<String>,
+    /// Parts of prompts in memory, with their tokens.
+    parts: BTreeMap<String, u64>,
 }
 
 #[derive(Clone)]
@@ -92,6 +98,7 @@
                 ended: false,
                 connections: Vec::new(),
                 prefills: Vec::new(),
+                parts: BTreeMap::new(),
             })),
             spec: Arc::new(spec),
             prefill_lane: Arc::default(),
@@ -127,9 +134,9 @@
             let state = self.state.lock().unwrap();
             (state.stage, state.leaving, state.sequence)
         };
-        let EngineSpec { service, zone, .. } = &*self.spec;
+        let EngineSpec { service, zone, version, .. } = &*self.spec;
         let text = format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\
              \"slots\":64,\"state\":\"{}\",\"coldRemainingMs\":0,\"stage\":\"{stage}\",\
              \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\
              \"born\":{}}}",
@@ -202,8 +209,17 @@
             }
             ("GET", "/report") => self.report(stream),
             ("GET", "/kv-list") => {
-                let body = b"{\"epoch\":1,\"nextToken\":1,\"held\":[]}";
-                http::respond(stream, 200, &[("Content-Type", "application/json")], body)
+                let held: Vec<String> = self
+                    .state
+                    .lock()
+                    .unwrap()
+                    .parts
+                    .iter()
+                    .map(|(part, tokens)| format!("[\"\",\"{part}\",{tokens},\"m\"]"))
+                    .collect();
+                let body = format!("{{\"epoch\":1,\"nextToken\":1,\"held\":[{}]}}", held.join(","));
+                let json = [("Content-Type", "application/json")];
+                http::respond(stream, 200, &json, body.as_bytes())
             }
             ("GET", "/kv-events") => {
                 let body = b"{\"epoch\":1,\"nextToken\":1,\"lost\":false,\"events\":[]}";
@@ -294,6 +310,14 @@
         http::respond(stream, status, &[], b"")
     }
 
+    /// Keeps the parts of a prompt that was read.
+    fn keep_parts(&self, request: &Message) {
+        let prefix = request.header("x-prompt-prefix").unwrap_or("");
+        let parts = prefix.split(',').filter_map(|part| part.trim().split_once(':'));
+        let parts = parts.map(|(id, tokens)| (id.to_owned(), tokens.parse().unwrap_or(0)));
+        self.state.lock().unwrap().parts.extend(parts);
+    }
+
     fn reject(&self, stream: &mut TcpStream, id: &str, reason: &str) -> io::Result<()> {
         self.record
             .write(format!("{} rejects {id}: {reason}", self.spec.id));
@@ -319,6 +343,7 @@
             let millis = prompt as f64 / self.spec.tokens_per_ms;
             thread::sleep(Duration::from_secs_f64(millis / 1_000.0));
         }
+        self.keep_parts(request);
         self.record
             .write(format!("{} has read the prompt of {id}", self.spec.id));
         let handle = format!("h{id}");
@@ -381,6 +406,7 @@
                 thread::sleep(Duration::from_secs_f64(millis / 1_000.0));
             }
         }
+        self.keep_parts(request);
         self.record.write(format!("{} runs {id}", self.spec.id));
         let head = format!(
             "HTTP/1.1 200 X\r\nX-Request-Id: {id}\r\nX-Response-Stamp: {}\r\n\
@@ -395,7 +421,11 @@
             stream.write_all(head.as_bytes())?;
             for number in first..=output {
                 thread::sleep(Duration::from_millis(self.spec.event_ms));
-                let event = format!("id: {number}\ndata: {id}-{number}\n\n");
+                let event = if self.spec.marks_events {
+                    format!("id: {number}\ndata: {} wrote this\n\n", self.spec.version)
+                } else {
+                    format!("id: {number}\ndata: {id}-{number}\n\n")
+                };
                 stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             }
             stream.write_all(b"0\r\n\r\n")
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -4,6 +4,7 @@
 
 mod engine;
 mod http;
+mod joined;
 mod late_work;
 mod link;
 mod node;
@@ -29,6 +30,7 @@
     record.write(format!("case {case}, with the disruption: {trouble}"));
     let status = match case.as_str() {
         "other_items" => other_items::run(trouble, &directory, &record),
+        "joined" => joined::run(trouble, &directory, &record),
         "late_work" => late_work::run(trouble, &directory, &record),
         "two_leaders" => two_leaders::run(trouble, &directory, &record),
         _ => {
--- a/review/stand_in/other_items.rs
+++ b/review/stand_in/other_items.rs
@@ -43,6 +43,8 @@
                 service: SERVICE.to_owned(),
                 zone: "zone-a".to_owned(),
                 stage,
+                version: "v1",
+                marks_events: false,
                 kv_tokens: KV_TOKENS,
                 tokens_per_ms: 55.5556,
                 event_ms: 5,
--- a/review/stand_in/site.rs
+++ b/review/stand_in/site.rs
@@ -34,15 +34,28 @@
     store.put("op/config", &config);
 }
 
-/// Returns a request for a stream on a route.
+/// Returns a request for a stream on a route, with a prompt of its own.
 pub fn stream_request(route: &str, id: &str, prompt: u64, output: u64) -> String {
+    session_request(route, id, id, prompt, output, "X-Deadline-Ms: 14000\r\n")
+}
+
+/// Returns a request for a stream on a route, whose last part of the prompt is that of a session.
+/// `fields` are further header fields.
+pub fn session_request(
+    route: &str,
+    id: &str,
+    session: &str,
+    prompt: u64,
+    output: u64,
+    fields: &str,
+) -> String {
     let body = "p".repeat(200);
     format!(
         "POST /{route}/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
          X-Token-Usage: {prompt},{output}\r\nX-Length-Hint: {output}\r\n\
-         X-Prompt-Prefix: 5c1e07a2:200,{:x}:{}\r\nX-Deadline-Ms: 14000\r\n\
+         X-Prompt-Prefix: 5c1e07a2:200,{:x}:{}\r\n{fields}\
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
-        hash(id),
+        hash(session),
         prompt - 200,
         body.len()
     )
--- a/review/stand_in/two_leaders.rs
+++ b/review/stand_in/two_leaders.rs
@@ -57,6 +57,8 @@
                 service: SERVICE.to_owned(),
                 zone: format!("zone-{}", ["a", "b", "c", "a"][number - 1]),
                 stage: "decode",
+                version: "v1",
+                marks_events: false,
                 kv_tokens: KV_TOKENS,
                 tokens_per_ms: 55.5556,
                 event_ms: 5,
