--- a/review/stand_in/joined.rs
+++ b/review/stand_in/joined.rs
@@ -15,7 +15,7 @@
 const SERVICE: &str = "quote-llm";
 const KV_TOKENS: u64 = 96_426;
 const PROMPT: u64 = 2_000;
-const SESSIONS: usize = 6;
+const SESSIONS: usize = 12;
 const OUTPUT: u64 = 400;
 const EVENT_MS: u64 = 25;
 const DEADLINE_MS: u64 = 14_000;
