relay, platform: keep the revisions of the changes of a read

A read's changes had one revision for all. Each now has that at which it was written, which an answer that arrives late needs. No decision changes.

--- a/components/capacity/src/workspace_load.rs
+++ b/components/capacity/src/workspace_load.rs
@@ -106,7 +106,10 @@
         era: None,
         revision: 1,
         complete: true,
-        changes: vec![relay::ViewChange::Config(sync::Arc::new(config))],
+        changes: vec![relay::RevisedChange {
+            revision: 1,
+            change: relay::ViewChange::Config(sync::Arc::new(config)),
+        }],
     };
     let now = clock::Timestamp::from_millis(1);
     core.apply_store_read(now, now, update);
--- a/components/relay/examples/decision_cost.rs
+++ b/components/relay/examples/decision_cost.rs
@@ -65,6 +65,10 @@
         complete: true,
         changes: std::iter::once(relay::ViewChange::Config(sync::Arc::new(config)))
             .chain(entries)
+            .map(|change| relay::RevisedChange {
+                revision: 1,
+                change,
+            })
             .collect(),
     }
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -143,7 +143,7 @@
 };
 pub use update_routes::{ForwardScope, GreetingUpdate, UpdateEffect, UpdateRoutes};
 pub use view_announcement::ViewAnnouncement;
-pub use view_change::{ViewChange, ViewUpdate};
+pub use view_change::{RevisedChange, ViewChange, ViewUpdate};
 pub use view_position::ViewPosition;
 pub use view_tracker::ViewTracker;
 pub use wait_queue::{QueueRank, QueueTicket, WaitQueue, WaitingRequest};
--- a/components/relay/src/view_change.rs
+++ b/components/relay/src/view_change.rs
@@ -15,6 +15,15 @@
     BackendRemoved(ids::ServerName),
 }
 
+/// Change with the revision at which it was written.
+#[derive(Clone, Debug)]
+pub struct RevisedChange {
+    /// Revision of the store.
+    pub revision: u64,
+    /// The change.
+    pub change: ViewChange,
+}
+
 /// Result of one read of the platform's store.
 #[derive(Clone, Debug)]
 pub struct ViewUpdate {
@@ -26,5 +35,5 @@
     /// read.
     pub complete: bool,
     /// The changes, oldest first.
-    pub changes: Vec<ViewChange>,
+    pub changes: Vec<RevisedChange>,
 }
--- a/components/relay/src/view_tracker/list_changes.rs
+++ b/components/relay/src/view_tracker/list_changes.rs
@@ -19,8 +19,8 @@
         let known: Vec<ids::ServerName> = self.view.backends.keys().cloned().collect();
         let mut written = collections::BTreeSet::new();
         let mut removed = Vec::new();
-        for change in &update.changes {
-            match change {
+        for revised in &update.changes {
+            match &revised.change {
                 view_change::ViewChange::Config(config) => self.apply_config(config),
                 // The server has left since the copy was made, unless it writes its entry again.
                 view_change::ViewChange::Backend(entry)
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -187,20 +187,33 @@
     let mut changes = vec![relay::ViewChange::Config(sync::Arc::clone(config))];
     changes.extend(entries.iter().cloned().map(relay::ViewChange::Backend));
     relay::ViewUpdate {
-        era: None,
-        revision,
         complete: true,
-        changes,
+        ..view_changes(revision, changes)
     }
 }
 
-/// Returns a read of the store with the changes since the last read.
+/// Returns a read of the store with the changes since the last read, all of them written at
+/// `revision`.
 pub fn view_changes(revision: u64, changes: Vec<relay::ViewChange>) -> relay::ViewUpdate {
+    revised_changes(
+        revision,
+        changes.into_iter().map(|change| (revision, change)),
+    )
+}
+
+/// Returns a read of the store with the changes since the last read and their revisions.
+pub fn revised_changes(
+    revision: u64,
+    changes: impl IntoIterator<Item = (u64, relay::ViewChange)>,
+) -> relay::ViewUpdate {
+    let changes = changes.into_iter();
     relay::ViewUpdate {
         era: None,
         revision,
         complete: false,
-        changes,
+        changes: changes
+            .map(|(revision, change)| relay::RevisedChange { revision, change })
+            .collect(),
     }
 }
 
