relay: apply of an answer that the view has overtaken only what is newer

Callers were sent to servers whose entries had been removed seconds ago (DRAIN). Cause: an answer of the store was applied whole whenever it arrived. If another instance had told of later changes meanwhile, entries of the answer replaced them, while the position of the view stayed the newer one, so that no read told of the removal again; the next read made this list the newest one, and all instances copied it. It takes two instances that read at the same time and a removal between their answers, as when the first reader returns. A complete answer even set the position back.

Changes up to the view's revision are now left out, and of a complete answer that is older than the view only the configuration is taken; it doesn't count as complete. A store that answers a later read with a smaller revision still counts, since it has lost changes.

--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     key_judge, list_delta, list_event, newer_configs, removed_entries, site_view,
-    view_announcement, view_change,
+    view_announcement, view_change, view_position,
 };
 
 /// Age of the view from which the next read counts as one after an outage of the store. Entries
@@ -26,6 +26,8 @@
 pub struct ViewTracker {
     view: site_view::SiteView,
     fingerprint: u64,
+    /// Time at which the position of the view last advanced.
+    advanced_at: clock::Timestamp,
     /// Latest time at which the view was known to be current.
     as_of: Option<clock::Timestamp>,
     /// Time at which the last successful read of this instance was sent.
@@ -149,7 +151,8 @@
     /// Applies a read that was sent at `sent_at`; returns whether the view changed.
     ///
     /// A read of an earlier era is ignored. The first read of a later era has to be complete, since
-    /// the revisions of the two eras aren't comparable.
+    /// the revisions of the two eras aren't comparable. Of an answer that the view has overtaken
+    /// since it was sent, only what is newer than the view is applied.
     pub fn apply_read(
         &mut self,
         now: clock::Timestamp,
@@ -172,30 +175,49 @@
             || self
                 .as_of
                 .is_some_and(|as_of| sent_at.since(as_of) > OUTAGE_AGE);
+        let is_overtaken = !is_restored && self.has_overtaken(&update, sent_at);
         let before = self.view.clone();
-        self.apply_changes(now, &update, is_restored, after_outage);
-        self.remove_expired(now);
-        self.view.position.revision = if update.complete {
-            update.revision
+        if update.complete && is_overtaken {
+            self.apply_configs(&update);
         } else {
-            self.view.position.revision.max(update.revision)
-        };
-        self.view.position.era = era;
+            self.apply_changes(now, &update, is_restored, after_outage);
+        }
+        self.remove_expired(now);
+        if !is_overtaken {
+            self.advance(now, view_position::ViewPosition::new(era, update.revision));
+            self.behind_since = None;
+            self.needs_complete_read &= !update.complete;
+        }
         let delta = list_delta::ListDelta::between(&before, &self.view);
         if self.as_of.is_some() && !is_restored && !delta.is_empty() {
             self.delta = Some((now, delta));
         }
-        self.as_of = Some(sent_at);
-        self.read_at = Some(sent_at);
-        self.behind_since = None;
+        self.as_of = self.as_of.max(Some(sent_at));
+        self.read_at = self.read_at.max(Some(sent_at));
         self.read_failed_at = None;
         self.failed_copy = None;
         self.is_restored = false;
-        self.needs_complete_read &= !update.complete;
         self.needs_workspaces &= !update.complete;
         self.update_fingerprint()
     }
 
+    /// Returns whether the view is newer than the answer of a read that was sent at `sent_at`.
+    ///
+    /// A store whose revision is smaller than one that was known before the read has lost changes
+    /// without a new era; its answer counts.
+    fn has_overtaken(&self, update: &view_change::ViewUpdate, sent_at: clock::Timestamp) -> bool {
+        update.revision < self.view.position.revision
+            && (self.advanced_at >= sent_at || !update.complete)
+    }
+
+    /// Sets the position of the view.
+    fn advance(&mut self, now: clock::Timestamp, position: view_position::ViewPosition) {
+        if position != self.view.position {
+            self.advanced_at = now;
+            self.view.position = position;
+        }
+    }
+
     /// Applies the announcement of another instance's view; returns whether the announced view
     /// differs and is newer, in its position or in its configuration.
     pub fn apply_announcement(
@@ -211,13 +233,13 @@
             // A read of an earlier era doesn't show the store as it is now.
             if announcement.position.era >= own.era {
                 self.as_of = self.as_of.max(Some(now.before(announcement.age)));
-                self.view.position = own.max(announcement.position);
+                self.advance(now, own.max(announcement.position));
             }
             return false;
         }
         let newer =
             announcement.position > own || announcement.config_version > self.view.config_version();
-        self.confirm_list(announcement);
+        self.confirm_list(now, announcement);
         if newer {
             self.behind_since.get_or_insert(now);
         }
@@ -227,7 +249,11 @@
     /// Advances the position to that of another instance which has the same list and a newer
     /// configuration, so that later changes of the list can be applied before the configuration
     /// has been copied.
-    fn confirm_list(&mut self, announcement: &view_announcement::ViewAnnouncement) {
+    fn confirm_list(
+        &mut self,
+        now: clock::Timestamp,
+        announcement: &view_announcement::ViewAnnouncement,
+    ) {
         let version = announcement.config_version;
         let is_ahead = announcement.position > self.view.position
             && announcement.position.era == self.view.position.era
@@ -236,7 +262,7 @@
             return;
         }
         if self.view.fingerprint_with(version) == announcement.fingerprint {
-            self.view.position = announcement.position;
+            self.advance(now, announcement.position);
             // A watch from this position would not return the configuration.
             self.needs_complete_read = true;
         }
@@ -263,7 +289,7 @@
         let is_newer = view.position > self.view.position;
         if is_newer || (is_fresher && view.position == self.view.position) {
             self.replace_list(now, view.backends);
-            self.view.position = view.position;
+            self.advance(now, view.position);
             self.as_of = Some(as_of);
             self.needs_complete_read = true;
             self.expiring.clear();
--- a/components/relay/src/view_tracker/list_changes.rs
+++ b/components/relay/src/view_tracker/list_changes.rs
@@ -8,7 +8,8 @@
 const EXPIRY_GRACE: time::Duration = time::Duration::from_millis(1_700);
 
 impl view_tracker::ViewTracker {
-    /// Applies the changes of a read, oldest first.
+    /// Applies the changes of a read, oldest first. The view contains those up to its revision
+    /// already.
     pub(super) fn apply_changes(
         &mut self,
         now: clock::Timestamp,
@@ -19,9 +20,15 @@
         let known: Vec<ids::ServerName> = self.view.backends.keys().cloned().collect();
         let mut written = collections::BTreeSet::new();
         let mut removed = Vec::new();
+        let applied_revision = if update.complete {
+            0
+        } else {
+            self.view.position.revision
+        };
         for revised in &update.changes {
             match &revised.change {
                 view_change::ViewChange::Config(config) => self.apply_config(config),
+                _ if revised.revision <= applied_revision => {}
                 // The server has left since the copy was made, unless it writes its entry again.
                 view_change::ViewChange::Backend(entry)
                     if is_restored && self.removed.contains(now, entry) => {}
@@ -44,6 +51,15 @@
         }
     }
 
+    /// Applies the configurations of a read alone.
+    pub(super) fn apply_configs(&mut self, update: &view_change::ViewUpdate) {
+        for revised in &update.changes {
+            if let view_change::ViewChange::Config(config) = &revised.change {
+                self.apply_config(config);
+            }
+        }
+    }
+
     pub(super) fn apply_config(&mut self, config: &sync::Arc<crate::SiteConfig>) {
         if config.version > self.view.config_version() {
             self.view.config = Some(sync::Arc::clone(config));
