relay, gateway: decide on each instance which expired servers stay in use

Callers were sent to servers whose entries had been removed seconds ago (DRAIN). Cause: an instance whose view was older than 2.5 s took its own absence (a freeze, a cut) for an outage of the store, kept servers that had been removed meanwhile for 1.7 s as a part of its list, and announced that list under the newest position; all others copied it and got back what they had dropped. The grace period also began anew at each such instance, and ended only at its next successful read.

A view now is the store's list at its position; servers that are kept beside it are named apart (kept), aren't part of fingerprint and changes, and each instance decides by what it knows of the store's answers to anyone whether there was an outage, and until when after it. An instance that copies drops what the source neither lists nor keeps. Kept servers end in time also while the store fails again, and don't make an instance read.

The histories of late_reads now have outages, too: no list differs from the store's at its position.

--- a/components/gateway/src/shared_core.rs
+++ b/components/gateway/src/shared_core.rs
@@ -11,6 +11,7 @@
 struct EncodedView {
     position: relay::ViewPosition,
     fingerprint: u64,
+    kept: collections::BTreeSet<ids::ServerName>,
     forms: collections::BTreeMap<view_message::ViewForm, bytes::Bytes>,
 }
 
@@ -80,10 +81,14 @@
             (tracker.view().clone(), tracker.fingerprint())
         });
         let mut encoded = lock(&self.encoded_view);
-        if (encoded.position, encoded.fingerprint) != (view.position, fingerprint) {
+        let is_current = encoded.position == view.position
+            && encoded.fingerprint == fingerprint
+            && encoded.kept == view.kept;
+        if !is_current {
             *encoded = EncodedView {
                 position: view.position,
                 fingerprint,
+                kept: view.kept.clone(),
                 ..EncodedView::default()
             };
         }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -68,6 +68,7 @@
 mod spend_report;
 mod spending_knowledge;
 mod stage_planner;
+mod store_contact;
 mod stream_lease;
 mod stream_request;
 mod stream_search;
--- a/components/relay/src/list_delta.rs
+++ b/components/relay/src/list_delta.rs
@@ -23,15 +23,17 @@
     /// Returns the difference between the lists of two views of one era.
     #[must_use]
     pub fn between(before: &site_view::SiteView, after: &site_view::SiteView) -> Self {
-        let (old, new) = (&before.backends, &after.backends);
-        let written = new
-            .values()
-            .filter(|entry| old.get(&entry.server) != Some(entry))
+        let written = after
+            .listed()
+            .filter(|entry| {
+                !before.lists(&entry.server) || before.backends.get(&entry.server) != Some(entry)
+            })
             .cloned()
             .collect();
-        let gone = old
-            .keys()
-            .filter(|server| !new.contains_key(*server))
+        let gone = before
+            .listed()
+            .map(|entry| &entry.server)
+            .filter(|server| !after.lists(server))
             .cloned()
             .collect();
         Self {
@@ -55,13 +57,15 @@
         self.era == position.era && (self.base..self.revision).contains(&position.revision)
     }
 
-    /// Applies the change to a list.
-    pub fn apply(&self, list: &mut site_view::BackendMap) {
+    /// Applies the change to the list of a view.
+    pub fn apply(&self, view: &mut site_view::SiteView) {
         for entry in &self.written {
-            list.insert(entry.server.clone(), entry.clone());
+            view.kept.remove(&entry.server);
+            view.backends.insert(entry.server.clone(), entry.clone());
         }
         for server in &self.gone {
-            list.remove(server);
+            view.kept.remove(server);
+            view.backends.remove(server);
         }
     }
 }
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -80,6 +80,7 @@
     /// on it rather than after each state update, since updates are far more frequent than
     /// decisions.
     pub(super) fn refresh_stale_usage(&mut self, now: clock::Timestamp) {
+        self.expire_kept_servers(now);
         self.refresh_estimates(now);
         if self.usage_stale || now.since(self.usage_refreshed_at) >= MAX_USAGE_AGE {
             self.refresh_usage(now);
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -124,7 +124,14 @@
     /// Records a failed read of the store.
     pub fn record_read_failure(&mut self, now: clock::Timestamp) {
         self.tracker.record_read_failure(now);
-        self.tracker.expire(now);
+        self.expire_kept_servers(now);
+    }
+
+    /// Stops to use the servers whose grace period after an outage of the store has ended.
+    pub(super) fn expire_kept_servers(&mut self, now: clock::Timestamp) {
+        if self.tracker.expire(now) {
+            self.apply_view(now);
+        }
     }
 
     /// Applies the view of another instance, which was current `age` ago; returns whether the view
--- a/components/relay/src/site_view.rs
+++ b/components/relay/src/site_view.rs
@@ -17,6 +17,10 @@
     pub config: Option<sync::Arc<site_config::SiteConfig>>,
     /// Backend servers and engines.
     pub backends: BackendMap,
+    /// Servers of `backends` that the store doesn't list at the position of the view. Their entries may
+    /// have expired during an outage of the store, so that they stay in use for a grace period.
+    #[serde(default, skip_serializing_if = "collections::BTreeSet::is_empty")]
+    pub kept: collections::BTreeSet<ids::ServerName>,
 }
 
 impl SiteView {
@@ -26,8 +30,20 @@
         self.config.as_ref().map_or(0, |config| config.version)
     }
 
-    /// Returns a hash of the configuration's version and the list of backend servers, independent
-    /// of the position.
+    /// Returns the entries that the store lists at the position of the view.
+    pub fn listed(&self) -> impl Iterator<Item = &backend_entry::BackendEntry> {
+        let entries = self.backends.values();
+        entries.filter(|entry| !self.kept.contains(&entry.server))
+    }
+
+    /// Returns whether the store lists a server at the position of the view.
+    #[must_use]
+    pub fn lists(&self, server: &ids::ServerName) -> bool {
+        self.backends.contains_key(server) && !self.kept.contains(server)
+    }
+
+    /// Returns a hash of the configuration's version and the listed entries, independent of the
+    /// position.
     #[must_use]
     pub fn fingerprint(&self) -> u64 {
         self.fingerprint_with(self.config_version())
@@ -40,7 +56,7 @@
     pub fn fingerprint_with(&self, config_version: u64) -> u64 {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
         hash.update(&config_version.to_le_bytes());
-        for entry in self.backends.values() {
+        for entry in self.listed() {
             hash.update(entry.server.as_str().as_bytes());
             hash.update(entry.address.to_string().as_bytes());
             hash.update(&[
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -6,15 +6,10 @@
 use std::{collections, net, time};
 
 use crate::{
-    key_judge, list_delta, list_event, newer_configs, removed_entries, site_view,
+    key_judge, list_delta, list_event, newer_configs, removed_entries, site_view, store_contact,
     view_announcement, view_change, view_position,
 };
 
-/// Age of the view from which the next read counts as one after an outage of the store. Entries
-/// that expired during an outage are kept for a grace period, since live servers register again
-/// after it.
-const OUTAGE_AGE: time::Duration = time::Duration::from_millis(2_500);
-
 /// Time for which a change that was read is included in state updates.
 const DELTA_LIFETIME: time::Duration = time::Duration::from_millis(400);
 
@@ -36,7 +31,9 @@
     read_failed_at: Option<clock::Timestamp>,
     /// Time and source of the last failed copy, if none has succeeded since.
     failed_copy: Option<(clock::Timestamp, net::Ipv4Addr)>,
-    /// Entries that expired during an outage of the store, with the end of their grace period.
+    /// When the store is known to have answered.
+    contact: store_contact::StoreContact,
+    /// Ends of the grace periods of the kept servers of the view.
     expiring: collections::BTreeMap<ids::ServerName, clock::Timestamp>,
     /// Entries that were removed from the list.
     removed: removed_entries::RemovedEntries,
@@ -128,17 +125,18 @@
         delta: &list_delta::ListDelta,
         announcement: &view_announcement::ViewAnnouncement,
     ) -> bool {
+        self.record_contact(now, announcement);
         let is_unknown = announcement.fingerprint != self.fingerprint;
         if self.as_of.is_none() || !delta.follows(self.view.position) || !is_unknown {
             return false;
         }
         let mut changed = self.view.clone();
-        delta.apply(&mut changed.backends);
+        delta.apply(&mut changed);
         let version = announcement.config_version;
         let matches = changed.fingerprint_with(version) == announcement.fingerprint;
         if matches {
             for server in &delta.gone {
-                self.drop_entry(now, server);
+                self.remove(now, server);
             }
             for entry in &delta.written {
                 self.list_entry(now, entry.clone());
@@ -171,16 +169,16 @@
             self.needs_complete_read = true;
             return false;
         }
-        let after_outage = is_restored
-            || self
-                .as_of
-                .is_some_and(|as_of| sent_at.since(as_of) > OUTAGE_AGE);
+        self.contact.record_answer(sent_at);
+        if is_restored {
+            self.contact.record_restoration(sent_at);
+        }
         let is_overtaken = !is_restored && self.has_overtaken(&update, sent_at);
         let before = self.view.clone();
         if update.complete && is_overtaken {
             self.apply_configs(&update);
         } else {
-            self.apply_changes(now, &update, is_restored, after_outage);
+            self.apply_changes(now, &update, is_restored);
         }
         self.remove_expired(now);
         if !is_overtaken {
@@ -225,6 +223,7 @@
         now: clock::Timestamp,
         announcement: &view_announcement::ViewAnnouncement,
     ) -> bool {
+        self.record_contact(now, announcement);
         let own = self.view.position;
         if announcement.config_version > self.view.config_version() {
             self.newer_configs.record(now, announcement.config_version);
@@ -288,19 +287,37 @@
         let is_fresher = self.as_of.is_none_or(|own| as_of > own);
         let is_newer = view.position > self.view.position;
         if is_newer || (is_fresher && view.position == self.view.position) {
-            self.replace_list(now, view.backends);
-            self.advance(now, view.position);
+            if self.as_of.is_some() && view.position.era > self.view.position.era {
+                self.contact.record_restoration(now);
+            }
+            let position = view.position;
+            self.replace_list(now, view);
+            self.advance(now, position);
             self.as_of = Some(as_of);
             self.needs_complete_read = true;
-            self.expiring.clear();
         }
         self.update_fingerprint()
     }
 
-    /// Removes entries whose grace period has ended; returns whether the view changed.
+    /// Removes the kept servers whose grace period has ended; returns whether there are any.
     pub fn expire(&mut self, now: clock::Timestamp) -> bool {
+        let kept = self.expiring.len();
         self.remove_expired(now);
-        self.update_fingerprint()
+        self.expiring.len() < kept
+    }
+
+    /// Records when the store has answered another instance, by the announcement of its view.
+    fn record_contact(
+        &mut self,
+        now: clock::Timestamp,
+        announcement: &view_announcement::ViewAnnouncement,
+    ) {
+        let read_at = now.before(announcement.age);
+        // An instance that has never read the store announces the largest age.
+        let has_read = read_at > clock::Timestamp::default();
+        if has_read && announcement.position.era >= self.view.position.era {
+            self.contact.record_answer(read_at);
+        }
     }
 
     /// Returns and forgets the changes of the list since the last call. The first list of a process
--- a/components/relay/src/view_tracker/list_changes.rs
+++ b/components/relay/src/view_tracker/list_changes.rs
@@ -1,11 +1,8 @@
 //! Changes of the configuration and of the list of servers.
 
-use std::{collections, sync, time};
+use std::{collections, sync};
 
-use crate::{backend_entry, list_event, site_view, view_change, view_tracker};
-
-/// Grace period of entries that expired during an outage of the store.
-const EXPIRY_GRACE: time::Duration = time::Duration::from_millis(1_700);
+use crate::{backend_entry, list_event, site_view, store_contact, view_change, view_tracker};
 
 impl view_tracker::ViewTracker {
     /// Applies the changes of a read, oldest first. The view contains those up to its revision
@@ -15,9 +12,12 @@
         now: clock::Timestamp,
         update: &view_change::ViewUpdate,
         is_restored: bool,
-        after_outage: bool,
     ) {
-        let known: Vec<ids::ServerName> = self.view.backends.keys().cloned().collect();
+        let known: Vec<ids::ServerName> = self
+            .view
+            .listed()
+            .map(|entry| entry.server.clone())
+            .collect();
         let mut written = collections::BTreeSet::new();
         let mut removed = Vec::new();
         let applied_revision = if update.complete {
@@ -47,7 +47,7 @@
             removed.extend(known.into_iter().filter(|server| !written.contains(server)));
         }
         for server in removed {
-            self.remove(now, server, after_outage);
+            self.remove(now, &server);
         }
     }
 
@@ -92,8 +92,8 @@
         entry.leaving |= is_draining;
         let is_unchanged = known.is_some_and(|known| {
             known.leaving == entry.leaving && known.is_same_incarnation(&entry)
-        });
-        self.expiring.remove(&entry.server);
+        }) && self.view.lists(&entry.server);
+        self.end_grace(&entry.server);
         self.removed.forget(&entry.server);
         if !is_unchanged {
             let change = if entry.leaving {
@@ -107,43 +107,64 @@
     }
 
     /// Replaces the list by that of another instance.
-    pub(super) fn replace_list(&mut self, now: clock::Timestamp, list: site_view::BackendMap) {
-        let dropped: Vec<ids::ServerName> = self
+    ///
+    /// What neither the store lists nor the other instance keeps is dropped; a process without a list
+    /// of its own keeps what the other one keeps.
+    pub(super) fn replace_list(&mut self, now: clock::Timestamp, view: site_view::SiteView) {
+        let unlisted: Vec<ids::ServerName> = self
             .view
             .backends
             .keys()
-            .filter(|server| !list.contains_key(*server))
+            .filter(|server| !view.lists(server))
             .cloned()
             .collect();
-        for server in dropped {
-            self.drop_entry(now, &server);
+        for server in unlisted {
+            if view.kept.contains(&server) {
+                self.remove(now, &server);
+            } else {
+                self.drop_entry(now, &server);
+            }
         }
-        for entry in list.into_values() {
-            self.list_entry(now, entry);
+        let has_no_list = self.as_of.is_none();
+        for entry in view.backends.into_values() {
+            if !view.kept.contains(&entry.server) {
+                self.list_entry(now, entry);
+            } else if has_no_list {
+                let server = entry.server.clone();
+                self.list_entry(now, entry);
+                self.keep(server, now + store_contact::REGISTRATION_TIME);
+            }
         }
     }
 
-    pub(super) fn remove(
-        &mut self,
-        now: clock::Timestamp,
-        server: ids::ServerName,
-        after_outage: bool,
-    ) {
-        let draining = self
+    /// Removes a server that the store doesn't list any more. After an outage it is kept until it could
+    /// have registered again, unless it was draining.
+    pub(super) fn remove(&mut self, now: clock::Timestamp, server: &ids::ServerName) {
+        if self.view.kept.contains(server) {
+            return;
+        }
+        let is_draining = self
             .view
             .backends
-            .get(&server)
+            .get(server)
             .is_none_or(|entry| entry.leaving);
-        if draining || !after_outage {
-            self.drop_entry(now, &server);
-            return;
-        }
-        if !self.expiring.contains_key(&server) {
-            self.record_list_event(&server, list_event::ListChange::Kept);
-            self.expiring.insert(server, now + EXPIRY_GRACE);
+        match self.contact.entries_missing_until(now) {
+            Some(until) if !is_draining => self.keep(server.clone(), until),
+            _ => self.drop_entry(now, server),
         }
     }
 
+    fn keep(&mut self, server: ids::ServerName, until: clock::Timestamp) {
+        self.record_list_event(&server, list_event::ListChange::Kept);
+        self.view.kept.insert(server.clone());
+        self.expiring.insert(server, until);
+    }
+
+    fn end_grace(&mut self, server: &ids::ServerName) {
+        self.view.kept.remove(server);
+        self.expiring.remove(server);
+    }
+
     pub(super) fn remove_expired(&mut self, now: clock::Timestamp) {
         let expired: Vec<ids::ServerName> = self
             .expiring
@@ -157,7 +178,7 @@
     }
 
     pub(super) fn drop_entry(&mut self, now: clock::Timestamp, server: &ids::ServerName) {
-        self.expiring.remove(server);
+        self.end_grace(server);
         if let Some(entry) = self.view.backends.remove(server) {
             self.removed.record(now, &entry);
             self.record_list_event(server, list_event::ListChange::Removed);
--- a/components/relay/src/view_tracker/view_schedule.rs
+++ b/components/relay/src/view_tracker/view_schedule.rs
@@ -14,8 +14,7 @@
             .map_or_else(clock::Timestamp::default, |failed_at| {
                 failed_at + read_schedule::failure_pause(rank)
             });
-        let is_due = self.is_restored || !self.expiring.is_empty();
-        let read_at = match self.as_of.filter(|_| !is_due) {
+        let read_at = match self.as_of.filter(|_| !self.is_restored) {
             Some(as_of) => (as_of + read_schedule::read_age(rank)).max(after_failure),
             None => after_failure,
         };
--- a/components/relay/tests/late_reads.rs
+++ b/components/relay/tests/late_reads.rs
@@ -112,6 +112,8 @@
     Copy(usize, usize),
     /// The store forgets its history for an instance.
     Compact(usize),
+    /// Nothing happens for as long as an outage of the store lasts.
+    Wait,
 }
 
 fn history_step() -> impl Strategy<Value = HistoryStep> {
@@ -127,6 +129,7 @@
         6 => pair.clone().prop_map(|(from, to)| HistoryStep::Tell(from, to)),
         2 => pair.prop_map(|(from, to)| HistoryStep::Copy(from, to)),
         1 => instance.prop_map(HistoryStep::Compact),
+        1 => Just(HistoryStep::Wait),
     ]
 }
 
@@ -246,6 +249,7 @@
                 self.cores[to].apply_peer_view(now, view, ms(5));
             }
             HistoryStep::Compact(index) => self.cores[index].record_compaction(),
+            HistoryStep::Wait => self.now += 3_000,
         }
     }
 
@@ -261,7 +265,7 @@
             };
             let expected = self.store.list_at(view.position.revision);
             let (seen, stored) = (
-                names(view.backends.values().collect()),
+                names(view.listed().collect()),
                 names(expected.values().collect()),
             );
             (seen != stored).then(|| format!("{:?}: {seen:?}, not {stored:?}", view.position))
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -44,6 +44,7 @@
         position: relay::ViewPosition::new(0, 99),
         config: Some(common::config(3, vec![])),
         backends: relay::BackendMap::new(),
+        ..relay::SiteView::default()
     };
 
     tracker.apply_copy(at(100), copied, ms(1));
@@ -287,7 +288,7 @@
         written: vec![added],
         ..relay::ListDelta::default()
     };
-    delta.apply(&mut sender_view.backends);
+    delta.apply(&mut sender_view);
     let announced = relay::ViewAnnouncement {
         config_version: 5,
         ..announcement(13, sender_view.fingerprint(), ms(5))
--- a/components/relay/tests/workspace_keys.rs
+++ b/components/relay/tests/workspace_keys.rs
@@ -64,7 +64,7 @@
     relay::SiteView {
         position: relay::ViewPosition::new(0, 11),
         config: Some(sync::Arc::clone(config)),
-        backends: relay::BackendMap::new(),
+        ..relay::SiteView::default()
     }
 }
 
