gateway: answer 502 when a server names a promise without keeping to it

Callers of a call or stream that may run once received a server's own 408, 429 or 503 as it was, although the server had not reported that it didn't run the request (REFUSED): callers read these statuses as the promise that the request never runs, and send it again. Only the report proves it; on routes whose requests may run once, such an answer now becomes 502 without the server's stamp. Others are relayed as before.

--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -15,6 +15,20 @@
     pub(crate) not_run: bool,
 }
 
+impl BufferedReply {
+    /// Returns whether the status tells callers that the request didn't run and never will, although
+    /// the server doesn't report that.
+    pub(crate) fn promises_in_vain(&self) -> bool {
+        const PROMISES: [http::StatusCode; 4] = [
+            http::StatusCode::REQUEST_TIMEOUT,
+            http::StatusCode::MISDIRECTED_REQUEST,
+            http::StatusCode::TOO_MANY_REQUESTS,
+            http::StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        !self.not_run && PROMISES.contains(&self.status)
+    }
+}
+
 /// Reads the whole body of a reply.
 pub(crate) async fn collect(
     reply: relay_client::RelayReply,
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -211,6 +211,19 @@
                 granted: false,
                 reply: None,
             },
+            Ok(reply) if reply.promises_in_vain() && !self.routed.route.may_run_again() => {
+                attempt_result::AttemptResult::Failed {
+                    outcome: relay::BackendOutcome::Failed,
+                    not_run: false,
+                    was_sent: true,
+                    error: format!(
+                        "status {}, without a report that it didn't run",
+                        reply.status
+                    ),
+                    granted: false,
+                    reply: None,
+                }
+            }
             Ok(reply) if reply.status.is_server_error() => attempt_result::AttemptResult::Failed {
                 outcome: relay::BackendOutcome::Failed,
                 not_run: false,
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -75,6 +75,7 @@
             .map(|(engine, _)| *engine)
             .filter(|_| was_refused);
         let has_result = prefill.as_ref().is_some_and(|result| result.is_usable(now));
+        let may_run_again = self.routed.route.may_run_again();
         Err(stream_opener::StepError {
             failure: relay::StepFailure::builder()
                 .step(relay::StreamStep::Decode)
@@ -88,7 +89,9 @@
             engine: key,
             sent_at: guard.sent_at(),
             error: failure.error,
-            reply: failure.reply,
+            reply: failure
+                .reply
+                .filter(|reply| may_run_again || !reply.promises_in_vain()),
         })
     }
 
