--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -298,6 +298,8 @@
             fake_worker::Behaviour::Extra,
             fake_worker::Behaviour::WrongRequestId,
             fake_worker::Behaviour::NotRun,
+            fake_worker::Behaviour::NotRunWithId,
+            fake_worker::Behaviour::LateRefusal,
             fake_worker::Behaviour::BackOff("0.4"),
             fake_worker::Behaviour::Close,
             fake_worker::Behaviour::Slow,
