relay, gateway: don't take one version for the only one while out of step

A stream that began at a worker of a new version through another instance broke, was taken up at an instance that had been cut off or had stood still for a moment, and went on at the old version (ORDER; reported by an operator of a similar system). Cause: an instance that knows one version took it for the only one as long as its view was younger than 3 s or no instance was silent, also when it already knew that another instance had a newer list; and updates that waited for it while it stood still made its view look current.

The only version now counts as proven only in step with the others: the instance hears someone or has a view of the last second, nobody has announced a newer list, and its own updates had no gap of 600 ms within the last half second; a suspension that the steady clock doesn't count is noticed by the time of day. Otherwise the version is looked up for 300 ms, as before, and the stream is refused if nothing tells.

Three new tests in stream_software: Only instead of Unknown without the check.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod limit_message;
 mod order_sender;
 mod origin_message;
+mod pause_watch;
 mod peer_forwarder;
 mod peer_link;
 mod peer_message;
--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -3,7 +3,8 @@
 use std::{io, net, sync, time};
 
 use crate::{
-    decision_event, decision_log, forwarding_term, peer_forwarder, peer_message, shared_core,
+    decision_event, decision_log, forwarding_term, pause_watch, peer_forwarder, peer_message,
+    shared_core,
 };
 
 /// Interval between state updates while nothing changes.
@@ -121,9 +122,11 @@
 
     /// Sends state updates on changes and at intervals; runs until the process exits.
     pub async fn run_sender(&self) {
+        let mut watch = pause_watch::PauseWatch::new(&self.core);
         let mut count_and_rank = (0, 0);
         let mut quarantined = Vec::new();
         loop {
+            watch.check(&self.core);
             self.send_update().await;
             count_and_rank = self.log_instance_change(count_and_rank);
             quarantined = self.log_quarantine_change(quarantined);
--- a/components/gateway/src/shared_core.rs
+++ b/components/gateway/src/shared_core.rs
@@ -58,6 +58,11 @@
         self.clock.now()
     }
 
+    /// Returns the time of day in milliseconds since the Unix epoch.
+    pub(crate) fn wall_millis(&self) -> u64 {
+        self.clock.wall_millis()
+    }
+
     /// Runs a decision on the locked core at the current time.
     pub fn decide<T>(
         &self,
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -1,6 +1,7 @@
 //! Decisions about relayed requests, without I/O: time and random seed are inputs.
 
 mod core_calls;
+mod core_contact;
 mod core_estimates;
 mod core_keys;
 mod core_limits;
@@ -134,6 +135,7 @@
     has_been_forwarded: bool,
     /// Time of the last update to the seeds.
     seeds_updated_at: clock::Timestamp,
+    pauses: core_contact::ProcessPauses,
 }
 
 impl RelayCore {
@@ -184,6 +186,7 @@
             forwarded_at: clock::Timestamp::default(),
             has_been_forwarded: false,
             seeds_updated_at: clock::Timestamp::default(),
+            pauses: core_contact::ProcessPauses::default(),
         }
     }
 
--- a/components/relay/src/relay_core/core_software.rs
+++ b/components/relay/src/relay_core/core_software.rs
@@ -100,7 +100,7 @@
         let versions: collections::BTreeSet<_> =
             listed.chain(self.origins.versions(now, service)).collect();
         match versions.first() {
-            Some(only) if versions.len() == 1 && !self.may_miss_versions(now) => {
+            Some(only) if versions.len() == 1 && self.knows_all_versions(now) => {
                 StreamSoftware::Only(*only)
             }
             _ => StreamSoftware::Unknown,
@@ -169,6 +169,10 @@
         is_outdated && self.instances.silent_for(now).is_some()
     }
 
+    fn knows_all_versions(&self, now: clock::Timestamp) -> bool {
+        !self.may_miss_versions(now) && !self.is_out_of_step(now)
+    }
+
     /// Applies the origins of streams in an update. Called before the update itself is applied.
     pub(super) fn apply_origins(
         &mut self,
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -111,6 +111,7 @@
     /// update where that suffices, otherwise a full one. Partial updates are smaller, so they reach
     /// a large fleet sooner over slow links.
     pub fn due_update(&mut self, now: clock::Timestamp) -> instance_update::InstanceUpdate {
+        self.pauses.record_update(now);
         let crashes = self.quarantine.notice(now);
         let state = sent_state::FullState {
             fingerprint: self.tracker.fingerprint(),
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -37,6 +37,8 @@
     expiring: collections::BTreeMap<ids::ServerName, clock::Timestamp>,
     /// Entries that were removed from the list.
     removed: removed_entries::RemovedEntries,
+    /// Largest position that another instance has announced with another list.
+    other_list_at: view_position::ViewPosition,
     /// Time since which another instance has announced a newer view.
     behind_since: Option<clock::Timestamp>,
     /// Whether the store was restored from a copy since the last read, so that the next one is due
@@ -97,6 +99,12 @@
         self.behind_since.is_some()
     }
 
+    /// Returns whether another instance has a newer list, whichever configuration it has.
+    #[must_use]
+    pub fn is_list_behind(&self) -> bool {
+        self.other_list_at > self.view.position
+    }
+
     /// Returns the time for which the configuration has been known to be outdated; `None` while none is
     /// known to be newer.
     #[must_use]
@@ -236,6 +244,10 @@
             }
             return false;
         }
+        let list = self.view.fingerprint_with(announcement.config_version);
+        if list != announcement.fingerprint {
+            self.other_list_at = self.other_list_at.max(announcement.position);
+        }
         let newer =
             announcement.position > own || announcement.config_version > self.view.config_version();
         self.confirm_list(now, announcement);
--- a/components/relay/tests/stream_software.rs
+++ b/components/relay/tests/stream_software.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time;
+use std::{ops, time};
 
 use common::{at, ms, network};
 
@@ -210,6 +210,95 @@
     assert_eq!(cut_off, relay::StreamSoftware::Unknown);
 }
 
+/// Starts a small fleet that has known engines of one version for as long as streams last.
+fn fleet_of_one_version() -> network::FleetNetwork {
+    let mut fleet = settled_fleet((8, 4));
+    for (revision, pause) in [(20, 2_000), (30, 31_000), (40, 100)] {
+        read_everywhere(&mut fleet, 0..8, revision, &["v1"]);
+        fleet.run(pause);
+    }
+    fleet
+}
+
+fn read_everywhere(
+    fleet: &mut network::FleetNetwork,
+    instances: ops::Range<usize>,
+    revision: u64,
+    versions: &[&str],
+) {
+    for index in instances {
+        fleet.decide(index, |core, now| read_list(core, now, revision, versions));
+        fleet.notify_change(index);
+    }
+}
+
+#[test]
+fn instance_cut_off_for_a_second_joins_streams_of_a_version_that_has_just_come() {
+    let mut fleet = fleet_of_one_version();
+    fleet.set_cut_off(7, true);
+    fleet.run(300);
+    read_everywhere(&mut fleet, 0..7, 50, &["v1", "v2"]);
+    fleet.decide(0, |core, now| {
+        core.record_origin(now, 99, software("v2"), LIFETIME)
+    });
+    fleet.run(900);
+
+    let cut_off = fleet.decide(7, |core, now| lookup(core, now, 99));
+    fleet.set_cut_off(7, false);
+    fleet.run(60);
+    let returned = fleet.decide(7, |core, now| lookup(core, now, 100));
+
+    assert_eq!(cut_off, relay::StreamSoftware::Unknown);
+    assert_eq!(returned, relay::StreamSoftware::Unknown);
+}
+
+#[test]
+fn instance_that_stood_still_joins_streams_of_a_version_that_has_just_come() {
+    let mut core = core_with(&["v1"]);
+    read_list(&mut core, at(40_000), 20, &["v1"]);
+    let heard = |core: &mut relay::RelayCore, now: u64, sequence: u64| {
+        let update = relay::InstanceUpdate {
+            position: relay::ViewPosition::new(0, 20),
+            fingerprint: core.tracker().fingerprint(),
+            config_version: 1,
+            view_age: ms(20),
+            ..common::instance_update(2, sequence)
+        };
+        core.apply_update(at(now), update);
+    };
+    core.due_update(at(40_010));
+    heard(&mut core, 40_100, 1);
+    let before = lookup(&mut core, at(40_200), 1);
+
+    // An update that was sent before the pause is received after it.
+    heard(&mut core, 42_500, 2);
+    let at_once = lookup(&mut core, at(42_501), 1);
+    core.due_update(at(42_510));
+    let soon = lookup(&mut core, at(42_600), 1);
+    core.due_update(at(42_760));
+    core.due_update(at(43_010));
+    heard(&mut core, 43_030, 3);
+    let later = lookup(&mut core, at(43_050), 1);
+
+    let only = relay::StreamSoftware::Only(software("v1"));
+    assert_eq!((before, later), (only, only));
+    assert_eq!(at_once, relay::StreamSoftware::Unknown);
+    assert_eq!(soon, relay::StreamSoftware::Unknown);
+}
+
+#[test]
+fn instance_that_was_suspended_joins_streams_of_a_version_that_has_just_come() {
+    let mut core = core_with(&["v1"]);
+    read_list(&mut core, at(40_000), 20, &["v1"]);
+
+    core.record_suspension(at(40_100));
+
+    let soon = lookup(&mut core, at(40_200), 1);
+    let later = lookup(&mut core, at(40_700), 1);
+    assert_eq!(soon, relay::StreamSoftware::Unknown);
+    assert_eq!(later, relay::StreamSoftware::Only(software("v1")));
+}
+
 #[test]
 fn stream_of_a_version_that_has_just_left_goes_on_at_the_only_one_left() {
     let mut core = core_with(&["v1"]);
