gateway, platform: read the store in pages when a watch's answer can't be read

More than 8 MB of values that another writer changes between two reads made the answer of the watch too large; each later watch from the same revision failed, too. An answer that can't be read now leads to a complete read.

New test in odd_entries, which failed before.

--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -123,6 +123,11 @@
                     self.core.decide(|core, _| core.record_compaction());
                     return;
                 }
+                // Changes that can't be read, as too many at once, are left out by a complete read,
+                // which comes in pages.
+                if matches!(error, site_source::SourceError::Malformed { .. }) {
+                    self.core.decide(|core, _| core.record_compaction());
+                }
                 self.core
                     .decide_and_poll_queue(|core, now| core.record_read_failure(now));
                 self.mark_store_lost(&error);
