gateway, relay: send no stream to an engine that drains since its prompt was sent to be read

Cause: the engine is selected before the prompt is read; where no other had room afterwards, the request went to the selected one whatever had become of it. Only an engine that had asked for a wait was left out. Now none that may not receive requests is sent any: the prefill result is passed to another engine, or the request waits for a new placement or is refused.

Also: a list is compared with an announced one only if that one is newer.

--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -28,9 +28,12 @@
             source,
             resume_after: self.last_event,
         };
-        let backoff = self.gateway.core.decide(|core, now| core.backoff(now, key));
-        if !backoff.is_zero() {
-            return Err(self.backed_off(guard, prefill.as_ref()));
+        let is_willing = self
+            .gateway
+            .core
+            .decide(|core, now| core.may_receive(now, key));
+        if !is_willing {
+            return Err(self.unwilling(guard, prefill.as_ref()));
         }
         let options = self.send_options(&engine, step, time_left);
         self.record_origin(&entry);
@@ -95,9 +98,9 @@
         })
     }
 
-    /// Returns the failure of a request that isn't sent because its decode engine has asked to be
-    /// sent nothing.
-    fn backed_off(
+    /// Returns the failure of a request that isn't sent because its decode engine has begun to drain
+    /// since it was selected, or has asked to be sent nothing.
+    fn unwilling(
         &self,
         guard: &placement_guard::PlacementGuard,
         prefill: Option<&prefill_step::PrefillResult>,
@@ -116,7 +119,7 @@
             server: entry.server,
             engine,
             sent_at: None,
-            error: "the engine has asked to be sent nothing".to_owned(),
+            error: "the engine drains or has asked to be sent nothing".to_owned(),
             reply: None,
         }
     }
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -244,8 +244,9 @@
             }
             return false;
         }
-        let list = self.view.fingerprint_with(announcement.config_version);
-        if list != announcement.fingerprint {
+        if announcement.position > own
+            && self.view.fingerprint_with(announcement.config_version) != announcement.fingerprint
+        {
             self.other_list_at = self.other_list_at.max(announcement.position);
         }
         let newer =
