--- a/components/gateway/tests/view_copies.rs
+++ b/components/gateway/tests/view_copies.rs
@@ -33,7 +33,7 @@
         position: relay::ViewPosition::new(0, 10),
         config: Some(sync::Arc::new(config)),
         backends: relay::BackendMap::new(),
-        ..relay::SiteView::default()..relay::SiteView::default()
+        ..relay::SiteView::default()
     }
 }
 
