--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -7,6 +7,13 @@
 /// Maximum size of a body that is held in memory, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
 
+/// Statuses that tell callers that the request didn't run and never will.
+const NOT_RUN_STATUSES: [http::StatusCode; 3] = [
+    http::StatusCode::REQUEST_TIMEOUT,
+    http::StatusCode::TOO_MANY_REQUESTS,
+    http::StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A complete reply of a backend server.
 pub(crate) struct BufferedReply {
     pub(crate) status: http::StatusCode,
@@ -16,16 +23,10 @@
 }
 
 impl BufferedReply {
-    /// Returns whether the status tells callers that the request didn't run and never will, although
+    /// Returns whether callers would take the status for a proof that the request didn't run, although
     /// the server doesn't report that.
-    pub(crate) fn promises_in_vain(&self) -> bool {
-        const PROMISES: [http::StatusCode; 4] = [
-            http::StatusCode::REQUEST_TIMEOUT,
-            http::StatusCode::MISDIRECTED_REQUEST,
-            http::StatusCode::TOO_MANY_REQUESTS,
-            http::StatusCode::SERVICE_UNAVAILABLE,
-        ];
-        !self.not_run && PROMISES.contains(&self.status)
+    pub(crate) fn implies_not_run(&self) -> bool {
+        !self.not_run && NOT_RUN_STATUSES.contains(&self.status)
     }
 }
 
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -211,7 +211,7 @@
                 granted: false,
                 reply: None,
             },
-            Ok(reply) if reply.promises_in_vain() && !self.routed.route.may_run_again() => {
+            Ok(reply) if reply.implies_not_run() && !self.routed.route.may_run_again() => {
                 attempt_result::AttemptResult::Failed {
                     outcome: relay::BackendOutcome::Failed,
                     not_run: false,
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -94,7 +94,7 @@
             error: failure.error,
             reply: failure
                 .reply
-                .filter(|reply| may_run_again || !reply.promises_in_vain()),
+                .filter(|reply| may_run_again || !reply.implies_not_run()),
         })
     }
 
--- a/components/relay/src/relay_core/core_views.rs
+++ b/components/relay/src/relay_core/core_views.rs
@@ -127,7 +127,7 @@
         self.expire_kept_servers(now);
     }
 
-    /// Stops to use the servers whose grace period after an outage of the store has ended.
+    /// Stops using the kept servers whose grace period has ended.
     pub(super) fn expire_kept_servers(&mut self, now: clock::Timestamp) {
         if self.tracker.expire(now) {
             self.apply_view(now);
--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -312,7 +312,7 @@
         self.update_fingerprint()
     }
 
-    /// Removes the kept servers whose grace period has ended; returns whether there are any.
+    /// Removes the kept servers whose grace period has ended; returns whether one was removed.
     pub fn expire(&mut self, now: clock::Timestamp) -> bool {
         let kept = self.expiring.len();
         self.remove_expired(now);
