--- a/components/relay/src/view_tracker.rs
+++ b/components/relay/src/view_tracker.rs
@@ -13,9 +13,6 @@
 /// Time for which a change that was read is included in state updates.
 const DELTA_LIFETIME: time::Duration = time::Duration::from_millis(400);
 
-/// Largest number of changes of the list that wait to be logged.
-const MAX_LIST_EVENTS: usize = 1_024;
-
 /// Tracks the view of the platform, its age, and whether it is outdated.
 #[derive(Debug, Default)]
 pub struct ViewTracker {
@@ -312,13 +309,6 @@
         self.update_fingerprint()
     }
 
-    /// Removes the kept servers whose grace period has ended; returns whether one was removed.
-    pub fn expire(&mut self, now: clock::Timestamp) -> bool {
-        let kept = self.expiring.len();
-        self.remove_expired(now);
-        self.expiring.len() < kept
-    }
-
     /// Records when the store has answered another instance, by the announcement of its view.
     fn record_contact(
         &mut self,
@@ -333,22 +323,6 @@
         }
     }
 
-    /// Returns and forgets the changes of the list since the last call. The first list of a process
-    /// counts as none.
-    pub fn take_list_events(&mut self) -> Vec<list_event::ListEvent> {
-        std::mem::take(&mut self.list_events)
-    }
-
-    fn record_list_event(&mut self, server: &ids::ServerName, change: list_event::ListChange) {
-        if self.as_of.is_none() || self.list_events.len() >= MAX_LIST_EVENTS {
-            return;
-        }
-        self.list_events.push(list_event::ListEvent {
-            server: server.clone(),
-            change,
-        });
-    }
-
     fn update_fingerprint(&mut self) -> bool {
         let fingerprint = self.view.fingerprint();
         let changed = fingerprint != self.fingerprint;
--- a/components/relay/src/view_tracker/list_changes.rs
+++ b/components/relay/src/view_tracker/list_changes.rs
@@ -4,7 +4,33 @@
 
 use crate::{backend_entry, list_event, site_view, store_contact, view_change, view_tracker};
 
+/// Largest number of changes of the list that wait to be logged.
+const MAX_LIST_EVENTS: usize = 1_024;
+
 impl view_tracker::ViewTracker {
+    /// Returns and forgets the changes of the list since the last call. The first list of a process
+    /// counts as none.
+    pub fn take_list_events(&mut self) -> Vec<list_event::ListEvent> {
+        std::mem::take(&mut self.list_events)
+    }
+
+    fn record_list_event(&mut self, server: &ids::ServerName, change: list_event::ListChange) {
+        if self.as_of.is_none() || self.list_events.len() >= MAX_LIST_EVENTS {
+            return;
+        }
+        self.list_events.push(list_event::ListEvent {
+            server: server.clone(),
+            change,
+        });
+    }
+
+    /// Removes the kept servers whose grace period has ended; returns whether one was removed.
+    pub fn expire(&mut self, now: clock::Timestamp) -> bool {
+        let kept = self.expiring.len();
+        self.remove_expired(now);
+        self.expiring.len() < kept
+    }
+
     /// Applies the changes of a read, oldest first. The view contains those up to its revision
     /// already.
     pub(super) fn apply_changes(
