gateway, client: log what shows that a request didn't run, and on which connection

It now has proof (unsent, named, unnamed), earlier_answers and connection_age_ms; the metric relay_not_run_claims counts the proofs. What is believed is unchanged.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -4,14 +4,14 @@
 
 use hyper::client::conn::http1;
 
-use crate::{pool_settings, pooled_answer, server_dialer, trace_scope};
+use crate::{pool_settings, pooled_answer, pooled_connection, server_dialer, trace_scope};
 
 /// A body that is in memory before it is sent.
 pub type WholeBody = http_body_util::Full<bytes::Bytes>;
 
 /// A connection without a request under way.
 struct IdleConnection {
-    sender: http1::SendRequest<WholeBody>,
+    connection: pooled_connection::PooledConnection,
     since: time::Instant,
 }
 
@@ -77,8 +77,9 @@
         request: http::Request<WholeBody>,
         start_by: clock::Timestamp,
     ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
-        let connection = self.connection(server).await?;
-        self.send_on(connection, server, request, start_by).await
+        let (connection, epoch) = self.connection(server).await?;
+        self.send_on((connection, epoch), server, request, start_by)
+            .await
     }
 
     /// Sends a request once over a connection that nothing else has used.
@@ -92,14 +93,14 @@
         request: http::Request<WholeBody>,
     ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
         let epoch = self.epoch(server);
-        let sender = self.connect(server).await?;
-        self.send_on((sender, epoch), server, request, clock::Timestamp::MAX)
+        let connection = self.connect(server).await?;
+        self.send_on((connection, epoch), server, request, clock::Timestamp::MAX)
             .await
     }
 
     async fn send_on(
         self: &sync::Arc<Self>,
-        (mut sender, epoch): (http1::SendRequest<WholeBody>, u64),
+        (mut connection, epoch): (pooled_connection::PooledConnection, u64),
         server: net::SocketAddr,
         mut request: http::Request<WholeBody>,
         start_by: clock::Timestamp,
@@ -108,11 +109,11 @@
         if self.clock.now() > start_by {
             return Err(not_sent("the time to start has passed"));
         }
-        let answer = sender.try_send_request(request).await;
+        let answer = connection.sender.try_send_request(request).await;
         match answer {
             Ok(response) => Ok(pooled_answer::PooledAnswer::new(
                 response,
-                sender,
+                connection,
                 pooled_answer::PoolReturn {
                     pool: sync::Arc::clone(self),
                     server,
@@ -153,7 +154,7 @@
         self.lock().retain(|_, connections| {
             connections
                 .idle
-                .retain(|idle| idle.since.elapsed() < limit && !idle.sender.is_closed());
+                .retain(|idle| idle.since.elapsed() < limit && !idle.connection.sender.is_closed());
             !connections.idle.is_empty() || connections.epoch > 0
         });
     }
@@ -163,14 +164,15 @@
         &self,
         server: net::SocketAddr,
         epoch: u64,
-        sender: http1::SendRequest<WholeBody>,
+        connection: pooled_connection::PooledConnection,
     ) {
         let mut servers = self.lock();
         let connections = servers.entry(server).or_default();
         let is_current = connections.epoch == epoch;
-        if is_current && connections.idle.len() < self.settings.idle_limit && !sender.is_closed() {
+        let is_open = !connection.sender.is_closed();
+        if is_current && is_open && connections.idle.len() < self.settings.idle_limit {
             connections.idle.push(IdleConnection {
-                sender,
+                connection,
                 since: time::Instant::now(),
             });
         }
@@ -179,36 +181,39 @@
     async fn connection(
         &self,
         server: net::SocketAddr,
-    ) -> Result<(http1::SendRequest<WholeBody>, u64), border::BorderError> {
-        while let Some((mut sender, epoch)) = self.take_idle(server) {
-            if sender.ready().await.is_ok() {
-                return Ok((sender, epoch));
+    ) -> Result<(pooled_connection::PooledConnection, u64), border::BorderError> {
+        while let Some((mut connection, epoch)) = self.take_idle(server) {
+            if connection.sender.ready().await.is_ok() {
+                return Ok((connection, epoch));
             }
         }
         let epoch = self.epoch(server);
-        let sender = self.connect(server).await?;
-        Ok((sender, epoch))
+        let connection = self.connect(server).await?;
+        Ok((connection, epoch))
     }
 
     fn epoch(&self, server: net::SocketAddr) -> u64 {
         self.lock().entry(server).or_default().epoch
     }
 
-    fn take_idle(&self, server: net::SocketAddr) -> Option<(http1::SendRequest<WholeBody>, u64)> {
+    fn take_idle(
+        &self,
+        server: net::SocketAddr,
+    ) -> Option<(pooled_connection::PooledConnection, u64)> {
         let mut servers = self.lock();
         let connections = servers.get_mut(&server)?;
         let limit = self.settings.idle_timeout;
         connections
             .idle
-            .retain(|idle| idle.since.elapsed() < limit && !idle.sender.is_closed());
+            .retain(|idle| idle.since.elapsed() < limit && !idle.connection.sender.is_closed());
         let idle = connections.idle.pop()?;
-        Some((idle.sender, connections.epoch))
+        Some((idle.connection, connections.epoch))
     }
 
     async fn connect(
         &self,
         server: net::SocketAddr,
-    ) -> Result<http1::SendRequest<WholeBody>, border::BorderError> {
+    ) -> Result<pooled_connection::PooledConnection, border::BorderError> {
         let opening = self.dialer.dial(server);
         let stream = tokio::time::timeout(self.settings.connect_timeout, opening)
             .await
@@ -223,7 +228,7 @@
                 tracing::debug!(%server, %error, "connection ended");
             }
         });
-        Ok(sender)
+        Ok(pooled_connection::PooledConnection::new(sender))
     }
 
     fn lock(
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -14,6 +14,7 @@
 mod list_gateway;
 mod pool_settings;
 mod pooled_answer;
+mod pooled_connection;
 mod repeated_ask;
 mod server_dialer;
 mod service_gateway;
--- a/components/client/src/pooled_answer.rs
+++ b/components/client/src/pooled_answer.rs
@@ -3,9 +3,8 @@
 use std::{net, sync};
 
 use http_body_util::BodyExt as _;
-use hyper::client::conn::http1;
 
-use crate::connection_pool;
+use crate::{connection_pool, pooled_connection};
 
 /// Where a connection goes when its answer has been read.
 pub(crate) struct PoolReturn {
@@ -18,7 +17,8 @@
 pub struct PooledAnswer {
     parts: http::response::Parts,
     body: hyper::body::Incoming,
-    sender: Option<http1::SendRequest<connection_pool::WholeBody>>,
+    connection: Option<pooled_connection::PooledConnection>,
+    history: border::ConnectionUse,
     origin: PoolReturn,
     /// Whether the connection may be used again.
     is_reusable: bool,
@@ -27,14 +27,15 @@
 impl PooledAnswer {
     pub(crate) fn new(
         response: http::Response<hyper::body::Incoming>,
-        sender: http1::SendRequest<connection_pool::WholeBody>,
+        mut connection: pooled_connection::PooledConnection,
         origin: PoolReturn,
     ) -> Self {
         let (parts, body) = response.into_parts();
         Self {
             parts,
             body,
-            sender: Some(sender),
+            history: connection.record_answer(),
+            connection: Some(connection),
             origin,
             is_reusable: true,
         }
@@ -45,6 +46,12 @@
         self.is_reusable = false;
     }
 
+    /// Returns the history of the connection before this answer.
+    #[must_use]
+    pub const fn history(&self) -> border::ConnectionUse {
+        self.history
+    }
+
     /// Returns the status of the answer.
     #[must_use]
     pub const fn status(&self) -> http::StatusCode {
@@ -100,9 +107,11 @@
 
     fn give_back(&mut self) {
         let origin = &self.origin;
-        let sender = self.sender.take().filter(|_| self.is_reusable);
-        if let Some(sender) = sender {
-            origin.pool.give_back(origin.server, origin.epoch, sender);
+        let connection = self.connection.take().filter(|_| self.is_reusable);
+        if let Some(connection) = connection {
+            origin
+                .pool
+                .give_back(origin.server, origin.epoch, connection);
         }
     }
 }
--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -2,7 +2,7 @@
 
 use futures_util::StreamExt as _;
 
-use crate::relay_client;
+use crate::{relay_client, run_evidence};
 
 /// Maximum size of a body that is held in memory, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -19,14 +19,14 @@
     pub(crate) status: http::StatusCode,
     pub(crate) headers: http::HeaderMap,
     pub(crate) body: bytes::Bytes,
-    pub(crate) not_run: bool,
+    pub(crate) evidence: run_evidence::RunEvidence,
 }
 
 impl BufferedReply {
     /// Returns whether callers would take the status for a proof that the request didn't run, although
     /// the server doesn't report that.
     pub(crate) fn implies_not_run(&self) -> bool {
-        !self.not_run && NOT_RUN_STATUSES.contains(&self.status)
+        !self.evidence.proves_not_run() && NOT_RUN_STATUSES.contains(&self.status)
     }
 }
 
@@ -34,6 +34,7 @@
 pub(crate) async fn collect(
     reply: relay_client::RelayReply,
 ) -> Result<BufferedReply, border::BorderError> {
+    let evidence = reply.evidence();
     let mut body = reply.body;
     let mut bytes = bytes::BytesMut::new();
     while let Some(chunk) = body.next().await {
@@ -48,7 +49,7 @@
         status: reply.status,
         headers: reply.headers,
         body: bytes.freeze(),
-        not_run: reply.not_run,
+        evidence,
     })
 }
 
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -6,7 +6,7 @@
 
 use std::{sync, time};
 
-use crate::{buffered_reply, crash_reporter, gateway, relay_answer, relay_client};
+use crate::{buffered_reply, crash_reporter, gateway, relay_answer, relay_client, run_evidence};
 
 /// Maximum number of attempts, including those in which the server proves that it didn't run the
 /// call.
@@ -73,18 +73,19 @@
             let key = selection.key;
             let started = self.gateway.core.now();
             let (result, server) = self.attempt(selection).await;
-            let (outcome, not_run, was_sent, error, granted, reply) = match result {
+            let (outcome, evidence, was_sent, error, granted, reply) = match result {
                 attempt_result::AttemptResult::Reply(reply) => return self.answer(reply),
                 attempt_result::AttemptResult::Failed {
                     outcome,
-                    not_run,
+                    evidence,
                     was_sent,
                     error,
                     granted,
                     reply,
-                } => (outcome, not_run, was_sent, error, granted, reply),
+                } => (outcome, evidence, was_sent, error, granted, reply),
             };
             self.excluded.push(key);
+            let not_run = evidence.proves_not_run();
             if !not_run {
                 self.runs += 1;
             }
@@ -92,7 +93,7 @@
             let will_retry = granted || self.may_retry(not_run, was_sent);
             let took = self.gateway.core.now().since(started);
             self.report_crash(key, outcome, started);
-            self.log_failure(&server, outcome, not_run, &error, took, will_retry);
+            self.log_failure(&server, outcome, evidence, &error, took, will_retry);
             if !will_retry {
                 if let Some(answer) = self.hand_over().await {
                     return answer;
@@ -148,10 +149,9 @@
         let result = self
             .exchange_within(options, attempt_timeout, time_left)
             .await;
-        if matches!(
-            result,
-            attempt_result::AttemptResult::Failed { not_run: true, .. }
-        ) {
+        if let attempt_result::AttemptResult::Failed { evidence, .. } = &result
+            && evidence.proves_not_run()
+        {
             self.routed.disprove_run();
         }
         let outcome = match &result {
@@ -183,7 +183,7 @@
         }
         attempt_result::AttemptResult::Failed {
             outcome: relay::BackendOutcome::TimedOut,
-            not_run: false,
+            evidence: run_evidence::RunEvidence::default(),
             was_sent: true,
             error: "no answer within the timeout".to_owned(),
             granted,
@@ -203,9 +203,9 @@
         };
         match buffered_reply::collect(reply).await {
             Err(error) => attempt_result::failed_attempt(&error),
-            Ok(reply) if reply.not_run => attempt_result::AttemptResult::Failed {
+            Ok(reply) if reply.evidence.proves_not_run() => attempt_result::AttemptResult::Failed {
                 outcome: buffered_reply::refusal_outcome(reply.status),
-                not_run: true,
+                evidence: reply.evidence,
                 was_sent: true,
                 error: format!("refused with status {}", reply.status),
                 granted: false,
@@ -214,7 +214,7 @@
             Ok(reply) if reply.implies_not_run() && !self.routed.route.may_run_again() => {
                 attempt_result::AttemptResult::Failed {
                     outcome: relay::BackendOutcome::Failed,
-                    not_run: false,
+                    evidence: reply.evidence,
                     was_sent: true,
                     error: format!(
                         "status {}, without a report that it didn't run",
@@ -226,7 +226,7 @@
             }
             Ok(reply) if reply.status.is_server_error() => attempt_result::AttemptResult::Failed {
                 outcome: relay::BackendOutcome::Failed,
-                not_run: false,
+                evidence: reply.evidence,
                 was_sent: true,
                 error: format!("status {}", reply.status),
                 granted: false,
--- a/components/gateway/src/call_session/attempt_result.rs
+++ b/components/gateway/src/call_session/attempt_result.rs
@@ -1,6 +1,6 @@
 //! Result of one attempt of a call.
 
-use crate::buffered_reply;
+use crate::{buffered_reply, run_evidence};
 
 /// Result of one attempt.
 pub(super) enum AttemptResult {
@@ -9,7 +9,8 @@
     /// The attempt failed.
     Failed {
         outcome: relay::BackendOutcome,
-        not_run: bool,
+        /// Evidence that the server didn't run the request.
+        evidence: run_evidence::RunEvidence,
         /// Whether the request may have reached the server.
         was_sent: bool,
         error: String,
@@ -24,7 +25,7 @@
 pub(super) fn failed_attempt(error: &border::BorderError) -> AttemptResult {
     AttemptResult::Failed {
         outcome: buffered_reply::outcome_of(error),
-        not_run: error.proves_not_run(),
+        evidence: run_evidence::RunEvidence::from(error),
         was_sent: !matches!(error, border::BorderError::NotSent { .. }),
         error: error.to_string(),
         granted: false,
--- a/components/gateway/src/call_session/call_log.rs
+++ b/components/gateway/src/call_session/call_log.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{call_session, decision_event, gateway};
+use crate::{call_session, decision_event, gateway, run_evidence};
 
 impl call_session::CallSession {
     pub(super) fn log_sent(&self, selection: &relay::ServerSelection) {
@@ -25,12 +25,13 @@
         &self,
         server: &ids::ServerName,
         outcome: relay::BackendOutcome,
-        not_run: bool,
+        evidence: run_evidence::RunEvidence,
         error: &str,
         took: time::Duration,
         will_retry: bool,
     ) {
         self.gateway.metrics.attempt_failed("call");
+        self.gateway.metrics.claimed_not_run(evidence.proof);
         self.gateway
             .log
             .write(&decision_event::DecisionEvent::AttemptFailed {
@@ -40,7 +41,10 @@
                 server: server.as_str(),
                 outcome: outcome.into(),
                 error,
-                not_run,
+                not_run: evidence.proves_not_run(),
+                proof: evidence.proof.map(Into::into),
+                earlier_answers: evidence.history.map(|history| history.earlier_answers),
+                connection_age_ms: evidence.history.map(|history| gateway::millis(history.age)),
                 took_ms: gateway::millis(took),
                 next: if will_retry { "retry" } else { "end" },
             });
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -327,6 +327,14 @@
         error: &'a str,
         /// Whether the failure proves that the request was not run.
         not_run: bool,
+        /// What showed that the server didn't run the request: `unsent` (no byte was sent), `named`
+        /// (a refusal with the id of the request) or `unnamed` (a refusal without an id).
+        proof: Option<&'a str>,
+        /// Number of answers that arrived on the connection before the server's answer, if it
+        /// answered.
+        earlier_answers: Option<u32>,
+        /// Time for which the connection had been open.
+        connection_age_ms: Option<u64>,
         /// Time since the attempt began; for `generate`, since the last event.
         took_ms: u64,
         /// Next step: a kind of retry, or the reason for giving up.
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -8,7 +8,7 @@
     registry,
 };
 
-use crate::workspace_metrics;
+use crate::{run_evidence, workspace_metrics};
 
 /// Labels of a finished request.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, prometheus_client::encoding::EncodeLabelSet)]
@@ -42,6 +42,7 @@
     phases: HistogramFamily,
     refusals: family::Family<NameLabel, counter::Counter>,
     failed_attempts: family::Family<NameLabel, counter::Counter>,
+    not_run_claims: family::Family<NameLabel, counter::Counter>,
     proxied: family::Family<NameLabel, counter::Counter>,
     store_reads: family::Family<NameLabel, counter::Counter>,
     copied_bytes: family::Family<NameLabel, counter::Counter>,
@@ -66,6 +67,7 @@
         let phases: HistogramFamily = family::Family::new_with_constructor(phase_histogram);
         let refusals = family::Family::default();
         let failed_attempts = family::Family::default();
+        let not_run_claims = family::Family::default();
         let proxied = family::Family::default();
         let store_reads = family::Family::default();
         let copied_bytes = family::Family::default();
@@ -92,6 +94,11 @@
             "Attempts that failed, by stage",
             failed_attempts.clone(),
         );
+        registry.register(
+            "relay_not_run_claims",
+            "Attempts that claim not to have run the request, by what shows it",
+            not_run_claims.clone(),
+        );
         registry.register(
             "relay_proxied_requests",
             "Requests passed to other instances (sent, declined), and served for them (served)",
@@ -170,6 +177,7 @@
             phases,
             refusals,
             failed_attempts,
+            not_run_claims,
             proxied,
             store_reads,
             copied_bytes,
@@ -228,6 +236,15 @@
         self.failed_attempts.get_or_create(&label(step)).inc();
     }
 
+    /// Counts an attempt that claims not to have run its request, by what shows it.
+    pub fn claimed_not_run(&self, proof: Option<run_evidence::RefusalProof>) {
+        if let Some(proof) = proof {
+            self.not_run_claims
+                .get_or_create(&label(proof.into()))
+                .inc();
+        }
+    }
+
     /// Counts a request that passes between instances.
     pub fn proxied(&self, name: &str) {
         self.proxied.get_or_create(&label(name)).inc();
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod relay_answer;
 mod relay_client;
 mod relay_request;
+mod run_evidence;
 mod search_message;
 mod server_notice;
 mod share_message;
@@ -69,6 +70,7 @@
     KvSource, OrderReply, RelayClient, RelayReply, RelayStep, ReplyBody, SendOptions,
 };
 pub use relay_request::{GenerationSize, RelayRequest};
+pub use run_evidence::RefusalProof;
 pub use server_notice::{NoticeRecorder, NoticeSink, NoticeSource, ServerNotice};
 pub use shared_core::SharedCore;
 pub use site_source::{SiteSource, SourceError};
--- a/components/gateway/src/relay_client.rs
+++ b/components/gateway/src/relay_client.rs
@@ -4,7 +4,7 @@
 
 use futures_util::stream;
 
-use crate::relay_request;
+use crate::{relay_request, run_evidence};
 
 /// The body of a reply as a stream of chunks; an error means that the body is incomplete.
 pub type ReplyBody = stream::BoxStream<'static, Result<bytes::Bytes, border::BorderError>>;
@@ -58,12 +58,24 @@
     pub status: http::StatusCode,
     /// End-to-end header fields.
     pub headers: http::HeaderMap,
-    /// Whether the server reports that it didn't run the request.
-    pub not_run: bool,
+    /// What shows that the server didn't run the request, if it refused it.
+    pub refusal: Option<run_evidence::RefusalProof>,
+    /// History of the connection on which the reply arrived.
+    pub history: border::ConnectionUse,
     /// Body.
     pub body: ReplyBody,
 }
 
+impl RelayReply {
+    /// Returns the evidence that the request didn't run.
+    pub(crate) const fn evidence(&self) -> run_evidence::RunEvidence {
+        run_evidence::RunEvidence {
+            proof: self.refusal,
+            history: Some(self.history),
+        }
+    }
+}
+
 /// An engine's answer to an order.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -2,7 +2,7 @@
 
 use futures_util::StreamExt as _;
 
-use crate::{buffered_reply, event_splitter, relay_client};
+use crate::{buffered_reply, event_splitter, relay_client, run_evidence};
 
 /// A stream of a decode engine whose first event has arrived.
 pub(crate) struct StartedStream {
@@ -16,7 +16,7 @@
 /// Failure of a request to a decode engine before the first event.
 pub(crate) struct StartFailure {
     pub(crate) outcome: relay::BackendOutcome,
-    pub(crate) not_run: bool,
+    pub(crate) evidence: run_evidence::RunEvidence,
     /// Whether the request may have reached the engine.
     pub(crate) may_have_arrived: bool,
     pub(crate) error: String,
@@ -28,7 +28,7 @@
     fn from(error: border::BorderError) -> Self {
         Self {
             outcome: buffered_reply::outcome_of(&error),
-            not_run: error.proves_not_run(),
+            evidence: run_evidence::RunEvidence::from(&error),
             may_have_arrived: !matches!(error, border::BorderError::NotSent { .. }),
             error: error.to_string(),
             reply: None,
@@ -41,7 +41,7 @@
     reply: impl Future<Output = Result<relay_client::RelayReply, border::BorderError>>,
 ) -> Result<StartedStream, StartFailure> {
     let reply = reply.await?;
-    if reply.not_run || !reply.status.is_success() {
+    if reply.evidence().proves_not_run() || !reply.status.is_success() {
         return Err(response_failure(buffered_reply::collect(reply).await?));
     }
     let mut body = reply.body;
@@ -63,11 +63,12 @@
 fn response_failure(reply: buffered_reply::BufferedReply) -> StartFailure {
     let body = String::from_utf8_lossy(&reply.body);
     let error = format!("status {}: {}", reply.status, body.trim());
-    if reply.not_run {
+    let evidence = reply.evidence;
+    if evidence.proves_not_run() {
         let outcome = buffered_reply::refusal_outcome(reply.status);
         return StartFailure {
             outcome,
-            not_run: true,
+            evidence,
             may_have_arrived: true,
             error,
             reply: None,
@@ -75,7 +76,7 @@
     }
     StartFailure {
         outcome: relay::BackendOutcome::Failed,
-        not_run: false,
+        evidence,
         may_have_arrived: true,
         error,
         reply: Some(reply),
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     buffered_reply, decision_event, gateway, placement_guard, relay_client, relay_request,
-    started_stream, stream_trace,
+    run_evidence, started_stream, stream_trace,
 };
 
 /// Maximum number of attempts, including those in which the engine proves that it didn't run the
@@ -37,6 +37,8 @@
 /// Failure of a step of a generation.
 pub(crate) struct StepError {
     pub(crate) failure: relay::StepFailure,
+    /// Evidence that the engine didn't run the request.
+    pub(crate) evidence: run_evidence::RunEvidence,
     pub(crate) server: ids::ServerName,
     pub(crate) engine: relay::BackendKey,
     /// Time at which the request was sent to the engine, if it was.
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -1,6 +1,6 @@
 //! Runs the decode step of a generation, up to the first event.
 
-use crate::{placement_guard, relay_client, started_stream, stream_opener};
+use crate::{placement_guard, relay_client, run_evidence, started_stream, stream_opener};
 
 use super::prefill_step;
 
@@ -56,7 +56,7 @@
             Ok(Err(failure)) => failure,
             Err(_) => started_stream::StartFailure {
                 outcome: relay::BackendOutcome::TimedOut,
-                not_run: false,
+                evidence: run_evidence::RunEvidence::default(),
                 may_have_arrived: true,
                 error: "no event within the deadline".to_owned(),
                 reply: None,
@@ -65,7 +65,8 @@
         if failure.may_have_arrived {
             self.counts.decodes += 1;
         }
-        if failure.not_run {
+        let not_run = failure.evidence.proves_not_run();
+        if not_run {
             self.routed.disprove_run();
         } else {
             self.record_run(key);
@@ -83,11 +84,12 @@
             failure: relay::StepFailure::builder()
                 .step(relay::StreamStep::Decode)
                 .outcome(failure.outcome)
-                .not_run(failure.not_run)
+                .not_run(not_run)
                 .has_result(has_result)
                 .fill(guard.placement.fill)
                 .decode_retried(self.decode_retried)
                 .build(),
+            evidence: failure.evidence,
             server: entry.server,
             engine: key,
             sent_at: guard.sent_at(),
@@ -116,6 +118,10 @@
                 .fill(guard.placement.fill)
                 .decode_retried(self.decode_retried)
                 .build(),
+            evidence: run_evidence::RunEvidence {
+                proof: Some(run_evidence::RefusalProof::Unsent),
+                history: None,
+            },
             server: entry.server,
             engine,
             sent_at: None,
--- a/components/gateway/src/stream_opener/failure_step.rs
+++ b/components/gateway/src/stream_opener/failure_step.rs
@@ -27,6 +27,8 @@
         let took = self.gateway.core.now().since(started);
         let stage: &'static str = failed.failure.step.into();
         self.gateway.metrics.attempt_failed(stage);
+        let evidence = failed.evidence;
+        self.gateway.metrics.claimed_not_run(evidence.proof);
         self.gateway
             .log
             .write(&decision_event::DecisionEvent::AttemptFailed {
@@ -37,6 +39,9 @@
                 outcome: failed.failure.outcome.into(),
                 error: &failed.error,
                 not_run: failed.failure.not_run,
+                proof: evidence.proof.map(Into::into),
+                earlier_answers: evidence.history.map(|history| history.earlier_answers),
+                connection_age_ms: evidence.history.map(|history| gateway::millis(history.age)),
                 took_ms: gateway::millis(took),
                 next: next.into(),
             });
--- a/components/gateway/src/stream_opener/prefill_step.rs
+++ b/components/gateway/src/stream_opener/prefill_step.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{buffered_reply, placement_guard, relay_client, stream_opener};
+use crate::{buffered_reply, placement_guard, relay_client, run_evidence, stream_opener};
 
 /// Prefill timeout as a multiple of the expected duration.
 const PREFILL_TIMEOUT_RATIO: u32 = 3;
@@ -78,6 +78,7 @@
                 // A prefill alone doesn't run the request.
                 .not_run(true)
                 .build(),
+            evidence: run_evidence::RunEvidence::default(),
             server: entry.server,
             engine: key,
             sent_at: Some(started),
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -4,7 +4,10 @@
 
 use futures_util::{StreamExt as _, stream};
 
-use crate::{buffered_reply, event_splitter, gateway, relay_answer, relay_request, stream_opener};
+use crate::{
+    buffered_reply, event_splitter, gateway, relay_answer, relay_request, run_evidence,
+    stream_opener,
+};
 
 /// Time without an event after which a resumable stream is resumed on another engine. Sound engines
 /// pause for a second or so; callers leave after more than two.
@@ -220,6 +223,7 @@
                 .outcome(outcome)
                 .not_run(false)
                 .build(),
+            evidence: run_evidence::RunEvidence::default(),
             server: guard.decode_server(),
             engine: guard.placement.decode.0,
             sent_at: guard.sent_at(),
