--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -298,7 +298,7 @@
             fake_worker::Behaviour::Extra,
             fake_worker::Behaviour::WrongRequestId,
             fake_worker::Behaviour::NotRun,
-            fake_worker::Behaviour::NotRunWithId,
+            fake_worker::Behaviour::NotRunUnnamed,
             fake_worker::Behaviour::LateRefusal,
             fake_worker::Behaviour::BackOff("0.4"),
             fake_worker::Behaviour::Close,
