platform, gateway: don't take a refusal that names no request for a proof that one didn't run

Cause: a refusal without X-Request-Id was accepted for whatever request was under way on its connection. A worker that writes an earlier refusal once more, of a request, an order or a health check, on a connection that is kept, disproves a run that it has begun.

Before: call_that_ran_is_taken_for_refused_after_a_copy_without_an_id, the stream and the passed-on call beside it failed (503, ids run twice). After: they pass.

--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -28,6 +28,18 @@
     pub(crate) fn implies_not_run(&self) -> bool {
         !self.evidence.proves_not_run() && NOT_RUN_STATUSES.contains(&self.status)
     }
+
+    /// Returns the outcome at the server if it refused the request.
+    pub(crate) fn refusal_outcome(&self) -> Option<relay::BackendOutcome> {
+        self.evidence.proof?;
+        let is_misdirected = self.status == http::StatusCode::MISDIRECTED_REQUEST;
+        // Another server runs at the address: the expected one is gone.
+        Some(if is_misdirected && self.evidence.proves_not_run() {
+            relay::BackendOutcome::Unreachable
+        } else {
+            relay::BackendOutcome::Refused
+        })
+    }
 }
 
 /// Reads the whole body of a reply.
@@ -63,13 +75,3 @@
         _ => relay::BackendOutcome::Broken,
     }
 }
-
-/// Returns the outcome of a request that a server didn't run, from the status of its answer.
-pub(crate) fn refusal_outcome(status: http::StatusCode) -> relay::BackendOutcome {
-    // Another server runs at the address: the expected one is gone.
-    if status == http::StatusCode::MISDIRECTED_REQUEST {
-        relay::BackendOutcome::Unreachable
-    } else {
-        relay::BackendOutcome::Refused
-    }
-}
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -201,39 +201,44 @@
             Ok(reply) => reply,
             Err(error) => return attempt_result::failed_attempt(&error),
         };
-        match buffered_reply::collect(reply).await {
-            Err(error) => attempt_result::failed_attempt(&error),
-            Ok(reply) if reply.evidence.proves_not_run() => attempt_result::AttemptResult::Failed {
-                outcome: buffered_reply::refusal_outcome(reply.status),
+        let reply = match buffered_reply::collect(reply).await {
+            Ok(reply) => reply,
+            Err(error) => return attempt_result::failed_attempt(&error),
+        };
+        if let Some(outcome) = reply.refusal_outcome() {
+            return attempt_result::AttemptResult::Failed {
+                outcome,
                 evidence: reply.evidence,
                 was_sent: true,
                 error: format!("refused with status {}", reply.status),
                 granted: false,
                 reply: None,
-            },
-            Ok(reply) if reply.implies_not_run() && !self.routed.route.may_run_again() => {
-                attempt_result::AttemptResult::Failed {
-                    outcome: relay::BackendOutcome::Failed,
-                    evidence: reply.evidence,
-                    was_sent: true,
-                    error: format!(
-                        "status {}, without a report that it didn't run",
-                        reply.status
-                    ),
-                    granted: false,
-                    reply: None,
-                }
-            }
-            Ok(reply) if reply.status.is_server_error() => attempt_result::AttemptResult::Failed {
+            };
+        }
+        if reply.implies_not_run() && !self.routed.route.may_run_again() {
+            return attempt_result::AttemptResult::Failed {
+                outcome: relay::BackendOutcome::Failed,
+                evidence: reply.evidence,
+                was_sent: true,
+                error: format!(
+                    "status {}, without a report that it didn't run",
+                    reply.status
+                ),
+                granted: false,
+                reply: None,
+            };
+        }
+        if reply.status.is_server_error() {
+            return attempt_result::AttemptResult::Failed {
                 outcome: relay::BackendOutcome::Failed,
                 evidence: reply.evidence,
                 was_sent: true,
                 error: format!("status {}", reply.status),
                 granted: false,
                 reply: Some(reply),
-            },
-            Ok(reply) => attempt_result::AttemptResult::Reply(reply),
+            };
         }
+        attempt_result::AttemptResult::Reply(reply)
     }
 
     /// Returns the timeout of one attempt: less than the time left if another attempt may follow.
--- a/components/gateway/src/run_evidence.rs
+++ b/components/gateway/src/run_evidence.rs
@@ -8,7 +8,7 @@
     Unsent,
     /// The server refused the request and named it.
     Named,
-    /// The server refused a request without naming it.
+    /// The server refused a request without naming it. The refusal may be a copy of an earlier one.
     Unnamed,
 }
 
@@ -16,7 +16,10 @@
     /// Returns whether the request can't have run.
     #[must_use]
     pub const fn is_conclusive(self) -> bool {
-        true
+        match self {
+            Self::Unsent | Self::Named => true,
+            Self::Unnamed => false,
+        }
     }
 }
 
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -41,7 +41,7 @@
     reply: impl Future<Output = Result<relay_client::RelayReply, border::BorderError>>,
 ) -> Result<StartedStream, StartFailure> {
     let reply = reply.await?;
-    if reply.evidence().proves_not_run() || !reply.status.is_success() {
+    if reply.refusal.is_some() || !reply.status.is_success() {
         return Err(response_failure(buffered_reply::collect(reply).await?));
     }
     let mut body = reply.body;
@@ -64,8 +64,7 @@
     let body = String::from_utf8_lossy(&reply.body);
     let error = format!("status {}: {}", reply.status, body.trim());
     let evidence = reply.evidence;
-    if evidence.proves_not_run() {
-        let outcome = buffered_reply::refusal_outcome(reply.status);
+    if let Some(outcome) = reply.refusal_outcome() {
         return StartFailure {
             outcome,
             evidence,
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -72,7 +72,7 @@
             self.record_run(key);
         }
         let now = self.gateway.core.now();
-        let was_refused = failure.outcome == relay::BackendOutcome::Refused;
+        let was_refused = not_run && failure.outcome == relay::BackendOutcome::Refused;
         self.lost_result = prefill
             .as_ref()
             .and(self.warm_prefill.as_ref())
