platform, client: ask and order workers over connections of their own

Answers to orders, freed caches and questions have no id. Their connections went back to the pool of requests: a second copy of such an answer stood before the answer to the next request, which failed or, if the copy was a refusal, counted as not run. The reverse, too: of the three questions about an engine's memory, which share a connection, a copy of the first answer was read as the report, and an engine that had started again for the one of its entry.

Each of them now has a connection of its own, closed after the answer. It costs two more connections an engine when all instances have started, and one an order.

--- a/components/client/src/bounded_fetch.rs
+++ b/components/client/src/bounded_fetch.rs
@@ -43,15 +43,40 @@
         on_piece: impl FnMut(usize),
     ) -> Result<WholeAnswer, border::BorderError> {
         let sending = self.send(server, request, clock::Timestamp::MAX);
-        let mut answer = within(limits.head, "no answer", sending).await?;
-        let (status, headers) = (answer.status(), answer.headers().clone());
-        let body = receive_body(&mut answer, self.answer_limit_bytes(), limits, on_piece).await?;
-        Ok(WholeAnswer {
-            status,
-            headers,
-            body,
-        })
+        receive_whole(sending, self.answer_limit_bytes(), limits, on_piece).await
     }
+
+    /// Sends a request once over a connection of its own and receives the whole answer within
+    /// `limits`.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`Self::fetch`].
+    pub async fn fetch_alone(
+        self: &sync::Arc<Self>,
+        server: net::SocketAddr,
+        request: http::Request<connection_pool::WholeBody>,
+        limits: FetchLimits,
+    ) -> Result<WholeAnswer, border::BorderError> {
+        let sending = self.send_alone(server, request);
+        receive_whole(sending, self.answer_limit_bytes(), limits, |_| ()).await
+    }
+}
+
+async fn receive_whole(
+    sending: impl Future<Output = Result<pooled_answer::PooledAnswer, border::BorderError>>,
+    limit_bytes: usize,
+    limits: FetchLimits,
+    on_piece: impl FnMut(usize),
+) -> Result<WholeAnswer, border::BorderError> {
+    let mut answer = within(limits.head, "no answer", sending).await?;
+    let (status, headers) = (answer.status(), answer.headers().clone());
+    let body = receive_body(&mut answer, limit_bytes, limits, on_piece).await?;
+    Ok(WholeAnswer {
+        status,
+        headers,
+        body,
+    })
 }
 
 /// Receives the whole body of an answer, of at most `limit_bytes`.
--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -98,6 +98,25 @@
             .await
     }
 
+    /// Sends a request once over a connection of its own, which closes after the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotSent` when no byte left, and `Lost` for every later failure.
+    pub async fn send_alone(
+        self: &sync::Arc<Self>,
+        server: net::SocketAddr,
+        mut request: http::Request<WholeBody>,
+    ) -> Result<pooled_answer::PooledAnswer, border::BorderError> {
+        let close = http::HeaderValue::from_static("close");
+        request
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+        let mut answer = self.send_fresh(server, request).await?;
+        answer.close_after();
+        Ok(answer)
+    }
+
     async fn send_on(
         self: &sync::Arc<Self>,
         (mut connection, epoch): (pooled_connection::PooledConnection, u64),
