gateway: relay nothing but the next event of a stream

Cause: whatever ended with an empty line and had no id passed the splitter and check_number. A worker that streams without length or chunks and writes another answer after some events sends just that.

The events of a reply are now read in one place, event_reader: each block has to be an event (fields alone, one numeric id) with the next number; the first one of a stream is number 0 or 1. Anything else is a broken stream, before the first event a failed attempt: the caller then gets 502 or the next engine's events, not a 200. Comments are no events: they travel with the event that follows and don't count as progress.

returns_events_without_a_number asserted that a comment is returned as an event without a number. It now asserts that of a field without an id, and keeps_comments_with_the_event_that_follows what becomes of comments.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod decision_log;
 mod early_refusal;
 mod estimate_message;
+mod event_reader;
 mod event_splitter;
 mod forwarding_term;
 mod gateway;
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -1,16 +1,15 @@
 //! A stream of a decode engine whose first event has arrived.
 
-use futures_util::StreamExt as _;
-
-use crate::{buffered_reply, event_splitter, relay_client, run_evidence};
+use crate::{buffered_reply, event_reader, event_splitter, relay_client, run_evidence};
 
 /// A stream of a decode engine whose first event has arrived.
 pub(crate) struct StartedStream {
     pub(crate) status: http::StatusCode,
     pub(crate) headers: http::HeaderMap,
-    pub(crate) body: relay_client::ReplyBody,
-    /// Contains the first event, and any bytes received after it.
-    pub(crate) splitter: event_splitter::EventSplitter,
+    /// First event, until it is relayed.
+    pub(crate) first: Option<event_splitter::StreamEvent>,
+    /// Reads the events after the first one.
+    pub(crate) events: event_reader::EventReader,
 }
 
 /// Failure of a request to a decode engine before the first event.
@@ -36,27 +35,40 @@
     }
 }
 
-/// Waits for the reply and for its first event.
+impl StartedStream {
+    /// Waits for the next event; returns `None` at the end of the stream. Dropping the future loses
+    /// nothing.
+    pub(crate) async fn next_event(
+        &mut self,
+    ) -> Result<Option<event_splitter::StreamEvent>, border::BorderError> {
+        match self.first.take() {
+            Some(event) => Ok(Some(event)),
+            None => self.events.next().await,
+        }
+    }
+}
+
+/// Waits for the reply and for its first event, the one after the event `last`.
 pub(crate) async fn first_event(
     reply: impl Future<Output = Result<relay_client::RelayReply, border::BorderError>>,
+    last: Option<u64>,
 ) -> Result<StartedStream, StartFailure> {
     let reply = reply.await?;
     if reply.refusal.is_some() || !reply.status.is_success() {
         return Err(response_failure(buffered_reply::collect(reply).await?));
     }
-    let mut body = reply.body;
-    let mut splitter = event_splitter::EventSplitter::default();
-    while !splitter.has_event() {
-        let chunk = body.next().await.ok_or_else(|| border::BorderError::Lost {
+    let mut events = event_reader::EventReader::new(reply.body, last);
+    let first = events
+        .next()
+        .await?
+        .ok_or_else(|| border::BorderError::Lost {
             detail: "the stream ended before its first event".to_owned(),
         })?;
-        splitter.push(&chunk?)?;
-    }
     Ok(StartedStream {
         status: reply.status,
         headers: reply.headers,
-        body,
-        splitter,
+        first: Some(first),
+        events,
     })
 }
 
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -39,8 +39,8 @@
         self.record_origin(&entry);
         guard.mark_sent();
         self.routed.begin_run();
-        let opening =
-            started_stream::first_event(self.gateway.client.send(&self.routed.request, options));
+        let sending = self.gateway.client.send(&self.routed.request, options);
+        let opening = started_stream::first_event(sending, self.last_event);
         let result = tokio::time::timeout(time_left, opening).await;
         let failure = match result {
             Ok(Ok(stream)) => {
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -2,12 +2,9 @@
 
 use std::{sync, time};
 
-use futures_util::{StreamExt as _, stream};
+use futures_util::stream;
 
-use crate::{
-    buffered_reply, event_splitter, gateway, relay_answer, relay_request, run_evidence,
-    stream_opener,
-};
+use crate::{buffered_reply, gateway, relay_answer, relay_request, run_evidence, stream_opener};
 
 /// Time without an event after which a resumable stream is resumed on another engine. Sound engines
 /// pause for a second or so; callers leave after more than two.
@@ -125,43 +122,24 @@
     ///
     /// An engine that sends bytes without completing an event stalls like one that sends nothing.
     async fn next_event(&mut self) -> Result<Option<bytes::Bytes>, border::BorderError> {
-        let mut stalls_at = self.stalls_at();
         loop {
+            let stalls_at = self.stalls_at();
             let Some(placed) = self.placed.as_mut() else {
                 return Ok(None);
             };
             let key = placed.guard.placement.key;
-            if let Some(event) = placed.stream.splitter.next_event() {
-                if let Some(error) = self.check_number(&event) {
-                    self.resume(relay::BackendOutcome::Broken, error).await?;
-                    stalls_at = self.stalls_at();
-                    continue;
+            let next = tokio::time::timeout_at(stalls_at, placed.stream.next_event()).await;
+            let (outcome, error) = match next {
+                Ok(Ok(Some(event))) => {
+                    self.opener.last_event = event.number;
+                    self.count_event(key);
+                    return Ok(Some(event.bytes));
                 }
-                self.count_event(key);
-                return Ok(Some(event.bytes));
-            }
-            let Some(placed) = self.placed.as_mut() else {
-                return Ok(None);
+                Ok(Ok(None)) => return Ok(self.finish()),
+                Ok(Err(error)) => (relay::BackendOutcome::Broken, error.to_string()),
+                Err(_) => (relay::BackendOutcome::TimedOut, "stalled".to_owned()),
             };
-            let (outcome, error) =
-                match tokio::time::timeout_at(stalls_at, placed.stream.body.next()).await {
-                    Ok(Some(Ok(chunk))) => match placed.stream.splitter.push(&chunk) {
-                        Ok(()) => continue,
-                        Err(error) => (relay::BackendOutcome::Broken, error.to_string()),
-                    },
-                    Ok(None) if placed.stream.splitter.is_empty() => {
-                        self.finish();
-                        return Ok(None);
-                    }
-                    Ok(None) => (
-                        relay::BackendOutcome::Broken,
-                        "the stream ended within an event".to_owned(),
-                    ),
-                    Ok(Some(Err(error))) => (relay::BackendOutcome::Broken, error.to_string()),
-                    Err(_) => (relay::BackendOutcome::TimedOut, "stalled".to_owned()),
-                };
             self.resume(outcome, error).await?;
-            stalls_at = self.stalls_at();
         }
     }
 
@@ -186,25 +164,13 @@
             .decide(|core, now| core.record_progress(now, key, tokens));
     }
 
-    fn finish(&mut self) {
-        if let Some(mut placed) = self.placed.take() {
-            placed.guard.release(relay::BackendOutcome::Succeeded);
-            self.opener.record_answer();
-        }
+    /// Ends the stream; returns the comments after its last event, if there are any.
+    fn finish(&mut self) -> Option<bytes::Bytes> {
+        let mut placed = self.placed.take()?;
+        placed.guard.release(relay::BackendOutcome::Succeeded);
+        self.opener.record_answer();
         self.opener.trace.ended("relayed", None, Some(200), None);
-    }
-
-    /// Checks that the number of an event, if it has one, follows the last number, and records it;
-    /// returns an error message if it doesn't follow.
-    fn check_number(&mut self, event: &event_splitter::StreamEvent) -> Option<String> {
-        let number = event.number?;
-        if let Some(last) = self.opener.last_event
-            && number != last + 1
-        {
-            return Some(format!("event {number} after event {last}"));
-        }
-        self.opener.last_event = Some(number);
-        None
+        Some(placed.stream.events.last_comments()).filter(|comments| !comments.is_empty())
     }
 
     /// Resumes the stream after the last event that the caller has received, if a retry is allowed.
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -37,11 +37,36 @@
 
 #[test]
 fn returns_events_without_a_number() {
-    let (events, _) = split(&[b": comment\n\n"]);
+    let (events, _) = split(&[b"data: a\n\n"]);
 
     assert_eq!(events[0].number, None);
 }
 
+#[test]
+fn keeps_comments_with_the_event_that_follows() {
+    let (events, empty) = split(&[b": a\n\n:", b" b\n\nid: 1\n", b"\n: c\n\n"]);
+
+    assert_eq!(events.len(), 1);
+    assert_eq!(&events[0].bytes[..], b": a\n\n: b\n\nid: 1\n\n");
+    assert_eq!(events[0].number, Some(1));
+    assert!(empty);
+}
+
+#[test]
+fn takes_the_head_of_an_answer_for_an_event() {
+    for block in [
+        "HTTP/1.1 500 X\r\nid: 3\r\n\r\n",
+        "id: 3\nX-Request-Id: 3\n\n",
+        "id: 3\nupstream error\n\n",
+        "id: 3\nid: 4\n\n",
+        "id: three\n\n",
+    ] {
+        let (events, _) = split(&[block.as_bytes()]);
+
+        assert_eq!(events[0].number, None, "{block:?}");
+    }
+}
+
 proptest! {
     #[test]
     fn splits_events_at_any_chunk_boundaries(
