--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -2,6 +2,9 @@
 
 use crate::{buffered_reply, event_reader, event_splitter, relay_client, run_evidence};
 
+/// Content type of streams of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// A stream of a decode engine whose first event has arrived.
 pub(crate) struct StartedStream {
     pub(crate) status: http::StatusCode,
@@ -57,6 +60,7 @@
     if reply.refusal.is_some() || !reply.status.is_success() {
         return Err(response_failure(buffered_reply::collect(reply).await?));
     }
+    check_head(reply.status, &reply.headers)?;
     let mut events = event_reader::EventReader::new(reply.body, last);
     let first = events
         .next()
@@ -72,6 +76,24 @@
     })
 }
 
+/// Checks that the head of a reply is that of a stream.
+fn check_head(
+    status: http::StatusCode,
+    headers: &http::HeaderMap,
+) -> Result<(), border::BorderError> {
+    let content_type = headers.get(http::header::CONTENT_TYPE);
+    let is_stream = content_type.is_none_or(|value| {
+        let value = value.as_bytes().split(|byte| *byte == b';').next();
+        value.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM))
+    });
+    if status == http::StatusCode::OK && is_stream {
+        return Ok(());
+    }
+    Err(border::BorderError::Malformed {
+        detail: format!("no stream: status {status}, content type {content_type:?}"),
+    })
+}
+
 fn response_failure(reply: buffered_reply::BufferedReply) -> StartFailure {
     let body = String::from_utf8_lossy(&reply.body);
     let error = format!("status {}: {}", reply.status, body.trim());
