soak: copies without ids, foreign bytes in streams, odd heads and heads that stop

They now send copies without ids after answers of every kind, other answers and text inside streams, odd heads, signed refusals, and answers that stop in their heads; the list has a file of its own.

--- a/tests/node_soak/main.rs
+++ b/tests/node_soak/main.rs
@@ -29,6 +29,7 @@
 mod soak_run;
 mod taken_up_streams;
 mod violation_checks;
+mod worker_faults;
 
 use std::{ops, sync, time};
 
--- a/tests/node_soak/soak_run.rs
+++ b/tests/node_soak/soak_run.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     caller_load, changing_keys,
-    common::{fake_store, fake_worker, fault_proxy, site},
-    limited_servers, node_process, process_cuts, process_fault, taken_up_streams,
+    common::{fake_store, fault_proxy, site},
+    limited_servers, node_process, process_cuts, process_fault, taken_up_streams, worker_faults,
 };
 
 /// Minimum number of callers of each path.
@@ -292,25 +292,6 @@
     }
 
     fn inject_worker_faults(&mut self) {
-        let behaviours = [
-            fake_worker::Behaviour::Cut,
-            fake_worker::Behaviour::Garbage,
-            fake_worker::Behaviour::Extra,
-            fake_worker::Behaviour::WrongRequestId,
-            fake_worker::Behaviour::NotRun,
-            fake_worker::Behaviour::NotRunUnnamed,
-            fake_worker::Behaviour::LateRefusal,
-            fake_worker::Behaviour::BackOff("0.4"),
-            fake_worker::Behaviour::Close,
-            fake_worker::Behaviour::Slow,
-            fake_worker::Behaviour::Fail,
-            fake_worker::Behaviour::NoLength,
-            fake_worker::Behaviour::NoLengthBreakAfter(2),
-            fake_worker::Behaviour::EndlessHead,
-            fake_worker::Behaviour::EndlessBody,
-            fake_worker::Behaviour::BreakAfter(2),
-            fake_worker::Behaviour::StallAfter(3),
-        ];
         let site = &self.site;
         for worker in site
             .servers
@@ -318,10 +299,7 @@
             .chain(&site.prefills)
             .chain(&site.decodes)
         {
-            let behaviour = *behaviours
-                .choose(&mut self.random)
-                .expect("the list of behaviours is not empty");
-            worker.script([behaviour]);
+            worker.script([worker_faults::choose(&mut self.random)]);
         }
     }
 }
