--- a/components/client/src/pooled_answer.rs
+++ b/components/client/src/pooled_answer.rs
@@ -58,6 +58,13 @@
         self.parts.status
     }
 
+    /// Returns the reason phrase of the answer, if it isn't the usual one of its status.
+    #[must_use]
+    pub fn reason(&self) -> Option<&[u8]> {
+        let reason = self.parts.extensions.get::<hyper::ext::ReasonPhrase>();
+        reason.map(hyper::ext::ReasonPhrase::as_bytes)
+    }
+
     /// Returns the header fields of the answer.
     #[must_use]
     pub const fn headers(&self) -> &http::HeaderMap {
