--- a/components/gateway/src/run_evidence.rs
+++ b/components/gateway/src/run_evidence.rs
@@ -39,8 +39,9 @@
 
 impl From<&border::BorderError> for RunEvidence {
     fn from(error: &border::BorderError) -> Self {
+        let is_unsent = matches!(error, border::BorderError::NotSent { .. });
         Self {
-            proof: error.proves_not_run().then_some(RefusalProof::Unsent),
+            proof: is_unsent.then_some(RefusalProof::Unsent),
             history: None,
         }
     }
