relay: take the memory of engines for a proof only by elimination

Cause: a part in an engine's memory shows that a prompt was read there since the engine's start, not that a stream began there. For engines younger than 30 s it counted as a proof, because prompts that come again are bound to the version that was sent them. A version that drains can't be bound to, so the second request of a session goes to the new version, whose memory then "proved" that the first stream began there.

Change: a part proves a version only if all engines of other versions that can have begun the stream have answered and none has left. The reason for which a part proves nothing is decided in one place and counted in `streams_searched`.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -245,10 +245,20 @@
         answered: usize,
         /// Streams that an engine still runs.
         runs: usize,
-        /// Parts of prompts that only engines of one software version can have read.
+        /// Parts of prompts that prove the software version at which their streams began.
         parts: usize,
-        /// Parts of prompts that prove nothing.
+        /// Parts of prompts that prove nothing; the next fields tell why.
         ambiguous: usize,
+        /// Parts that engines of several versions hold.
+        several_versions: usize,
+        /// Parts that no decode engine holds.
+        no_decode_engine: usize,
+        /// Parts of which an engine of another version has told nothing.
+        others_silent: usize,
+        /// Parts for which the store's changes don't reach back far enough.
+        history_short: usize,
+        /// Parts that an engine of another version may have held that has left.
+        others_left: usize,
         /// Time for which the platform's store keeps all changes of the list; 0 if it doesn't.
         history_ms: u64,
         /// Duration of the search.
--- a/components/gateway/src/stream_searcher.rs
+++ b/components/gateway/src/stream_searcher.rs
@@ -81,7 +81,12 @@
                 answered: summary.answered,
                 runs: summary.runs,
                 parts: summary.parts,
-                ambiguous: summary.ambiguous,
+                ambiguous: summary.unproven.total(),
+                several_versions: summary.unproven.several_versions,
+                no_decode_engine: summary.unproven.no_decode_engine,
+                others_silent: summary.unproven.others_silent,
+                history_short: summary.unproven.history_short,
+                others_left: summary.unproven.others_left,
                 history_ms: gateway::millis(result.history.span),
                 took_ms: gateway::millis(self.core.now().since(started)),
             });
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -140,7 +140,7 @@
 pub use stream_lease::{StreamKey, StreamLease};
 pub use stream_request::StreamRequest;
 pub use stream_search::{
-    EngineMemory, ListHistory, SearchResult, SearchSummary, StreamSearch, part_hash,
+    EngineMemory, ListHistory, SearchResult, SearchSummary, StreamSearch, UnprovenParts, part_hash,
 };
 pub use update_routes::{ForwardScope, GreetingUpdate, UpdateEffect, UpdateRoutes};
 pub use view_announcement::ViewAnnouncement;
--- a/components/relay/src/memory_evidence.rs
+++ b/components/relay/src/memory_evidence.rs
@@ -1,46 +1,48 @@
-//! Proves from the memory of engines at which software version a prompt was read.
+//! Proves from the memory of engines at which software version a stream began.
 //!
 //! The load that this answers: all instances have ended, and callers take up streams of which no
 //! instance knows anything. An engine keeps the parts of the prompts that it has read, and the last
-//! part of a prompt belongs to one request or session. That engines of one version alone hold it proves
-//! the version only if no engine of another one can have read it later. Either all listed engines of
-//! other versions answer that they don't hold it, and the platform's store shows that none has left
-//! while the stream can have begun; or every holder is so young that instances have bound the prompt to
-//! its version since it was read, so that no other one was sent it.
+//! part of a prompt belongs to one request or session. A part in memory shows that a prompt was read
+//! there since the engine started, but not that a stream began there: an engine of another version may
+//! have read the prompt before. So each engine of another version that can have begun the stream has to
+//! deny it: it is listed and answers that it doesn't hold the part, and the platform's store shows that
+//! no other one has left since.
 
 use std::{collections, time};
 
 use crate::{backend_entry, software_key, stream_search, view_change};
 
-/// Age of an engine below which all prompts that it holds were read while instances bound repeated
-/// prompts to the version that had read them.
-pub(crate) const BOUND_ENGINE_AGE: time::Duration = time::Duration::from_secs(30);
-
-/// Number of decode engines that a version needs so that repeated prompts are bound to it: with one
-/// alone, a prompt that it fails goes to another version.
-pub(crate) const MIN_BINDING_ENGINES: usize = 2;
+/// What the memory of the engines shows about a part of a prompt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PartEvidence {
+    /// Streams with the part began at the only version whose engines hold it.
+    Proven(software_key::SoftwareKey),
+    /// It proves nothing.
+    Unproven(UnprovenReason),
+}
 
-/// Returns the number of decode engines of a version that take new work.
-pub(crate) fn serving_engines<'a>(
-    entries: impl Iterator<Item = &'a backend_entry::BackendEntry>,
-    software: software_key::SoftwareKey,
-) -> usize {
-    let decodes = entries
-        .filter(|entry| !entry.leaving && entry.stage == Some(backend_entry::EngineStage::Decode));
-    decodes
-        .filter(|entry| software_key::SoftwareKey::of(entry) == software)
-        .count()
+/// Reason for which a part that engines hold doesn't prove the version of its streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum UnprovenReason {
+    /// Engines of several versions hold the part.
+    SeveralVersions,
+    /// Only prefill engines hold the part; they begin no streams.
+    NoDecodeEngine,
+    /// An engine of another version hasn't answered.
+    OthersSilent,
+    /// The store's history doesn't cover the time within which a stream can have begun.
+    HistoryShort,
+    /// An engine of another version, or a server of an unknown one, has left within that time.
+    OthersLeft,
 }
 
 /// Engines that hold a part of a prompt.
 struct PartHolders {
     software: software_key::SoftwareKey,
     /// Whether engines of another version hold the part as well.
-    is_ambiguous: bool,
+    has_several_versions: bool,
     /// Whether a decode engine holds the part; prefill engines alone don't begin a stream.
     has_decode: bool,
-    /// Whether the prompt was bound to the version of the holders since the first of them read it.
-    is_bound: bool,
 }
 
 /// Engines that have left the platform's list.
@@ -80,52 +82,49 @@
             has_history: result.history.span >= lifetime && is_complete(result),
         };
         for memory in &result.memories {
-            let is_young = is_young(&memory.engine, result.wall_millis);
-            let software = software_key::SoftwareKey::of(&memory.engine);
-            let serving = serving_engines(result.search.engines.iter(), software);
-            evidence.add(memory, is_young && serving >= MIN_BINDING_ENGINES);
+            evidence.add(memory);
         }
         evidence
     }
 
-    fn add(&mut self, memory: &stream_search::EngineMemory, is_bound: bool) {
+    fn add(&mut self, memory: &stream_search::EngineMemory) {
         let software = software_key::SoftwareKey::of(&memory.engine);
         let is_decode = memory.engine.stage == Some(backend_entry::EngineStage::Decode);
         for part in &memory.parts {
             let holders = self.holders.entry(*part).or_insert(PartHolders {
                 software,
-                is_ambiguous: false,
+                has_several_versions: false,
                 has_decode: false,
-                is_bound: true,
             });
-            holders.is_ambiguous |= holders.software != software;
+            holders.has_several_versions |= holders.software != software;
             holders.has_decode |= is_decode;
-            holders.is_bound &= is_bound;
         }
     }
 
-    /// Returns the number of parts that engines hold.
-    pub(crate) fn parts(&self) -> usize {
-        self.holders.len()
-    }
-
-    /// Returns the parts that prove the version at which their prompt was read.
-    pub(crate) fn proven(&self) -> impl Iterator<Item = (u64, software_key::SoftwareKey)> {
+    /// Returns the parts that engines hold, with what each of them shows.
+    pub(crate) fn parts(&self) -> impl Iterator<Item = (u64, PartEvidence)> {
         self.holders
             .iter()
-            .filter(|(_, holders)| self.is_proof(holders))
-            .map(|(part, holders)| (*part, holders.software))
+            .map(|(part, holders)| (*part, self.judge(holders)))
     }
 
-    fn is_proof(&self, holders: &PartHolders) -> bool {
-        let others_answered = self
-            .silent
-            .iter()
-            .all(|software| *software == holders.software);
-        let others_stayed = self.has_history && self.left.are_of(holders.software);
-        !holders.is_ambiguous
-            && holders.has_decode
-            && (holders.is_bound || (others_answered && others_stayed))
+    fn judge(&self, holders: &PartHolders) -> PartEvidence {
+        let software = holders.software;
+        let others_answered = self.silent.iter().all(|silent| *silent == software);
+        let reason = if holders.has_several_versions {
+            UnprovenReason::SeveralVersions
+        } else if !holders.has_decode {
+            UnprovenReason::NoDecodeEngine
+        } else if !others_answered {
+            UnprovenReason::OthersSilent
+        } else if !self.has_history {
+            UnprovenReason::HistoryShort
+        } else if !self.left.are_of(software) {
+            UnprovenReason::OthersLeft
+        } else {
+            return PartEvidence::Proven(software);
+        };
+        PartEvidence::Unproven(reason)
     }
 }
 
@@ -174,10 +173,3 @@
         })
     })
 }
-
-/// Returns whether an engine started less than [`BOUND_ENGINE_AGE`] before a time in milliseconds since
-/// the Unix epoch.
-fn is_young(engine: &backend_entry::BackendEntry, wall_millis: u64) -> bool {
-    let limit = u64::try_from(BOUND_ENGINE_AGE.as_millis()).unwrap_or(u64::MAX);
-    engine.born_millis > 0 && wall_millis.saturating_sub(engine.born_millis) < limit
-}
--- a/components/relay/src/relay_core/core_search.rs
+++ b/components/relay/src/relay_core/core_search.rs
@@ -92,8 +92,8 @@
         self.instances.has_started_before(now, latest_start)
     }
 
-    /// Applies the answers to a search: streams that still run, and prompts that only one version can
-    /// have read.
+    /// Applies the answers to a search: streams that still run, and prompts that prove the version at
+    /// which their streams began.
     pub fn apply_search(
         &mut self,
         now: clock::Timestamp,
@@ -111,12 +111,16 @@
             }
         }
         let evidence = memory_evidence::MemoryEvidence::new(result, self.stream_lifetime());
-        for (part, software) in evidence.proven() {
-            summary.parts += 1;
-            let key = origin_report::read_prompt_key(part);
-            self.origins.record(now, key, software, EVIDENCE_LIFETIME);
+        for (part, shown) in evidence.parts() {
+            match shown {
+                memory_evidence::PartEvidence::Proven(software) => {
+                    summary.parts += 1;
+                    let key = origin_report::read_prompt_key(part);
+                    self.origins.record(now, key, software, EVIDENCE_LIFETIME);
+                }
+                memory_evidence::PartEvidence::Unproven(reason) => summary.unproven.add(reason),
+            }
         }
-        summary.ambiguous = evidence.parts() - summary.parts;
         self.searches.end(now, result.search.service);
         summary
     }
--- a/components/relay/src/relay_core/core_software.rs
+++ b/components/relay/src/relay_core/core_software.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use crate::{
-    instance_update, memory_evidence, origin_registry, origin_report, relay_core, software_key,
+    backend_entry, instance_update, origin_registry, origin_report, relay_core, software_key,
 };
 
 /// Time after the start of a process within which the others tell it of the streams that have begun.
@@ -13,9 +13,13 @@
 /// touch.
 pub(super) const MAX_VIEW_AGE: time::Duration = time::Duration::from_secs(3);
 
-/// Time for which a prompt is bound to the version that has read it, as long as young engines prove
-/// versions.
-const PROMPT_LIFETIME: time::Duration = memory_evidence::BOUND_ENGINE_AGE;
+/// Time for which a prompt is bound to the version that was sent it. The memory of engines proves the
+/// version of a stream only if no engine of another one has read its prompt.
+const PROMPT_LIFETIME: time::Duration = time::Duration::from_secs(30);
+
+/// Number of decode engines that a version needs so that repeated prompts are bound to it: with one
+/// alone, a prompt that it fails goes to another version.
+const MIN_BINDING_ENGINES: usize = 2;
 
 /// Number of instances, by rank, that tell of the streams of those that have ended.
 const ADOPTING_INSTANCES: usize = 2;
@@ -39,7 +43,7 @@
 pub enum StreamSoftware {
     /// The stream began at this version, as an instance has told.
     Known(software_key::SoftwareKey),
-    /// Only engines of this version can have read the prompt, as their memory shows.
+    /// Only engines of this version can have begun the stream, as the memory of all engines shows.
     Remembered(software_key::SoftwareKey),
     /// The service has had no other version while the stream can have begun.
     Only(software_key::SoftwareKey),
@@ -143,9 +147,18 @@
             .origins
             .software(now, origin_report::sent_prompt_key(part));
         let bound = sent.or_else(|| self.read_at(now, part))?;
+        (self.serving_engines(bound) >= MIN_BINDING_ENGINES).then_some(bound)
+    }
+
+    /// Returns the number of decode engines of a version that take new work.
+    fn serving_engines(&self, software: software_key::SoftwareKey) -> usize {
         let entries = self.tracker.view().backends.values();
-        let serving = memory_evidence::serving_engines(entries, bound);
-        (serving >= memory_evidence::MIN_BINDING_ENGINES).then_some(bound)
+        let decodes = entries.filter(|entry| {
+            !entry.leaving && entry.stage == Some(backend_entry::EngineStage::Decode)
+        });
+        decodes
+            .filter(|entry| software_key::SoftwareKey::of(entry) == software)
+            .count()
     }
 
     /// Returns the version whose engines alone can have read a prompt, by the hash of its last part.
--- a/components/relay/src/stream_search.rs
+++ b/components/relay/src/stream_search.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{backend_entry, software_key, view_change};
+use crate::{backend_entry, memory_evidence, software_key, view_change};
 
 /// Engines of a service that are asked what they hold in memory.
 #[derive(Clone, Debug)]
@@ -55,10 +55,49 @@
     pub answered: usize,
     /// Streams that an engine still runs.
     pub runs: usize,
-    /// Parts of prompts that only engines of one software version can have read.
+    /// Parts of prompts that prove the software version at which their streams began.
     pub parts: usize,
     /// Parts of prompts that prove nothing.
-    pub ambiguous: usize,
+    pub unproven: UnprovenParts,
+}
+
+/// Parts of prompts that engines hold and that prove nothing, by the reason.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UnprovenParts {
+    /// Held by engines of several versions.
+    pub several_versions: usize,
+    /// Held by no decode engine.
+    pub no_decode_engine: usize,
+    /// An engine of another version hasn't answered.
+    pub others_silent: usize,
+    /// The store's history doesn't reach back far enough.
+    pub history_short: usize,
+    /// An engine of another version has left.
+    pub others_left: usize,
+}
+
+impl UnprovenParts {
+    /// Counts a part.
+    pub(crate) const fn add(&mut self, reason: memory_evidence::UnprovenReason) {
+        let count = match reason {
+            memory_evidence::UnprovenReason::SeveralVersions => &mut self.several_versions,
+            memory_evidence::UnprovenReason::NoDecodeEngine => &mut self.no_decode_engine,
+            memory_evidence::UnprovenReason::OthersSilent => &mut self.others_silent,
+            memory_evidence::UnprovenReason::HistoryShort => &mut self.history_short,
+            memory_evidence::UnprovenReason::OthersLeft => &mut self.others_left,
+        };
+        *count += 1;
+    }
+
+    /// Returns the number of parts.
+    #[must_use]
+    pub const fn total(&self) -> usize {
+        self.several_versions
+            + self.no_decode_engine
+            + self.others_silent
+            + self.history_short
+            + self.others_left
+    }
 }
 
 /// Returns the hash that identifies a part of a prompt by its id.
--- a/components/relay/tests/stream_search.rs
+++ b/components/relay/tests/stream_search.rs
@@ -104,6 +104,11 @@
 impl Answers {
     /// Returns what an instance makes of the stream after the search.
     fn found(&self) -> relay::StreamSoftware {
+        self.search().0
+    }
+
+    /// Returns what an instance makes of the stream after the search, and of the answers.
+    fn search(&self) -> (relay::StreamSoftware, relay::SearchSummary) {
         let mut core = common::empty_core();
         read_list(&mut core, at(0), &self.engines);
         take_up(&mut core, at(600));
@@ -123,8 +128,8 @@
             history: self.history.clone(),
             wall_millis: WALL_MILLIS,
         };
-        core.apply_search(at(900), &result);
-        take_up(&mut core, at(1_100))
+        let summary = core.apply_search(at(900), &result);
+        (take_up(&mut core, at(1_100)), summary)
     }
 }
 
@@ -182,25 +187,6 @@
     assert_eq!(answers.found(), remembered("v2"));
 }
 
-#[test]
-fn young_engines_are_no_proof_although_all_others_have_left() {
-    let left = engines(&[("v1", OLD)]);
-    let engines = engines(&[("v2", YOUNG)]);
-    let changes = [listings(&engines), listings(&left)].concat();
-    let answers = answers(engines, &["d-v2"], &[], changes);
-
-    assert_eq!(answers.found(), remembered("v2"));
-}
-
-#[test]
-fn young_engines_are_no_proof_while_others_are_listed_that_have_ended() {
-    let engines = engines(&[("v1", OLD), ("v2", YOUNG)]);
-    let changes = listings(&engines[3..]);
-    let answers = answers(engines, &["d-v2"], &["p-v1", "d-v1", "e-v1"], changes);
-
-    assert_eq!(answers.found(), remembered("v2"));
-}
-
 #[test]
 fn young_engine_that_serves_alone_is_a_proof() {
     let mut listed = engines(&[("v2", YOUNG)]);
@@ -216,33 +202,49 @@
 fn stream_goes_on_without_proof() {
     let two = || engines(&[("v1", OLD), ("v2", OLD)]);
     let one = || engines(&[("v2", OLD)]);
-    let left = listings(&engines(&[("v1", OLD)]));
+    let left = || listings(&engines(&[("v1", OLD)]));
     let removed = relay::ViewChange::BackendRemoved("gone".into());
-    let cases: [(&str, Answers); 8] = [
-        ("nothing is held", answers(two(), &[], &[], Vec::new())),
+    let cases: [(&str, Answers, &str); 10] = [
+        ("nothing is held", answers(two(), &[], &[], Vec::new()), ""),
         (
             "held at two versions",
             answers(two(), &["d-v1", "d-v2"], &[], Vec::new()),
+            "several_versions",
         ),
         (
             "held by a prefill engine of the other version",
             answers(two(), &["p-v1", "d-v2"], &[], Vec::new()),
+            "several_versions",
         ),
         (
             "held by no decode engine",
             answers(two(), &["p-v2"], &[], Vec::new()),
+            "no_decode_engine",
         ),
         (
             "an engine of the other version is silent",
             answers(two(), &["d-v2"], &["d-v1"], Vec::new()),
+            "others_silent",
         ),
         (
             "an engine of the other version has left",
-            answers(one(), &["d-v2"], &[], left),
+            answers(one(), &["d-v2"], &[], left()),
+            "others_left",
+        ),
+        (
+            "an engine of the other version has left, and all others are young",
+            answers_of_young(Vec::new(), &[], left()),
+            "others_left",
+        ),
+        (
+            "an engine of the other version is silent, and all others are young",
+            answers_of_young(engines(&[("v1", OLD)]), &["e-v1"], Vec::new()),
+            "others_silent",
         ),
         (
             "a server of an unknown version has left",
             answers(one(), &["d-v2"], &[], vec![removed]),
+            "others_left",
         ),
         (
             "the store has dropped its history",
@@ -250,14 +252,44 @@
                 history: relay::ListHistory::default(),
                 ..answers(one(), &["d-v2"], &[], Vec::new())
             },
+            "history_short",
         ),
     ];
 
-    for (case, answers) in cases {
-        assert_eq!(answers.found(), relay::StreamSoftware::Unprovable, "{case}");
+    for (case, answers, reason) in cases {
+        let (software, summary) = answers.search();
+
+        assert_eq!(software, relay::StreamSoftware::Unprovable, "{case}");
+        assert_eq!(reason_of(summary.unproven), reason, "{case}");
     }
 }
 
+/// Returns the name of the reason for which one part proves nothing; empty without such a part.
+fn reason_of(unproven: relay::UnprovenParts) -> &'static str {
+    let counts = [
+        ("several_versions", unproven.several_versions),
+        ("no_decode_engine", unproven.no_decode_engine),
+        ("others_silent", unproven.others_silent),
+        ("history_short", unproven.history_short),
+        ("others_left", unproven.others_left),
+    ];
+    let mut counted = counts.iter().filter(|(_, count)| *count == 1);
+    let reason = counted.next().map_or("", |(name, _)| name);
+    assert_eq!(unproven.total(), usize::from(!reason.is_empty()));
+    reason
+}
+
+/// Returns answers of young engines of `v2`, of which a decode engine holds the part, beside others.
+fn answers_of_young(
+    others: Vec<relay::BackendEntry>,
+    silent: &[&'static str],
+    changes: Vec<relay::ViewChange>,
+) -> Answers {
+    let young = engines(&[("v2", YOUNG)]);
+    let changes = [listings(&young), changes].concat();
+    answers([young, others].concat(), &["d-v2"], silent, changes)
+}
+
 /// Returns answers with a history of 20 s.
 fn answers(
     engines: Vec<relay::BackendEntry>,
