gateway, relay: answer each request before a planned stop ends

Cause: only the drain itself knew when the process ends. Nothing asked how much of the grace period is left when a request is whole, and nothing answered what was still open.

Change: DrainPlan holds the times of a stop. A request, or a retry, is sent on if its deadline or its expected duration lies before the end, and refused at once as not run otherwise. What is open 250 ms before the exit gets a complete answer, 502 if it may have run and 503 if not: calls, bodies that aren't whole, streams without an event, requests of and at other instances. Streams break off after a whole event 50 ms before the exit. `stopped` counts what callers were told. RunRecord replaces the count of runs that only charged requests had.

--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -56,8 +56,20 @@
     }
 
     pub(crate) async fn serve(mut self) -> relay_answer::RelayAnswer {
+        let gateway = sync::Arc::clone(&self.gateway);
+        tokio::select! {
+            biased;
+            answer = self.run() => answer,
+            () = gateway.core.answers_due() => self.end_open(),
+        }
+    }
+
+    async fn run(&mut self) -> relay_answer::RelayAnswer {
         let suspects = self.routed.request.suspects();
         loop {
+            if let Some(refusal) = self.gateway.late_call(&self.routed) {
+                return self.answer_failure(Some(refusal), None);
+            }
             if let Some(answer) = self.hand_over().await {
                 return answer;
             }
@@ -103,6 +115,12 @@
         }
     }
 
+    /// Answers a call that is open when this instance ends.
+    fn end_open(&mut self) -> relay_answer::RelayAnswer {
+        let answer = self.gateway.answer_at_end(&self.routed);
+        self.answer_locally(answer, Some(relay::DRAIN_REFUSAL))
+    }
+
     /// Lets another instance serve a call that no server has run, if this one doesn't reach the
     /// servers; returns `None` when none has taken it.
     async fn hand_over(&mut self) -> Option<relay_answer::RelayAnswer> {
@@ -145,14 +163,14 @@
             .time_left(time_left)
             .start_by(self.routed.deadline)
             .build();
-        self.routed.begin_run();
+        self.routed.runs.begin();
         let result = self
             .exchange_within(options, attempt_timeout, time_left)
             .await;
         if let attempt_result::AttemptResult::Failed { evidence, .. } = &result
             && evidence.proves_not_run()
         {
-            self.routed.disprove_run();
+            self.routed.runs.disprove();
         }
         let outcome = match &result {
             attempt_result::AttemptResult::Reply(_) => relay::BackendOutcome::Succeeded,
@@ -323,6 +341,17 @@
         } else {
             relay_answer::LocalAnswer::Unknown
         };
+        if let Some(refusal) = refusal {
+            self.gateway.count_refusal(&self.routed, refusal.reason);
+        }
+        self.answer_locally(answer, refusal)
+    }
+
+    fn answer_locally(
+        &mut self,
+        answer: relay_answer::LocalAnswer,
+        refusal: Option<relay::Refusal>,
+    ) -> relay_answer::RelayAnswer {
         let retry_after = (answer == relay_answer::LocalAnswer::NotRun)
             .then(|| refusal.map_or(REFUSED_RETRY_AFTER, |refusal| refusal.retry_after));
         let reason: Option<&str> = refusal.map(|refusal| refusal.reason.into());
--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -33,6 +33,16 @@
         connections: usize,
         /// Time since the shutdown signal.
         took_ms: u64,
+        /// Requests that came too late to end in time, and were refused as not run.
+        refused: u64,
+        /// Requests that were open at the end and had not run.
+        not_run: u64,
+        /// Requests that were open at the end and may have run.
+        unknown: u64,
+        /// Streams that were open at the end.
+        broken_off: u64,
+        /// Latest arrival of a request that was open at the end, since the shutdown signal.
+        latest_ms: u64,
     },
     /// The settings file was read again.
     Reloaded {
--- a/components/gateway/src/early_refusal.rs
+++ b/components/gateway/src/early_refusal.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use crate::{decision_event, gateway, relay_answer, relay_request};
+use crate::{decision_event, drain_tally, gateway, relay_answer, relay_request};
 
 /// Retry delay that callers receive while the instance may lack the configuration that decides on
 /// their keys. A copy of the configuration takes less.
@@ -38,6 +38,20 @@
         self.refuse_early(id, arrived, &refusal)
     }
 
+    /// Logs, counts and answers a request that isn't whole when this instance ends.
+    pub fn refuse_unread(&self, arrived: clock::Timestamp) -> relay_answer::RelayAnswer {
+        let answer = relay_answer::LocalAnswer::NotRun;
+        let outcome = drain_tally::DrainOutcome::Ended(answer);
+        self.core.count_drained(outcome, arrived);
+        let refusal = EarlyRefusal {
+            answer,
+            reason: Some(relay::DRAIN_REFUSAL.reason.into()),
+            route: None,
+            retry_after: Some(relay::DRAIN_REFUSAL.retry_after),
+        };
+        self.refuse_early("", arrived, &refusal)
+    }
+
     /// Logs, counts and answers a request that its key doesn't admit.
     pub(crate) fn refuse_key(
         &self,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     call_session, decision_event, decision_log, gateway_metrics, proxy_client, proxy_session,
-    relay_answer, relay_client, relay_request, shared_core, stream_session, workspace_charge,
+    relay_answer, relay_client, relay_request, run_record, shared_core, stream_session,
+    workspace_charge,
 };
 
 /// Retry delay that callers receive while the instance has no configuration.
@@ -29,6 +30,8 @@
     pub(crate) workspace: Option<sync::Arc<workspace::WorkspaceRule>>,
     /// What the request has drawn on the limit of its workspace.
     pub(crate) charge: Option<sync::Arc<workspace_charge::ChargeGuard>>,
+    /// Whether the request may have run.
+    pub(crate) runs: sync::Arc<run_record::RunRecord>,
     pub(crate) config_version: u64,
     pub(crate) arrived: clock::Timestamp,
     /// Whether the request is served for another instance, so that it isn't passed on.
@@ -123,6 +126,7 @@
                     route,
                     service,
                     charge: None,
+                    runs: sync::Arc::default(),
                     config_version: version,
                     arrived,
                     is_proxied: false,
@@ -171,6 +175,7 @@
                 route,
                 service,
                 charge: None,
+                runs: sync::Arc::default(),
                 config_version: version,
                 arrived,
                 is_proxied: true,
--- a/components/gateway/src/proxy_log.rs
+++ b/components/gateway/src/proxy_log.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::{decision_event, gateway, relay_answer};
+use crate::{decision_event, drain_tally, gateway, relay_answer};
 
 /// Records what becomes of a request that another instance serves. A log that is dropped before the
 /// end records that the caller disconnected.
@@ -14,6 +14,8 @@
     kind: relay::RequestKind,
     arrived: clock::Timestamp,
     proxy: net::Ipv4Addr,
+    /// Whether a stream of the other instance is relayed.
+    is_relaying: bool,
     ended: bool,
 }
 
@@ -38,6 +40,7 @@
             kind: routed.route.kind,
             arrived: routed.arrived,
             proxy,
+            is_relaying: false,
             ended: false,
         }
     }
@@ -68,13 +71,40 @@
         }
     }
 
+    /// Records that a stream of the other instance is relayed from now on.
+    pub(crate) const fn begin_relay(&mut self) {
+        self.is_relaying = true;
+    }
+
+    /// Returns whether the request is answered by this instance, which ends.
+    fn is_answered_here(&self) -> bool {
+        let core = &self.gateway.core;
+        let is_due = |plan: relay::DrainPlan| plan.answers_by <= core.now();
+        !self.is_relaying && core.drain_plan().is_some_and(is_due)
+    }
+
     /// Logs that the whole answer of a server was relayed.
     pub(crate) fn relayed(&mut self, status: http::StatusCode) {
         self.end("relayed", Some(status), None);
     }
 
+    /// Returns the time until streams break off since this instance ends, if it stops.
+    pub(crate) fn until_end(&self) -> Option<time::Duration> {
+        let core = &self.gateway.core;
+        Some(core.drain_plan()?.streams_by.since(core.now()))
+    }
+
+    /// Returns whether streams break off since this instance ends.
+    pub(crate) fn is_over(&self) -> bool {
+        self.until_end().is_some_and(|left| left.is_zero())
+    }
+
     /// Logs that a stream broke off.
     pub(crate) fn broken_off(&mut self) {
+        if self.is_over() {
+            let outcome = drain_tally::DrainOutcome::BrokenOff;
+            self.gateway.core.count_drained(outcome, self.arrived);
+        }
         self.end("broken_off", Some(http::StatusCode::OK), None);
     }
 
@@ -112,7 +142,7 @@
 
 impl Drop for ProxyLog {
     fn drop(&mut self) {
-        if !self.ended {
+        if !self.ended && !self.is_answered_here() {
             self.end("caller_left", None, None);
         }
     }
--- a/components/gateway/src/proxy_session.rs
+++ b/components/gateway/src/proxy_session.rs
@@ -69,14 +69,14 @@
             self.tried.push(proxy);
             let count = ProxiedCount::begin(&self.gateway, proxy);
             let mut log = proxy_log::ProxyLog::new(&self.gateway, &self.routed, proxy);
-            self.routed.begin_run();
+            self.routed.runs.begin();
             match self.forward(proxy).await {
                 Ok(proxy_client::ProxyReply::Declined) => {
-                    self.routed.disprove_run();
+                    self.routed.runs.disprove();
                     log.declined("declined");
                 }
                 Err(border::BorderError::NotSent { detail }) => {
-                    self.routed.disprove_run();
+                    self.routed.runs.disprove();
                     log.declined(&detail);
                 }
                 Ok(proxy_client::ProxyReply::Server(reply)) => {
@@ -87,7 +87,7 @@
                     retry_after,
                 }) => {
                     if answer == relay_answer::LocalAnswer::NotRun {
-                        self.routed.disprove_run();
+                        self.routed.runs.disprove();
                     }
                     return Some(log.answer(answer, retry_after));
                 }
@@ -130,6 +130,7 @@
         mut log: proxy_log::ProxyLog,
     ) -> relay_answer::RelayAnswer {
         if self.routed.route.kind == relay::RequestKind::Streaming {
+            log.begin_relay();
             return relay_answer::RelayAnswer::Stream {
                 status: reply.status,
                 headers: reply.headers,
@@ -162,13 +163,15 @@
     let state = Some((body, count, log));
     Box::pin(stream::unfold(state, |state| async move {
         let (mut body, count, mut log) = state?;
-        let next = tokio::time::timeout(STALL_TIMEOUT, body.next()).await;
+        let timeout = log.until_end().unwrap_or(STALL_TIMEOUT).min(STALL_TIMEOUT);
+        let next = tokio::time::timeout(timeout, body.next()).await;
         let chunk = match next {
             Ok(None) => {
                 log.relayed(http::StatusCode::OK);
                 return None;
             }
             Ok(Some(chunk)) => chunk,
+            Err(_) if log.is_over() => Err(lost("the instance ends")),
             Err(_) => Err(lost("the other instance is silent")),
         };
         match chunk {
--- a/components/gateway/src/shared_core.rs
+++ b/components/gateway/src/shared_core.rs
@@ -1,10 +1,12 @@
 //! Shares the relay core among the tasks of an instance.
 
-use std::{collections, sync, time};
+mod planned_stop;
 
-use tokio::sync::oneshot;
+use std::{collections, sync};
 
-use crate::view_message;
+use tokio::sync::{oneshot, watch};
+
+use crate::{drain_tally, view_message};
 
 /// View as sent to other instances, in the forms that they have asked for.
 #[derive(Default)]
@@ -26,6 +28,9 @@
     >,
     /// Last view that was sent to another instance.
     encoded_view: sync::Mutex<EncodedView>,
+    /// Times of the planned stop, once it has begun.
+    drain_plan: watch::Sender<Option<relay::DrainPlan>>,
+    drain_tally: drain_tally::DrainTally,
     /// Wakes the task that sends state updates to the other instances.
     pub(crate) state_changed: tokio::sync::Notify,
     /// Wakes the task that reads the platform's store.
@@ -45,6 +50,8 @@
             core: sync::Mutex::new(core),
             waiting: sync::Mutex::default(),
             encoded_view: sync::Mutex::default(),
+            drain_plan: watch::Sender::new(None),
+            drain_tally: drain_tally::DrainTally::default(),
             state_changed: tokio::sync::Notify::new(),
             view_behind: tokio::sync::Notify::new(),
             stream_sought: tokio::sync::Notify::new(),
@@ -143,10 +150,7 @@
         let outcome = receiver.await;
         guard.answered = true;
         self.state_changed.notify_one();
-        outcome.unwrap_or(relay::PlacementOutcome::Refused(relay::Refusal {
-            reason: relay::RefusalReason::ShuttingDown,
-            retry_after: time::Duration::from_millis(200),
-        }))
+        outcome.unwrap_or(relay::PlacementOutcome::Refused(relay::DRAIN_REFUSAL))
     }
 
     /// Delivers outcomes to waiting requests; releases the placements of requests whose callers
@@ -169,7 +173,7 @@
 const fn abandoned() -> relay::StreamCompletion {
     relay::StreamCompletion {
         outcome: relay::BackendOutcome::Abandoned,
-        first_token: time::Duration::ZERO,
+        first_token: std::time::Duration::ZERO,
     }
 }
 
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -126,7 +126,7 @@
         };
         loop {
             let started = self.gateway.core.now();
-            if let Some(refusal) = self.quarantine_refusal() {
+            if let Some(refusal) = self.quarantine_refusal().or_else(|| self.late_refusal()) {
                 guard.release(relay::BackendOutcome::Abandoned);
                 self.free_prefill_result(&mut prefill);
                 return Err(OpenError::Refused(refusal));
@@ -176,9 +176,18 @@
         self.generate(guard, prefill).await
     }
 
-    async fn request_placement(&mut self) -> Result<placement_guard::PlacementGuard, OpenError> {
-        let requested_at = self.gateway.core.now();
-        let request = relay::StreamRequest::builder()
+    /// Returns the refusal of a stream that can't be expected to end before this instance does.
+    pub(crate) fn late_refusal(&self) -> Option<relay::Refusal> {
+        self.gateway.core.drain_plan()?;
+        let request = self.placement_request();
+        let deadline = self.routed.deadline;
+        self.gateway
+            .core
+            .decide(|core, now| core.late_stream(now, &request, deadline))
+    }
+
+    fn placement_request(&self) -> relay::StreamRequest {
+        relay::StreamRequest::builder()
             .service(self.routed.service.clone())
             .priority(self.routed.priority())
             .workspace(self.routed.workspace_key())
@@ -192,7 +201,15 @@
             .maybe_warm_prefill(self.warm_prefill.as_ref().map(|(engine, _)| *engine))
             .suspects(self.routed.request.suspects())
             .avoid(self.excluded.clone())
-            .build();
+            .build()
+    }
+
+    async fn request_placement(&mut self) -> Result<placement_guard::PlacementGuard, OpenError> {
+        if let Some(refusal) = self.late_refusal() {
+            return Err(OpenError::Refused(refusal));
+        }
+        let requested_at = self.gateway.core.now();
+        let request = self.placement_request();
         let outcome = self.gateway.core.request_placement(request).await;
         let waited = self.gateway.core.now().since(requested_at);
         self.gateway.metrics.phase("queue", waited);
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -38,7 +38,7 @@
         let options = self.send_options(&engine, step, time_left);
         self.record_origin(&entry);
         guard.mark_sent();
-        self.routed.begin_run();
+        self.routed.runs.begin();
         let sending = self.gateway.client.send(&self.routed.request, options);
         let opening = started_stream::first_event(sending, self.last_event);
         let result = tokio::time::timeout(time_left, opening).await;
@@ -67,7 +67,7 @@
         }
         let not_run = failure.evidence.proves_not_run();
         if not_run {
-            self.routed.disprove_run();
+            self.routed.runs.disprove();
         } else {
             self.record_run(key);
         }
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -4,7 +4,9 @@
 
 use futures_util::stream;
 
-use crate::{buffered_reply, gateway, relay_answer, relay_request, run_evidence, stream_opener};
+use crate::{
+    buffered_reply, drain_tally, gateway, relay_answer, relay_request, run_evidence, stream_opener,
+};
 
 /// Time without an event after which a resumable stream is resumed on another engine. Sound engines
 /// pause for a second or so; callers leave after more than two.
@@ -21,6 +23,14 @@
     placed: Option<stream_opener::PlacedStream>,
 }
 
+/// Stream that has been opened.
+enum OpenedStream {
+    /// At an engine, which has sent the first event.
+    Here(Box<stream_opener::PlacedStream>),
+    /// At another instance, with its answer.
+    Elsewhere(relay_answer::RelayAnswer),
+}
+
 impl StreamSession {
     pub(crate) fn new(
         gateway: sync::Arc<gateway::Gateway>,
@@ -38,29 +48,18 @@
     }
 
     pub(crate) async fn serve(mut self) -> relay_answer::RelayAnswer {
-        if let Err(refusal) = self.opener.bind_to_origin().await {
-            return self.answer_failure(Some(refusal));
-        }
-        if self.opener.should_hand_over()
-            && let Some(answer) = self.hand_over().await
-        {
-            return answer;
-        }
-        let mut opened = self
-            .opener
-            .open(stream_opener::OpenMode::NewPlacement)
-            .await;
-        if matches!(opened, Err(stream_opener::OpenError::OutOfReach)) {
-            if let Some(answer) = self.hand_over().await {
-                return answer;
-            }
-            opened = Err(stream_opener::OpenError::Failed);
-        }
+        let gateway = sync::Arc::clone(&self.opener.gateway);
+        let opened = tokio::select! {
+            biased;
+            opened = self.open() => opened,
+            () = gateway.core.answers_due() => return self.end_open(),
+        };
         match opened {
-            Ok(placed) => {
+            Ok(OpenedStream::Elsewhere(answer)) => answer,
+            Ok(OpenedStream::Here(placed)) => {
                 let status = placed.stream.status;
                 let headers = placed.stream.headers.clone();
-                self.placed = Some(placed);
+                self.placed = Some(*placed);
                 relay_answer::RelayAnswer::Stream {
                     status,
                     headers,
@@ -75,6 +74,37 @@
         }
     }
 
+    /// Opens the stream, here or at another instance.
+    async fn open(&mut self) -> Result<OpenedStream, stream_opener::OpenError> {
+        if let Some(refusal) = self.opener.late_refusal() {
+            return Err(stream_opener::OpenError::Refused(refusal));
+        }
+        let bound = self.opener.bind_to_origin().await;
+        bound.map_err(stream_opener::OpenError::Refused)?;
+        if self.opener.should_hand_over()
+            && let Some(answer) = self.hand_over().await
+        {
+            return Ok(OpenedStream::Elsewhere(answer));
+        }
+        let opened = self
+            .opener
+            .open(stream_opener::OpenMode::NewPlacement)
+            .await;
+        if matches!(opened, Err(stream_opener::OpenError::OutOfReach))
+            && let Some(answer) = self.hand_over().await
+        {
+            return Ok(OpenedStream::Elsewhere(answer));
+        }
+        opened.map(|placed| OpenedStream::Here(Box::new(placed)))
+    }
+
+    /// Answers a request without an event that is open when this instance ends.
+    fn end_open(self) -> relay_answer::RelayAnswer {
+        let gateway = &self.opener.gateway;
+        let answer = gateway.answer_at_end(&self.opener.routed);
+        self.answer_locally(answer, Some(relay::DRAIN_REFUSAL))
+    }
+
     /// Lets another instance serve the request; returns `None` when none has taken it.
     async fn hand_over(&mut self) -> Option<relay_answer::RelayAnswer> {
         let gateway = sync::Arc::clone(&self.opener.gateway);
@@ -95,7 +125,7 @@
         }
     }
 
-    fn answer_failure(mut self, refusal: Option<relay::Refusal>) -> relay_answer::RelayAnswer {
+    fn answer_failure(self, refusal: Option<relay::Refusal>) -> relay_answer::RelayAnswer {
         let now = self.opener.gateway.core.now();
         let answer = if !self.opener.may_have_run() {
             relay_answer::LocalAnswer::NotRun
@@ -104,6 +134,18 @@
         } else {
             relay_answer::LocalAnswer::Unknown
         };
+        if let Some(refusal) = refusal {
+            let gateway = &self.opener.gateway;
+            gateway.count_refusal(&self.opener.routed, refusal.reason);
+        }
+        self.answer_locally(answer, refusal)
+    }
+
+    fn answer_locally(
+        mut self,
+        answer: relay_answer::LocalAnswer,
+        refusal: Option<relay::Refusal>,
+    ) -> relay_answer::RelayAnswer {
         let retry_after = (answer == relay_answer::LocalAnswer::NotRun)
             .then(|| refusal.map_or(REFUSED_RETRY_AFTER, |refusal| refusal.retry_after));
         self.opener.trace.ended(
@@ -139,6 +181,9 @@
                 Ok(Err(error)) => (relay::BackendOutcome::Broken, error.to_string()),
                 Err(_) => (relay::BackendOutcome::TimedOut, "stalled".to_owned()),
             };
+            if self.is_over() {
+                return Err(self.break_off());
+            }
             self.resume(outcome, error).await?;
         }
     }
@@ -152,7 +197,37 @@
         } else {
             time_left
         };
-        tokio::time::Instant::now() + timeout
+        let until_end = self.until_end().unwrap_or(timeout);
+        tokio::time::Instant::now() + timeout.min(until_end)
+    }
+
+    /// Returns the time until streams break off since this instance ends, if it stops.
+    fn until_end(&self) -> Option<time::Duration> {
+        let core = &self.opener.gateway.core;
+        let plan = core.drain_plan()?;
+        Some(plan.streams_by.since(core.now()))
+    }
+
+    fn is_over(&self) -> bool {
+        self.until_end().is_some_and(|left| left.is_zero())
+    }
+
+    /// Ends a stream that is open when this instance ends.
+    fn break_off(&mut self) -> border::BorderError {
+        let routed = &self.opener.routed;
+        let outcome = drain_tally::DrainOutcome::BrokenOff;
+        self.opener
+            .gateway
+            .core
+            .count_drained(outcome, routed.arrived);
+        self.placed = None;
+        let reason = Some(relay::RefusalReason::ShuttingDown);
+        self.opener
+            .trace
+            .ended("broken_off", reason, Some(200), None);
+        border::BorderError::Lost {
+            detail: "the instance ends".to_owned(),
+        }
     }
 
     fn count_event(&mut self, key: relay::StreamKey) {
--- a/components/gateway/src/workspace_charge.rs
+++ b/components/gateway/src/workspace_charge.rs
@@ -1,33 +1,21 @@
 //! Tokens that a request has drawn on the limit of its workspace.
 
-use std::{sync, sync::atomic};
+use std::sync;
 
-use crate::{decision_event, gateway, relay_answer, shared_core};
+use crate::{decision_event, gateway, relay_answer, run_record, shared_core};
 
 /// Tokens that a request has drawn on the limit of its workspace. They are given back when the guard
 /// is dropped, unless a server may have run the request.
 pub(crate) struct ChargeGuard {
     core: sync::Arc<shared_core::SharedCore>,
     charge: relay::WorkspaceCharge,
-    /// Attempts that may have run the request.
-    runs: atomic::AtomicU32,
-}
-
-impl ChargeGuard {
-    /// Records that the request is being sent to a server or to another instance, which may run it.
-    fn begin_run(&self) {
-        self.runs.fetch_add(1, atomic::Ordering::Relaxed);
-    }
-
-    /// Records that the last attempt has proved not to have run the request.
-    fn disprove_run(&self) {
-        self.runs.fetch_sub(1, atomic::Ordering::Relaxed);
-    }
+    /// Whether the request may have run.
+    runs: sync::Arc<run_record::RunRecord>,
 }
 
 impl Drop for ChargeGuard {
     fn drop(&mut self) {
-        if *self.runs.get_mut() > 0 {
+        if self.runs.may_have_run() {
             return;
         }
         let charge = self.charge;
@@ -36,22 +24,6 @@
     }
 }
 
-impl gateway::RoutedRequest {
-    /// Records that the request is being sent to a server or to another instance, which may run it.
-    pub(crate) fn begin_run(&self) {
-        if let Some(charge) = &self.charge {
-            charge.begin_run();
-        }
-    }
-
-    /// Records that the last attempt has proved not to have run the request.
-    pub(crate) fn disprove_run(&self) {
-        if let Some(charge) = &self.charge {
-            charge.disprove_run();
-        }
-    }
-}
-
 impl gateway::Gateway {
     /// Charges a request to its workspace; returns the answer to the caller if it is beyond the
     /// limit.
@@ -75,7 +47,7 @@
                 routed.charge = Some(sync::Arc::new(ChargeGuard {
                     core: sync::Arc::clone(&self.core),
                     charge,
-                    runs: atomic::AtomicU32::new(0),
+                    runs: sync::Arc::clone(&routed.runs),
                 }));
                 None
             }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod crash_quarantine;
 mod crash_report;
 mod decayed_count;
+mod drain_plan;
 mod engine_pool;
 mod engine_selector;
 mod engine_usage;
@@ -91,6 +92,7 @@
 pub use crash_notice::CrashNotice;
 pub use crash_quarantine::CrashQuarantine;
 pub use crash_report::{CrashReport, CrashSource, segment_hash};
+pub use drain_plan::DrainPlan;
 pub use engine_pool::EnginePool;
 pub use engine_selector::{EngineSelection, EngineSelector};
 pub use engine_usage::{EngineUsage, StreamLoad};
@@ -117,8 +119,9 @@
 pub use read_schedule::ViewStep;
 pub use refusal::{Refusal, RefusalReason};
 pub use relay_core::{
-    MovedStream, PlacementOutcome, RelayCore, RouteMatch, ServerProbe, ServerSelection, StageOrder,
-    StreamCompletion, StreamPlacement, StreamQuery, StreamSoftware, WorkspaceSpending,
+    DRAIN_REFUSAL, MovedStream, PlacementOutcome, RelayCore, RouteMatch, ServerProbe,
+    ServerSelection, StageOrder, StreamCompletion, StreamPlacement, StreamQuery, StreamSoftware,
+    WorkspaceSpending,
 };
 pub use request_identity::{RequestIdentity, RequestParts};
 pub use request_kind::RequestKind;
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -2,6 +2,7 @@
 
 mod core_calls;
 mod core_contact;
+mod core_drain;
 mod core_estimates;
 mod core_keys;
 mod core_limits;
@@ -25,14 +26,15 @@
 use rand::SeedableRng as _;
 
 use crate::{
-    backend, backend_registry, core_settings, crash_quarantine, fleet_topology, instance_registry,
-    key_judge, known_instance, limit_registry, order_gate, origin_registry, route_rule,
-    search_schedule, sent_state, service_estimate, share_registry, site_config, software_history,
-    software_key, spending_knowledge, stage_planner, stream_lease, view_tracker, wait_queue,
-    workspace_limits,
+    backend, backend_registry, core_settings, crash_quarantine, drain_plan, fleet_topology,
+    instance_registry, key_judge, known_instance, limit_registry, order_gate, origin_registry,
+    route_rule, search_schedule, sent_state, service_estimate, share_registry, site_config,
+    software_history, software_key, spending_knowledge, stage_planner, stream_lease, view_tracker,
+    wait_queue, workspace_limits,
 };
 
 pub use core_calls::ServerSelection;
+pub use core_drain::DRAIN_REFUSAL;
 pub use core_orders::StageOrder;
 pub use core_queue::PlacementOutcome;
 pub use core_reach::ServerProbe;
@@ -123,7 +125,8 @@
     usage_refreshed_at: clock::Timestamp,
     /// Whether a state update was received after `usage_refreshed_at`.
     usage_stale: bool,
-    draining: bool,
+    /// Times of the planned stop that this instance has begun.
+    drain_plan: Option<drain_plan::DrainPlan>,
     /// Hash of the name of this instance's data centre.
     data_centre_hash: u32,
     topology: fleet_topology::FleetTopology,
@@ -179,7 +182,7 @@
             sent_state: sent_state::SentState::default(),
             usage_refreshed_at: clock::Timestamp::default(),
             usage_stale: true,
-            draining: false,
+            drain_plan: None,
             data_centre_hash,
             topology: fleet_topology::FleetTopology::default(),
             topology_at: None,
@@ -217,12 +220,7 @@
     /// Returns whether the instance is ready to serve callers.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
-        !self.draining && self.tracker.is_known()
-    }
-
-    /// Starts draining: the instance is no longer ready, which its state updates report.
-    pub fn start_draining(&mut self) {
-        self.draining = true;
+        !self.is_draining() && self.tracker.is_known()
     }
 
     /// Matches the route of a request, decides whether its key admits it, selects its service and
--- a/components/relay/src/relay_core/core_orders.rs
+++ b/components/relay/src/relay_core/core_orders.rs
@@ -33,7 +33,7 @@
     /// Returns the orders to send now; empty unless this instance may give orders.
     pub fn due_orders(&mut self, now: clock::Timestamp, wall_millis: u64) -> Vec<StageOrder> {
         let context = self.order_context(now, wall_millis);
-        if !self.order_gate.allows(now, &context) || self.draining {
+        if !self.order_gate.allows(now, &context) || self.is_draining() {
             return Vec::new();
         }
         self.refresh_stale_usage(now);
--- a/components/relay/src/relay_core/core_routes.rs
+++ b/components/relay/src/relay_core/core_routes.rs
@@ -223,7 +223,7 @@
     /// Returns this instance as the others know it.
     pub(super) fn own_instance(&self, now: clock::Timestamp) -> known_instance::KnownInstance {
         let is_new = now.since(clock::Timestamp::default()) < FORWARDER_WARMUP;
-        let is_preferred = !is_new && !self.draining;
+        let is_preferred = !is_new && !self.is_draining();
         known_instance::KnownInstance {
             address: self.settings.address,
             data_centre: self.data_centre_hash,
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -129,7 +129,7 @@
                 .collect(),
         };
         let interval = self.full_update_interval(now);
-        if self.sent_state.needs_full_update(now, interval, &state) || self.draining {
+        if self.sent_state.needs_full_update(now, interval, &state) || self.is_draining() {
             self.sent_state.record_full_update(now, state);
             return self.full_update(now);
         }
@@ -183,7 +183,7 @@
             .address(self.settings.address)
             .incarnation(self.settings.incarnation)
             .sequence(self.update_sequence)
-            .leaving(self.draining)
+            .leaving(self.is_draining())
             .position(self.tracker.view().position)
             .config_version(self.tracker.view().config_version())
             .fingerprint(if age.is_some() {
--- a/components/relay/tests/partial_updates.rs
+++ b/components/relay/tests/partial_updates.rs
@@ -104,7 +104,7 @@
 
     sender.apply_store_read(at(20), at(20), common::view_changes(11, vec![removal]));
     let changed = sender.due_update(at(20));
-    sender.start_draining();
+    sender.start_draining(relay::DrainPlan::new(at(0), ms(8_000)));
     let draining = sender.due_update(at(30));
 
     assert!(!changed.partial && !draining.partial && draining.leaving);
--- a/components/relay/tests/views.rs
+++ b/components/relay/tests/views.rs
@@ -217,7 +217,7 @@
     let mut core = common::core_with(&[]);
     assert!(core.is_ready());
 
-    core.start_draining();
+    core.start_draining(relay::DrainPlan::new(at(0), ms(8_000)));
 
     assert!(!core.is_ready());
 }
