relay: prove no stream by memory that may have begun before the store's history

What callers could see: a stream that is taken up with more time left than the longest timeout of its routes goes on at a version that the memory of engines proves, although an engine of another version may have begun it and left before the history that was searched begins.

The search's elimination covers the lifetime of streams whose callers keep to their route's timeout; its result was used for all callers.

Change: with more time left than that lifetime nothing is proven by memory.

Evidence: stream_goes_on_that_may_have_begun_before_the_history_of_the_store failed before (Remembered where Unprovable is due).

--- a/components/relay/src/relay_core/core_software.rs
+++ b/components/relay/src/relay_core/core_software.rs
@@ -85,7 +85,10 @@
         if is_searchable {
             self.searches.seek(now, service);
         }
-        if let Some(software) = query.part.and_then(|part| self.read_at(now, part)) {
+        let read_at = query.part.and_then(|part| self.read_at(now, part));
+        // What the store shows of engines that have left covers no more than the lifetime of a stream.
+        let is_covered = query.time_left <= self.stream_lifetime();
+        if let Some(software) = read_at.filter(|_| is_covered) {
             return StreamSoftware::Remembered(software);
         }
         let has_started = now.since(clock::Timestamp::default()) >= LEARNING_TIME;
--- a/components/relay/tests/stream_search.rs
+++ b/components/relay/tests/stream_search.rs
@@ -58,11 +58,20 @@
 
 /// Takes a stream up.
 fn take_up(core: &mut relay::RelayCore, now: clock::Timestamp) -> relay::StreamSoftware {
+    take_up_with(core, now, ms(9_000))
+}
+
+/// Takes a stream up whose caller has `time_left`.
+fn take_up_with(
+    core: &mut relay::RelayCore,
+    now: clock::Timestamp,
+    time_left: time::Duration,
+) -> relay::StreamSoftware {
     let query = relay::StreamQuery {
         service: &common::GENERATING_SERVICE.into(),
         stream: Some(STREAM),
         part: Some(PART),
-        time_left: ms(9_000),
+        time_left,
     };
     core.stream_software(now, &query)
 }
@@ -109,6 +118,12 @@
 
     /// Returns what an instance makes of the stream after the search, and of the answers.
     fn search(&self) -> (relay::StreamSoftware, relay::SearchSummary) {
+        let (mut core, summary) = self.searched_core();
+        (take_up(&mut core, at(1_100)), summary)
+    }
+
+    /// Returns a core after the search, and what it makes of the answers.
+    fn searched_core(&self) -> (relay::RelayCore, relay::SearchSummary) {
         let mut core = common::empty_core();
         read_list(&mut core, at(0), &self.engines);
         take_up(&mut core, at(600));
@@ -129,7 +144,7 @@
             wall_millis: WALL_MILLIS,
         };
         let summary = core.apply_search(at(900), &result);
-        (take_up(&mut core, at(1_100)), summary)
+        (core, summary)
     }
 }
 
@@ -149,6 +164,16 @@
     assert_eq!(answers.found(), remembered("v1"));
 }
 
+#[test]
+fn stream_goes_on_that_may_have_begun_before_the_history_of_the_store() {
+    let answers = answers(engines(&[("v1", OLD)]), &["p-v1", "d-v1"], &[], Vec::new());
+    let (mut core, _) = answers.searched_core();
+
+    let found = take_up_with(&mut core, at(1_100), ms(25_000));
+
+    assert_eq!(found, relay::StreamSoftware::Unprovable);
+}
+
 #[test]
 fn engine_that_still_runs_a_stream_is_no_proof() {
     let mut core = common::empty_core();
