--- a/components/gateway/src/drain_tally.rs
+++ b/components/gateway/src/drain_tally.rs
@@ -15,7 +15,7 @@
     BrokenOff,
 }
 
-/// Counts what callers were told because their instance stops.
+/// Counts what callers are told because their instance stops.
 #[derive(Debug, Default)]
 pub(crate) struct DrainTally {
     refused: atomic::AtomicU64,
@@ -26,7 +26,7 @@
     latest_millis: atomic::AtomicU64,
 }
 
-/// Counts of a [`DrainTally`].
+/// What callers were told because their instance stops.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct DrainSummary {
     /// Requests that came too late to end in time, and were refused as not run.
