--- a/tests/node_soak/main.rs
+++ b/tests/node_soak/main.rs
@@ -5,7 +5,8 @@
 //! answer, no request that was answered with 503 ran, no draining server received requests after
 //! the drain timeout, few requests reached workers that had crashed several of them, no server got more
 //! than the limit that it named, no call ran with a key that was withdrawn or never in force and none was
-//! refused with a sound one, no server got a key, no more than two streams hold events of two software versions, callers
+//! refused with a sound one, no server got a key, no more than two streams hold events of two software versions, also after all
+//! processes have ended while one version gives way to the other, callers
 //! of processes that reach no worker are served nearly as often as the others, and no request is still
 //! running at the end.
 //!
@@ -26,6 +27,7 @@
 mod node_process;
 mod process_cuts;
 mod process_fault;
+mod replaced_version;
 mod soak_run;
 mod taken_up_streams;
 mod violation_checks;
@@ -114,6 +116,10 @@
             ));
         }
     }
+    // Processes of an earlier release take the memory of young engines for a proof.
+    if !node_process::runs_other(1) {
+        violations.extend(run.replace_version().await);
+    }
     let records = run.records.lock().expect("no caller panicked");
     let answered = records
         .iter()
--- a/tests/node_soak/taken_up_streams.rs
+++ b/tests/node_soak/taken_up_streams.rs
@@ -61,7 +61,7 @@
 }
 
 /// Returns the software versions that the events of a text name.
-fn versions(text: &str) -> impl Iterator<Item = String> {
+pub fn versions(text: &str) -> impl Iterator<Item = String> {
     text.lines()
         .filter_map(|line| line.split_once(fake_engine::VERSION_MARK))
         .map(|(_, version)| version.trim().to_owned())
@@ -75,17 +75,15 @@
     is_excused: impl Fn(usize, time::Instant) -> bool,
     served: f64,
 ) -> Vec<String> {
-    let mixed = streams.iter().filter(|stream| stream.versions.len() > 1);
-    let mixed = mixed.count();
     let counted = streams
         .iter()
         .filter(|stream| !is_excused(stream.process, stream.at));
     let goes_on: Vec<bool> = counted.map(|stream| stream.goes_on).collect();
     let share = goes_on.iter().filter(|goes_on| **goes_on).count() as f64 / goes_on.len() as f64;
     let mut violations = Vec::new();
-    if mixed > MIXED_STREAMS {
-        violations.push(format!("{mixed} streams hold events of two versions"));
-    }
+    violations.extend(mixed_violation(
+        streams.iter().map(|stream| &stream.versions),
+    ));
     if goes_on.len() >= MIN_STREAMS && share < served / 2.0 {
         let count = goes_on.len();
         violations.push(format!(
@@ -95,6 +93,14 @@
     violations
 }
 
+/// Returns the violation that the software versions of streams show, if any.
+pub fn mixed_violation<'a>(
+    streams: impl Iterator<Item = &'a collections::BTreeSet<String>>,
+) -> Option<String> {
+    let mixed = streams.filter(|versions| versions.len() > 1).count();
+    (mixed > MIXED_STREAMS).then(|| format!("{mixed} streams hold events of two versions"))
+}
+
 /// Makes engines of two versions name their version in their events.
 pub fn mark_engines(engines: &[fake_worker::FakeWorker]) {
     for engine in engines {
