gateway: count only requests that weren't run as refused in a planned stop

Cause: a retry that came too late counted as refused in `stopped`, although its caller is told 502, since an earlier attempt may have run the call. Change: the count follows the answer. Measured: no test of its own; platform planned_stops still passes (counts of 4 refused, 2 not run, 10 unknown, 2 broken off).

--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -341,9 +341,7 @@
         } else {
             relay_answer::LocalAnswer::Unknown
         };
-        if let Some(refusal) = refusal {
-            self.gateway.count_refusal(&self.routed, refusal.reason);
-        }
+        self.gateway.count_refusal(&self.routed, answer, refusal);
         self.answer_locally(answer, refusal)
     }
 
--- a/components/gateway/src/late_request.rs
+++ b/components/gateway/src/late_request.rs
@@ -25,13 +25,15 @@
         answer
     }
 
-    /// Counts a request that is refused since this instance stops.
+    /// Counts a request that is answered after a refusal, if it is refused since this instance stops.
     pub(crate) fn count_refusal(
         &self,
         routed: &gateway::RoutedRequest,
-        reason: relay::RefusalReason,
+        answer: relay_answer::LocalAnswer,
+        refusal: Option<relay::Refusal>,
     ) {
-        if reason == relay::RefusalReason::ShuttingDown {
+        let is_late = refusal.is_some_and(|refusal| refusal == relay::DRAIN_REFUSAL);
+        if is_late && answer == relay_answer::LocalAnswer::NotRun {
             let outcome = drain_tally::DrainOutcome::Refused;
             self.core.count_drained(outcome, routed.arrived);
         }
--- a/components/gateway/src/stream_session.rs
+++ b/components/gateway/src/stream_session.rs
@@ -134,10 +134,8 @@
         } else {
             relay_answer::LocalAnswer::Unknown
         };
-        if let Some(refusal) = refusal {
-            let gateway = &self.opener.gateway;
-            gateway.count_refusal(&self.opener.routed, refusal.reason);
-        }
+        let gateway = &self.opener.gateway;
+        gateway.count_refusal(&self.opener.routed, answer, refusal);
         self.answer_locally(answer, refusal)
     }
 
