--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -2,6 +2,7 @@
 //! without the disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod case_holders;
+mod case_odd_entry;
 mod case_silence;
 mod engine;
 mod site;
@@ -18,6 +19,7 @@
     let record = site::Record::create(&Path::new(folder).join("record.txt"));
     let verdict = match case.as_str() {
         "holders" => case_holders::play(&record, has_trouble),
+        "odd-entry" => case_odd_entry::play(&record, has_trouble),
         "silence" => case_silence::play(&record, has_trouble),
         _ => Err("no such case".to_owned()),
     };
