--- a/review/stand_in_2/case_holders.rs
+++ b/review/stand_in_2/case_holders.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    engine::{Deed, Fleet, Order, Pace},
+    engine::{Deed, Fleet, Kind, Order, Pace},
     site::{self, Node, Places, Record, Store, TempFolder},
 };
 
@@ -60,7 +60,13 @@
         ("i-05", "decode"),
         ("i-06", "decode"),
     ] {
-        fleet.start((places.ip(6), id, stage), PACE, record, &store);
+        let kind = Kind {
+            ip: places.ip(6),
+            id,
+            stage,
+            software: "v1",
+        };
+        fleet.start(kind, PACE, record, &store);
     }
     store.put("op/config", CONFIG);
     let seeds = [1, 2, 3];
--- a/review/stand_in_2/case_silence.rs
+++ b/review/stand_in_2/case_silence.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    engine::{Deed, Fleet, Pace},
+    engine::{Deed, Fleet, Kind, Pace},
     site::{self, Node, Places, Record, Store, StreamResult, TempFolder},
 };
 
@@ -70,7 +70,13 @@
         }
     });
     for (id, stage) in [("i-01", "prefill"), ("i-02", "decode"), ("i-03", "decode")] {
-        fleet.start((places.ip(3), id, stage), PACE, record, &store);
+        let kind = Kind {
+            ip: places.ip(3),
+            id,
+            stage,
+            software: "v1",
+        };
+        fleet.start(kind, PACE, record, &store);
     }
     store.put("op/config", CONFIG);
     let nodes: Vec<Node> = (1..=2)
--- a/review/stand_in_2/engine.rs
+++ b/review/stand_in_2/engine.rs
@@ -5,7 +5,7 @@
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -53,9 +53,25 @@
     Full,
 }
 
+/// What an engine is.
+#[derive(Clone, Copy)]
+pub struct Kind<'a> {
+    pub ip: Ipv4Addr,
+    pub id: &'a str,
+    pub stage: &'static str,
+    /// Version of its software, which its events name.
+    pub software: &'static str,
+}
+
 /// A model worker.
 pub struct Engine {
     pub id: String,
+    pub software: &'static str,
+    is_draining: AtomicBool,
+    /// Whether its entry is gone from the store; it goes on serving.
+    has_left: AtomicBool,
+    /// Parts of prompts in its memory.
+    parts: Mutex<BTreeSet<String>>,
     pub address: SocketAddr,
     service: &'static str,
     pace: Pace,
@@ -90,22 +106,26 @@
     /// Starts an engine, which registers in the store.
     pub fn start(
         self: &Arc<Self>,
-        (ip, id, stage): (Ipv4Addr, &str, &'static str),
+        kind: Kind<'_>,
         pace: Pace,
         record: &Arc<Record>,
         store: &Arc<Store>,
     ) {
-        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let listener = TcpListener::bind((kind.ip, 0)).expect("a free port");
         let engine = Arc::new(Engine {
-            id: id.to_owned(),
+            id: kind.id.to_owned(),
+            software: kind.software,
+            is_draining: AtomicBool::new(false),
+            has_left: AtomicBool::new(false),
+            parts: Mutex::default(),
             address: listener.local_addr().unwrap(),
             service: "dossier-llm",
             pace,
             born: site::unix_millis(),
             state: Mutex::new(EngineState {
-                stage,
+                stage: kind.stage,
                 busy_until: None,
-                next_stage: stage,
+                next_stage: kind.stage,
                 sequence: 0,
                 largest_fence: 0,
                 handles: BTreeSet::new(),
@@ -150,13 +170,34 @@
 }
 
 impl Engine {
+    /// Reports that the engine is draining.
+    pub fn drain(&self, store: &Store) {
+        self.is_draining.store(true, Ordering::Relaxed);
+        self.register(store, 1_000);
+    }
+
+    /// Removes the entry; the engine goes on with what it runs.
+    pub fn leave(&self, store: &Store) {
+        self.has_left.store(true, Ordering::Relaxed);
+        store.remove(&format!("servers/{}", self.id));
+    }
+
     fn register(&self, store: &Store, sequence: u64) {
+        if self.has_left.load(Ordering::Relaxed) {
+            return;
+        }
+        let state = if self.is_draining.load(Ordering::Relaxed) {
+            "draining"
+        } else {
+            "ready"
+        };
         let entry = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"bole\",\"version\":\"v1\",\"slots\":64,\
-             \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{},\"stage\":\"{}\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"bole\",\"version\":\"{}\",\"slots\":64,\
+             \"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":{sequence},\"born\":{},\"stage\":\"{}\",\
              \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}]}}",
             self.service,
             self.address,
+            self.software,
             self.born,
             self.stage()
         );
@@ -203,8 +244,15 @@
                 site::answer(stream, "200 OK", "", &body)
             }
             ("GET", "/kv-list") => {
+                let parts = self.parts.lock().unwrap();
+                let held: Vec<String> = parts
+                    .iter()
+                    .map(|part| format!("[\"\",\"{part}\",5000,\"m\"]"))
+                    .collect();
+                drop(parts);
                 let body = format!(
-                    "{{\"epoch\":1,\"nextToken\":1,\"held\":[],\"born\":{}}}",
+                    "{{\"epoch\":1,\"nextToken\":1,\"held\":[{}],\"born\":{}}}",
+                    held.join(","),
                     self.born
                 );
                 site::answer(stream, "200 OK", "", &body)
@@ -294,6 +342,7 @@
             return self.refuse(message, stream, "503 Service Unavailable");
         }
         thread::sleep(self.pace.prefill);
+        self.keep_parts(message);
         let handle = format!("h{}", self.fleet.handles.fetch_add(1, Ordering::Relaxed));
         self.state.lock().unwrap().handles.insert(handle.clone());
         let body = format!("{{\"kvHandle\":\"{handle}\",\"tokens\":1000,\"version\":1}}");
@@ -304,6 +353,13 @@
         site::answer(stream, "200 OK", &headers, &body)
     }
 
+    fn keep_parts(&self, message: &Message) {
+        let prefix = message.header("x-prompt-prefix").unwrap_or("");
+        let parts = prefix.split(',').filter_map(|part| part.split(':').next());
+        let mut known = self.parts.lock().unwrap();
+        known.extend(parts.map(str::to_owned));
+    }
+
     fn is_switching(&self) -> bool {
         self.state.lock().unwrap().busy_until.is_some()
     }
@@ -326,6 +382,7 @@
         if source.is_none() {
             thread::sleep(self.pace.prefill * 2);
         }
+        self.keep_parts(message);
         let last = message
             .header("last-event-id")
             .and_then(|last| last.parse().ok());
@@ -362,7 +419,10 @@
                 let left = until.saturating_duration_since(Instant::now());
                 thread::sleep(left.min(Duration::from_millis(20)));
             }
-            let event = format!("id: {number}\ndata: piece {number}\n\n");
+            let event = format!(
+                "id: {number}\ndata: piece {number} of {}\n\n",
+                self.software
+            );
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
                 return "the connection is closed";
--- a/review/stand_in_2/site.rs
+++ b/review/stand_in_2/site.rs
@@ -206,6 +206,8 @@
 #[derive(Default)]
 struct StoreState {
     revision: u64,
+    /// Revision up to which the history is gone.
+    dropped: u64,
     items: BTreeMap<String, (u64, u64, String)>,
     events: Vec<StoreEvent>,
 }
@@ -249,6 +251,26 @@
         self.changed.notify_all();
     }
 
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        state.items.remove(key);
+        let event = StoreEvent {
+            revision: state.revision,
+            key: key.to_owned(),
+            value: None,
+        };
+        state.events.push(event);
+        self.changed.notify_all();
+    }
+
+    /// Drops the history, sooner than `historyRetentionS` says.
+    pub fn compact(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.dropped = state.revision;
+        state.events.clear();
+    }
+
     fn answer(&self, message: &Message, stream: &mut TcpStream) -> bool {
         let path = message.target().split('?').next().unwrap_or("").to_owned();
         let prefix = message.query("prefix").unwrap_or_default();
@@ -276,6 +298,10 @@
                 let wait = message.query("waitMs").and_then(|wait| wait.parse().ok());
                 let until = Instant::now() + Duration::from_millis(wait.unwrap_or(0));
                 let mut state = self.state.lock().unwrap();
+                if after < state.dropped {
+                    drop(state);
+                    return answer(stream, "410 Gone", "", "{}");
+                }
                 while state.revision <= after && Instant::now() < until {
                     let left = until.saturating_duration_since(Instant::now());
                     state = self.changed.wait_timeout(state, left).unwrap().0;
@@ -484,6 +510,8 @@
     pub stamp: Option<String>,
     /// Numbers of the events.
     pub events: Vec<u64>,
+    /// Software versions that the events name.
+    pub versions: Vec<String>,
     /// Whether the answer came to its end.
     pub complete: bool,
     /// Longest pause before an event or the end.
@@ -538,6 +566,10 @@
         pending.push_str(&String::from_utf8_lossy(&chunk[..size]));
         while let Some(end) = pending.find("\n\n") {
             let event: String = pending.drain(..end + 2).collect();
+            let version = event.lines().find_map(|line| line.split_once(" of "));
+            if let Some((_, version)) = version {
+                result.versions.push(version.trim().to_owned());
+            }
             let number = event.lines().find_map(|line| line.strip_prefix("id: "));
             if let Some(number) = number.and_then(|number| number.trim().parse().ok()) {
                 result.events.push(number);
