--- a/review/stand_in_2/main.rs
+++ b/review/stand_in_2/main.rs
@@ -4,6 +4,7 @@
 mod case_holders;
 mod case_odd_entry;
 mod case_silence;
+mod case_take_up;
 mod case_versions;
 mod engine;
 mod site;
@@ -22,6 +23,7 @@
         "holders" => case_holders::play(&record, has_trouble),
         "odd-entry" => case_odd_entry::play(&record, has_trouble),
         "versions" => case_versions::play(&record, has_trouble),
+        "take-up" => case_take_up::play(&record, has_trouble),
         "silence" => case_silence::play(&record, has_trouble),
         _ => Err("no such case".to_owned()),
     };
--- a/review/stand_in_2/site.rs
+++ b/review/stand_in_2/site.rs
@@ -508,6 +508,8 @@
 pub struct StreamResult {
     pub status: u16,
     pub stamp: Option<String>,
+    /// Seconds after which the client is told to come back.
+    pub retry_after: Option<f64>,
     /// Numbers of the events.
     pub events: Vec<u64>,
     /// Software versions that the events name.
@@ -535,6 +537,9 @@
     };
     result.status = head.status();
     result.stamp = head.header("x-response-stamp").map(str::to_owned);
+    result.retry_after = head
+        .header("retry-after")
+        .and_then(|seconds| seconds.parse().ok());
     if let Some(length) = head.header("content-length") {
         let mut body = vec![0; length.parse().unwrap_or(0)];
         if reader.read_exact(&mut body).is_ok() {
