--- a/review/stand_in_2/case_odd_entry.rs
+++ b/review/stand_in_2/case_odd_entry.rs
@@ -149,7 +149,7 @@
     let places = Places::find(3);
     let folder = TempFolder::create();
     let store = Store::start(places.ip(3));
-    let servers = ["i-11", "i-12", "i-13"].map(|id| Server::start(id, &places, record));
+    let servers = ["i-11", "i-12", "i-13", "i-14"].map(|id| Server::start(id, &places, record));
     for server in &servers {
         server.register(&store, 0);
     }
