--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -257,6 +257,8 @@
         runs: usize,
         /// Parts of prompts that prove the software version at which their streams began.
         parts: usize,
+        /// Those whose engines are sent no prompts which another version was sent first.
+        sent_first: usize,
         /// Parts of prompts that prove nothing; the next fields tell why.
         ambiguous: usize,
         /// Parts that engines of several versions hold.
--- a/components/gateway/src/origin_message.rs
+++ b/components/gateway/src/origin_message.rs
@@ -19,6 +19,41 @@
     /// Times within which callers may take the streams up, in the order of `streams`.
     #[prost(uint32, repeated, tag = "4")]
     remaining_ms: Vec<u32>,
+    /// Hashes of the last parts of the streams' prompts, in the order of `streams`; 0 for a prompt without
+    /// a part of its own. Earlier releases send none.
+    #[prost(fixed64, repeated, tag = "5")]
+    parts: Vec<u64>,
+    /// Positions in `streams` of those whose prompts no prefill engine was sent.
+    #[prost(uint32, repeated, tag = "6")]
+    without_prefill: Vec<u32>,
+}
+
+impl OriginMessage {
+    fn add(&mut self, report: &relay::OriginReport) {
+        let position = u32::try_from(self.streams.len()).unwrap_or(u32::MAX);
+        self.streams.push(report.stream);
+        self.remaining_ms
+            .push(peer_message::whole_millis(report.remaining));
+        self.parts
+            .push(report.prompt.map_or(0, |prompt| prompt.part));
+        if report.prompt.is_some_and(|prompt| !prompt.to_prefill) {
+            self.without_prefill.push(position);
+        }
+    }
+
+    /// Returns the prompt of the stream at a position.
+    fn prompt(&self, position: usize) -> Option<relay::SentPrompt> {
+        let part = self
+            .parts
+            .get(position)
+            .copied()
+            .filter(|part| *part != 0)?;
+        let is_at = |other: &u32| usize::try_from(*other) == Ok(position);
+        Some(relay::SentPrompt {
+            part,
+            to_prefill: !self.without_prefill.iter().any(is_at),
+        })
+    }
 }
 
 /// Encodes reports, those of a version together.
@@ -26,31 +61,31 @@
     let mut messages: collections::BTreeMap<relay::SoftwareKey, OriginMessage> =
         collections::BTreeMap::new();
     for report in reports {
-        let message = messages
+        messages
             .entry(report.software)
             .or_insert_with(|| OriginMessage {
                 service: report.software.service,
                 version: report.software.version,
                 ..OriginMessage::default()
-            });
-        message.streams.push(report.stream);
-        message
-            .remaining_ms
-            .push(peer_message::whole_millis(report.remaining));
+            })
+            .add(report);
     }
     messages.into_values().collect()
 }
 
 /// Decodes the reports of a version.
-pub(crate) fn decode(message: OriginMessage) -> impl Iterator<Item = relay::OriginReport> {
+pub(crate) fn decode(message: &OriginMessage) -> impl Iterator<Item = relay::OriginReport> {
     let software = relay::SoftwareKey {
         service: message.service,
         version: message.version,
     };
-    let streams = message.streams.into_iter().zip(message.remaining_ms);
-    streams.map(move |(stream, millis)| relay::OriginReport {
-        stream,
-        software,
-        remaining: time::Duration::from_millis(millis.into()),
-    })
+    let streams = message.streams.iter().zip(&message.remaining_ms);
+    streams
+        .enumerate()
+        .map(move |(position, (stream, millis))| relay::OriginReport {
+            stream: *stream,
+            software,
+            remaining: time::Duration::from_millis((*millis).into()),
+            prompt: message.prompt(position),
+        })
 }
--- a/components/gateway/src/peer_message.rs
+++ b/components/gateway/src/peer_message.rs
@@ -108,6 +108,9 @@
     orders_by_share: bool,
     #[prost(message, optional, tag = "40")]
     search: Option<search_message::SearchMessage>,
+    /// Whether the sender tells of the prompts of its streams.
+    #[prost(bool, tag = "41")]
+    tells_prompts: bool,
 }
 
 /// Number of requests and retries of one service.
@@ -191,6 +194,7 @@
         knows_spending: update.knows_spending,
         shares: update.shares.iter().map(share_message::encode).collect(),
         orders_by_share: update.orders_by_share,
+        tells_prompts: update.tells_prompts,
         search: search_message::encode(&update.search),
         estimates: update
             .estimates
@@ -273,10 +277,11 @@
         .limits(message.limits.iter().map(limit_message::decode).collect())
         .shares(message.shares.iter().map(share_message::decode).collect())
         .orders_by_share(message.orders_by_share)
+        .tells_prompts(message.tells_prompts)
         .origins(
             message
                 .origins
-                .into_iter()
+                .iter()
                 .flat_map(origin_message::decode)
                 .collect(),
         )
--- a/components/gateway/src/stream_opener.rs
+++ b/components/gateway/src/stream_opener.rs
@@ -197,6 +197,7 @@
             .first_token_due(self.routed.arrived + self.routed.route.latency_target)
             .wait_until(self.wait_until())
             .resumes(self.trace.has_started() || self.is_resumption)
+            .maybe_part(self.prompt_part())
             .maybe_software(self.bound_software())
             .maybe_warm_prefill(self.warm_prefill.as_ref().map(|(engine, _)| *engine))
             .suspects(self.routed.request.suspects())
--- a/components/gateway/src/stream_opener/software_lookup.rs
+++ b/components/gateway/src/stream_opener/software_lookup.rs
@@ -74,12 +74,16 @@
     }
 
     fn prompt_software(&self) -> Option<relay::SoftwareKey> {
-        let part = self.routed.request.last_part?;
-        let is_resumable = self.routed.route.resumable;
-        self.gateway.core.decide(|core, now| {
-            let software = core.prompt_software(now, &self.routed.service, part);
-            software.filter(|_| is_resumable)
-        })
+        let part = self.prompt_part()?;
+        self.gateway
+            .core
+            .decide(|core, now| core.prompt_software(now, &self.routed.service, part))
+    }
+
+    /// Returns the hash of the last part of the prompt, if the caller may take the stream up.
+    pub(super) fn prompt_part(&self) -> Option<u64> {
+        let part = self.routed.request.last_part;
+        part.filter(|_| self.routed.route.resumable)
     }
 
     fn log_lookup(&self, found: relay::StreamSoftware, took: time::Duration) {
@@ -98,22 +102,30 @@
             });
     }
 
-    /// Records the software version of the engine that is sent the request, and tells the other
-    /// instances, where the caller may take the stream up.
-    pub(super) fn record_origin(&self, engine: &relay::BackendEntry) {
+    /// Records the software version of the engine that is sent the request, or its prompt, and tells the
+    /// other instances, where the caller may take the stream up. `to_prefill` tells whether a prefill
+    /// engine is sent the prompt.
+    pub(super) fn record_origin(&self, engine: &relay::BackendEntry, to_prefill: bool) {
         if !self.routed.route.resumable {
             return;
         }
         let request = &self.routed.request;
         let stream = relay::stream_hash(request.begun_by.as_ref().unwrap_or(&request.id));
         let deadline = self.routed.arrived + request.time_left;
-        let software = relay::SoftwareKey::of(engine);
-        self.gateway.core.decide(|core, now| {
-            core.record_origin(now, stream, software, deadline.since(now));
-            if let Some(part) = request.last_part {
-                core.record_prompt(now, part, software);
-            }
+        let prompt = self
+            .prompt_part()
+            .map(|part| relay::SentPrompt { part, to_prefill });
+        let is_news = self.gateway.core.decide(|core, now| {
+            let report = relay::OriginReport {
+                stream,
+                software: relay::SoftwareKey::of(engine),
+                remaining: deadline.since(now),
+                prompt,
+            };
+            core.record_origin(now, &report)
         });
-        self.gateway.core.state_changed.notify_one();
+        if is_news {
+            self.gateway.core.state_changed.notify_one();
+        }
     }
 }
--- a/components/gateway/tests/events.rs
+++ b/components/gateway/tests/events.rs
@@ -153,7 +153,12 @@
                 stream: numbers[0],
                 software: relay::SoftwareKey { service: numbers[1], version: numbers[2] },
                 remaining: time::Duration::from_millis(14_000),
+                prompt: (numbers[4] % 3 > 0).then_some(relay::SentPrompt {
+                    part: numbers[3] | 1,
+                    to_prefill: numbers[4] % 3 > 1,
+                }),
             }])
+            .tells_prompts(numbers[5] % 2 == 0)
             .crashes(relay::CrashNotice {
                 reports: vec![relay::CrashReport {
                     suspect: numbers[0],
--- a/components/relay/src/engine_selector.rs
+++ b/components/relay/src/engine_selector.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     backend, backend_entry, backend_registry, engine_pool, engine_usage, limit_registry,
-    memory_forecast, service_rule, software_key, stream_request,
+    memory_forecast, prompt_terms, service_rule, software_key, stream_request,
 };
 
 /// Cost of a KV cache transfer between data centres, as time.
@@ -80,6 +80,8 @@
     pub data_centre: Option<&'a ids::DataCentreName>,
     /// Software versions whose engines are left to waiting streams that are bound to them.
     pub reserved: &'a collections::BTreeSet<software_key::SoftwareKey>,
+    /// Engines that may be sent the prompt.
+    pub prompt: &'a prompt_terms::PromptTerms,
     /// Current time.
     pub now: clock::Timestamp,
 }
@@ -96,10 +98,10 @@
             .willing(request, backend_entry::EngineStage::Prefill)
             .map(|(_, engine)| engine.software)
             .collect();
-        self.engines(request, backend_entry::EngineStage::Decode)
-            .filter(|(_, engine)| self.has_capacity(engine, request))
+        self.decode_engines(request)
             .flat_map(|(decode, engine)| {
-                let has_prefill = with_prefill.contains(&engine.software);
+                let has_prefill = with_prefill.contains(&engine.software)
+                    && !self.prompt.are_without_prefill(engine.software);
                 self.pairs(decode, engine, &prefills, has_prefill)
             })
             .min_by(|(left, _), (right, _)| left.total_cmp(right))
@@ -112,9 +114,8 @@
         &self,
         request: &stream_request::StreamRequest,
     ) -> Option<backend::BackendKey> {
-        self.engines(request, backend_entry::EngineStage::Decode)
-            .filter(|(_, engine)| self.has_capacity(engine, request))
-            .map(|(decode, engine)| (decode, self.decode_cost(engine)))
+        self.decode_engines(request)
+            .map(|(decode, engine)| (decode, self.decode_cost(decode, engine)))
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(decode, _)| decode)
     }
@@ -165,6 +166,16 @@
             .filter(|(_, engine)| self.limits.has_token(self.now, engine.incarnation))
     }
 
+    /// Returns the decode engines with capacity that may be sent a request now.
+    fn decode_engines<'b>(
+        &'b self,
+        request: &'b stream_request::StreamRequest,
+    ) -> impl Iterator<Item = (backend::BackendKey, &'b backend::Backend)> {
+        self.engines(request, backend_entry::EngineStage::Decode)
+            .filter(|(key, engine)| self.prompt.allow(*key, engine))
+            .filter(|(_, engine)| self.has_capacity(engine, request))
+    }
+
     /// Returns the engines of a stage that accept work, now or when their rate limit allows it.
     fn willing<'b>(
         &'b self,
@@ -191,7 +202,7 @@
     }
 
     /// Returns the pairs of a decode engine with prefill engines of its software version, with their
-    /// costs.
+    /// costs, or the decode engine alone if `has_prefill` is false.
     fn pairs<'b>(
         &'b self,
         decode: backend::BackendKey,
@@ -199,7 +210,7 @@
         prefills: &'b [PrefillCost<'b>],
         has_prefill: bool,
     ) -> impl Iterator<Item = (f64, EngineSelection)> + 'b {
-        let base = self.decode_cost(engine);
+        let base = self.decode_cost(decode, engine);
         let own_wait = engine.prefill_wait() * DECODE_PREFILL_SLOWDOWN;
         let prefills_itself = !has_prefill && own_wait <= PREFILL_WAIT_LIMIT;
         let decode_only = prefills_itself.then_some((
@@ -212,7 +223,7 @@
         ));
         let available = prefills
             .iter()
-            .filter(|prefill| prefill.software == engine.software)
+            .filter(move |prefill| has_prefill && prefill.software == engine.software)
             .filter(|prefill| prefill.wait <= PREFILL_WAIT_LIMIT);
         let paired = available.map(move |prefill| {
             let crosses_centres = *prefill.data_centre != engine.entry.data_centre;
@@ -263,7 +274,7 @@
         f64::from(u16::try_from(hash & 0xffff).unwrap_or(0)) / f64::from(u16::MAX)
     }
 
-    fn decode_cost(&self, engine: &backend::Backend) -> f64 {
+    fn decode_cost(&self, key: backend::BackendKey, engine: &backend::Backend) -> f64 {
         let is_remote = self
             .data_centre
             .is_some_and(|own_centre| engine.entry.data_centre != *own_centre);
@@ -274,7 +285,8 @@
         };
         let utilization = UTILIZATION_COST.mul_f64(self.utilization(engine));
         let jitter = UTILIZATION_COST.mul_f64(self.jitter * self.random_share(engine));
-        (distance + utilization + jitter + BASE_DECODE_COST).as_secs_f64()
+        let repeat = self.prompt.cost(key, engine);
+        (distance + utilization + jitter + repeat + BASE_DECODE_COST).as_secs_f64()
             * engine.health.cost_factor(self.now)
     }
 }
--- a/components/relay/src/instance_registry/fleet_reports.rs
+++ b/components/relay/src/instance_registry/fleet_reports.rs
@@ -61,6 +61,15 @@
             .all(|state| state.update.orders_by_share)
     }
 
+    /// Returns whether all other instances in touch tell of the prompts of their streams.
+    #[must_use]
+    pub fn all_tell_prompts(&self, now: clock::Timestamp) -> bool {
+        self.states
+            .values()
+            .filter(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
+            .all(|state| state.update.tells_prompts)
+    }
+
     /// Returns the usage of services, by their hash, by workspaces at the other instances. The counts of
     /// silent instances decay.
     pub(crate) fn shares(
--- a/components/relay/src/instance_update.rs
+++ b/components/relay/src/instance_update.rs
@@ -98,6 +98,10 @@
     /// it.
     #[builder(default)]
     pub orders_by_share: bool,
+    /// Whether the sender tells of the prompts of its streams, and reads without a prefill engine those of
+    /// streams that began at another software version. Partial updates omit it.
+    #[builder(default)]
+    pub tells_prompts: bool,
     /// What the sender tells about streams whose software version no instance knows.
     #[builder(default)]
     pub search: search_notice::SearchNotice,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -41,6 +41,8 @@
 mod origin_registry;
 mod origin_report;
 mod prefill_model;
+mod prompt_registry;
+mod prompt_terms;
 mod quarantine_entry;
 mod queue_update;
 mod read_schedule;
@@ -113,8 +115,9 @@
 pub use next_step::{AttemptCount, NextStep, StepFailure, StreamStep};
 pub use order_gate::{OrderContext, OrderGate};
 pub use origin_registry::OriginRegistry;
-pub use origin_report::{OriginReport, stream_hash};
+pub use origin_report::{OriginReport, SentPrompt, stream_hash};
 pub use prefill_model::PrefillModel;
+pub use prompt_terms::PromptTerms;
 pub use queue_update::QueueUpdate;
 pub use read_schedule::ViewStep;
 pub use refusal::{Refusal, RefusalReason};
@@ -143,7 +146,8 @@
 pub use stream_lease::{StreamKey, StreamLease};
 pub use stream_request::StreamRequest;
 pub use stream_search::{
-    EngineMemory, ListHistory, SearchResult, SearchSummary, StreamSearch, UnprovenParts, part_hash,
+    EngineMemory, ListHistory, ProvenParts, SearchResult, SearchSummary, StreamSearch,
+    UnprovenParts, part_hash,
 };
 pub use update_routes::{ForwardScope, GreetingUpdate, UpdateEffect, UpdateRoutes};
 pub use view_announcement::ViewAnnouncement;
--- a/components/relay/src/memory_evidence.rs
+++ b/components/relay/src/memory_evidence.rs
@@ -4,23 +4,44 @@
 //! instance knows anything. An engine keeps the parts of the prompts that it has read, and the last
 //! part of a prompt belongs to one request or session. A part in memory shows that a prompt was read
 //! there since the engine started, but not that a stream began there: an engine of another version may
-//! have read the prompt before. So each engine of another version that can have begun the stream has to
-//! deny it: it is listed and answers that it doesn't hold the part, and the platform's store shows that
-//! no other one has left since.
+//! have read the prompt before.
+//!
+//! Two grounds prove a version. Instances bind a prompt to the version that was sent it first, as long as
+//! decode engines of it take new work. While a stream may be taken up that began with it elsewhere, a
+//! version is sent it at its repeat engine alone, and without a prefill engine. So where a prefill engine
+//! holds a part as well, or another decode engine than the repeat engine, no stream with it has begun at
+//! another version. Otherwise each engine of another version that can have begun the stream has to deny
+//! it: it is listed and answers that it doesn't hold the part, and the platform's store shows that no other
+//! one has left since.
 
 use std::{collections, time};
 
-use crate::{backend_entry, software_key, stream_search, view_change};
+use crate::{backend_entry, prompt_terms, software_key, stream_search, view_change};
+
+/// Time from the start of an engine until all instances know it, with the difference of clocks.
+const REGISTRATION_TIME: time::Duration = time::Duration::from_secs(5);
 
 /// What the memory of the engines shows about a part of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum PartEvidence {
     /// Streams with the part began at the only version whose engines hold it.
-    Proven(software_key::SoftwareKey),
+    Proven {
+        software: software_key::SoftwareKey,
+        ground: ProofGround,
+    },
     /// It proves nothing.
     Unproven(UnprovenReason),
 }
 
+/// Ground on which a part proves the version of its streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ProofGround {
+    /// Engines of the version hold the part that are sent no prompts which another version was sent first.
+    SentFirst,
+    /// The engines of all other versions deny that they hold the part.
+    Elimination,
+}
+
 /// Reason for which a part that engines hold doesn't prove the version of its streams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum UnprovenReason {
@@ -43,6 +64,12 @@
     has_several_versions: bool,
     /// Whether a decode engine holds the part; prefill engines alone don't begin a stream.
     has_decode: bool,
+    /// Whether one of these takes new work.
+    has_serving_decode: bool,
+    /// Largest weight for the part of the decode engines that hold it.
+    largest_weight: u64,
+    /// Whether an engine holds the part that has been a prefill engine since the part was read.
+    has_prefill: bool,
 }
 
 /// Engines that have left the platform's list.
@@ -61,11 +88,22 @@
     left: LeftEngines,
     /// Whether the history covers the time within which a stream can have begun.
     has_history: bool,
+    /// Names of engines that have changed stage, as the history shows.
+    changed: collections::BTreeSet<ids::ServerName>,
+    /// Decode engines that have taken new work for as long as a stream can have begun.
+    lasting: collections::BTreeMap<software_key::SoftwareKey, Vec<ids::ServerName>>,
+    /// Whether all instances tell each other of the prompts that they send.
+    tells_prompts: bool,
 }
 
 impl MemoryEvidence {
-    /// Evaluates answers; `lifetime` is the time within which a stream can have begun.
-    pub(crate) fn new(result: &stream_search::SearchResult, lifetime: time::Duration) -> Self {
+    /// Evaluates answers; `lifetime` is the time within which a stream can have begun, and
+    /// `tells_prompts` whether all instances tell each other of the prompts that they send.
+    pub(crate) fn new(
+        result: &stream_search::SearchResult,
+        lifetime: time::Duration,
+        tells_prompts: bool,
+    ) -> Self {
         let answered: collections::BTreeSet<&ids::ServerName> = result
             .memories
             .iter()
@@ -80,24 +118,57 @@
                 .collect(),
             left: left_engines(result),
             has_history: result.history.span >= lifetime && is_complete(result),
+            changed: changed_engines(result),
+            lasting: collections::BTreeMap::new(),
+            tells_prompts,
         };
+        evidence.add_lasting(result, lifetime);
         for memory in &result.memories {
             evidence.add(memory);
         }
         evidence
     }
 
+    fn add_lasting(&mut self, result: &stream_search::SearchResult, lifetime: time::Duration) {
+        let known_for = lifetime + REGISTRATION_TIME;
+        let known_for = u64::try_from(known_for.as_millis()).unwrap_or(u64::MAX);
+        let latest_start = result.wall_millis.saturating_sub(known_for);
+        let engines = result.search.engines.iter().filter(|engine| {
+            engine.stage == Some(backend_entry::EngineStage::Decode)
+                && !engine.leaving
+                && engine.born_millis <= latest_start
+                && !self.changed.contains(&engine.server)
+        });
+        for engine in engines {
+            let software = software_key::SoftwareKey::of(engine);
+            let lasting = self.lasting.entry(software).or_default();
+            lasting.push(engine.server.clone());
+        }
+    }
+
     fn add(&mut self, memory: &stream_search::EngineMemory) {
         let software = software_key::SoftwareKey::of(&memory.engine);
-        let is_decode = memory.engine.stage == Some(backend_entry::EngineStage::Decode);
+        let engine = &memory.engine;
+        let is_decode = engine.stage == Some(backend_entry::EngineStage::Decode);
+        let is_prefill = engine.stage == Some(backend_entry::EngineStage::Prefill)
+            && !self.changed.contains(&engine.server);
         for part in &memory.parts {
             let holders = self.holders.entry(*part).or_insert(PartHolders {
                 software,
                 has_several_versions: false,
                 has_decode: false,
+                has_serving_decode: false,
+                largest_weight: 0,
+                has_prefill: false,
             });
             holders.has_several_versions |= holders.software != software;
+            if is_decode {
+                let weight = prompt_terms::engine_weight(*part, &engine.server);
+                holders.largest_weight = holders.largest_weight.max(weight);
+            }
             holders.has_decode |= is_decode;
+            holders.has_serving_decode |= is_decode && !engine.leaving;
+            holders.has_prefill |= is_prefill;
         }
     }
 
@@ -105,16 +176,19 @@
     pub(crate) fn parts(&self) -> impl Iterator<Item = (u64, PartEvidence)> {
         self.holders
             .iter()
-            .map(|(part, holders)| (*part, self.judge(holders)))
+            .map(|(part, holders)| (*part, self.judge(*part, holders)))
     }
 
-    fn judge(&self, holders: &PartHolders) -> PartEvidence {
+    fn judge(&self, part: u64, holders: &PartHolders) -> PartEvidence {
         let software = holders.software;
         let others_answered = self.silent.iter().all(|silent| *silent == software);
+        let proven = |ground| PartEvidence::Proven { software, ground };
         let reason = if holders.has_several_versions {
             UnprovenReason::SeveralVersions
         } else if !holders.has_decode {
             UnprovenReason::NoDecodeEngine
+        } else if self.was_sent_first(part, holders) {
+            return proven(ProofGround::SentFirst);
         } else if !others_answered {
             UnprovenReason::OthersSilent
         } else if !self.has_history {
@@ -122,18 +196,53 @@
         } else if !self.left.are_of(software) {
             UnprovenReason::OthersLeft
         } else {
-            return PartEvidence::Proven(software);
+            return proven(ProofGround::Elimination);
         };
         PartEvidence::Unproven(reason)
     }
 }
 
+impl MemoryEvidence {
+    /// Returns whether the engines that hold a part are sent no prompts which another version was sent
+    /// first.
+    fn was_sent_first(&self, part: u64, holders: &PartHolders) -> bool {
+        let lasting = self.lasting.get(&holders.software).into_iter().flatten();
+        let mut weights = lasting.map(|server| prompt_terms::engine_weight(part, server));
+        let has_repeat_engine = weights.any(|weight| weight > holders.largest_weight);
+        let was_first = holders.has_prefill || has_repeat_engine;
+        self.tells_prompts && holders.has_serving_decode && was_first
+    }
+}
+
 impl LeftEngines {
     fn are_of(&self, software: software_key::SoftwareKey) -> bool {
         !self.has_unknown && self.versions.iter().all(|version| *version == software)
     }
 }
 
+/// Returns the names of the searched engines that changes of the list show at another stage.
+fn changed_engines(result: &stream_search::SearchResult) -> collections::BTreeSet<ids::ServerName> {
+    let engines = result.search.engines.iter();
+    let stages: collections::BTreeMap<_, _> = engines
+        .map(|engine| (&engine.server, engine.stage))
+        .collect();
+    let changed = result
+        .history
+        .changes
+        .iter()
+        .filter_map(|change| match change {
+            view_change::ViewChange::Backend(entry) => Some(entry),
+            _ => None,
+        });
+    changed
+        .filter(|entry| {
+            let stage = stages.get(&entry.server);
+            stage.is_some_and(|stage| *stage != entry.stage)
+        })
+        .map(|entry| entry.server.clone())
+        .collect()
+}
+
 /// Returns the engines of the searched service that the history shows and the list no longer contains.
 fn left_engines(result: &stream_search::SearchResult) -> LeftEngines {
     let mut left = LeftEngines::default();
--- a/components/relay/src/origin_registry.rs
+++ b/components/relay/src/origin_registry.rs
@@ -31,6 +31,8 @@
 struct StreamOrigin {
     software: software_key::SoftwareKey,
     expires_at: clock::Timestamp,
+    /// Prompt that engines of the version were sent.
+    prompt: Option<origin_report::SentPrompt>,
     /// Process that tells of the stream; `None` if this instance does.
     reporter: Option<OriginReporter>,
     /// Number of updates that have told of the stream, by which those told least come first.
@@ -50,29 +52,28 @@
 }
 
 impl OriginRegistry {
-    /// Records that a stream of this instance is begun, or goes on, at a software version.
-    pub fn record(
-        &mut self,
-        now: clock::Timestamp,
-        stream: u64,
-        software: software_key::SoftwareKey,
-        lifetime: time::Duration,
-    ) {
-        let known = self.origins.get_mut(&stream);
-        let known = known.filter(|origin| origin.software == software);
-        let expires_at = now + lifetime.min(MAX_LIFETIME);
+    /// Records that a stream of this instance is begun, or goes on, at a software version; returns
+    /// whether the others have to be told.
+    pub fn record(&mut self, now: clock::Timestamp, report: &origin_report::OriginReport) -> bool {
+        let known = self.origins.get_mut(&report.stream);
+        let known = known.filter(|origin| {
+            origin.software == report.software && covers(origin.prompt, report.prompt)
+        });
+        let expires_at = now + report.remaining.min(MAX_LIFETIME);
         if let Some(origin) = known.filter(|origin| origin.reporter.is_none()) {
             origin.expires_at = expires_at;
-            return;
+            return false;
         }
         let origin = StreamOrigin {
-            software,
+            software: report.software,
             expires_at,
+            prompt: report.prompt,
             reporter: None,
             told: 0,
         };
-        self.origins.insert(stream, origin);
-        self.untold.push_back(stream);
+        self.origins.insert(report.stream, origin);
+        self.untold.push_back(report.stream);
+        true
     }
 
     /// Returns the software version that began a stream, if it is known.
@@ -111,6 +112,7 @@
             let origin = StreamOrigin {
                 software: report.software,
                 expires_at: now + report.remaining.min(MAX_LIFETIME),
+                prompt: report.prompt,
                 reporter: Some(reporter),
                 told: 0,
             };
@@ -188,12 +190,23 @@
                 stream: *stream,
                 software: origin.software,
                 remaining: origin.expires_at.since(now),
+                prompt: origin.prompt,
             })
         });
         reports.collect()
     }
 }
 
+/// Returns whether what was told of a prompt includes what is to be told of it.
+fn covers(
+    told: Option<origin_report::SentPrompt>,
+    prompt: Option<origin_report::SentPrompt>,
+) -> bool {
+    prompt.is_none_or(|prompt| {
+        told.is_some_and(|told| told.part == prompt.part && told.to_prefill >= prompt.to_prefill)
+    })
+}
+
 /// Removes and returns the first streams of a queue, as many as an update may contain.
 fn first(streams: &mut collections::VecDeque<u64>) -> Vec<u64> {
     let count = streams.len().min(MAX_TOLD_STREAMS);
--- a/components/relay/src/origin_report.rs
+++ b/components/relay/src/origin_report.rs
@@ -13,6 +13,18 @@
     pub software: software_key::SoftwareKey,
     /// Time for which the caller may still take the stream up.
     pub remaining: time::Duration,
+    /// Prompt that engines of the version were sent; `None` if it has no part of its own, or if the
+    /// reporter doesn't tell.
+    pub prompt: Option<SentPrompt>,
+}
+
+/// Prompt that engines of a software version were sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SentPrompt {
+    /// Hash of the last part of the prompt, from [`crate::part_hash`].
+    pub part: u64,
+    /// Whether a prefill engine was sent the prompt; otherwise only a decode engine was.
+    pub to_prefill: bool,
 }
 
 /// Returns the hash that identifies a stream by the id of the caller's attempt that began it.
@@ -27,8 +39,8 @@
 /// Seed of [`read_prompt_key`].
 const READ_SEED: u64 = 2;
 
-/// Returns the key under which the version is reported that was sent a prompt, by the hash of its last
-/// part.
+/// Returns the key under which instances of earlier releases report the version that was sent a prompt,
+/// by the hash of its last part.
 pub(crate) fn sent_prompt_key(part: u64) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(&part.to_le_bytes(), SENT_SEED)
 }
--- a/components/relay/src/relay_core.rs
+++ b/components/relay/src/relay_core.rs
@@ -8,6 +8,7 @@
 mod core_limits;
 mod core_notices;
 mod core_orders;
+mod core_prompts;
 mod core_quarantine;
 mod core_queue;
 mod core_reach;
@@ -28,9 +29,9 @@
 use crate::{
     backend, backend_registry, core_settings, crash_quarantine, drain_plan, fleet_topology,
     instance_registry, key_judge, known_instance, limit_registry, order_gate, origin_registry,
-    route_rule, search_schedule, sent_state, service_estimate, share_registry, site_config,
-    software_history, software_key, spending_knowledge, stage_planner, stream_lease, view_tracker,
-    wait_queue, workspace_limits,
+    prompt_registry, route_rule, search_schedule, sent_state, service_estimate, share_registry,
+    site_config, software_history, software_key, spending_knowledge, stage_planner, stream_lease,
+    view_tracker, wait_queue, workspace_limits,
 };
 
 pub use core_calls::ServerSelection;
@@ -104,6 +105,7 @@
     /// Usage of engines by workspaces.
     shares: share_registry::ShareRegistry,
     origins: origin_registry::OriginRegistry,
+    prompts: prompt_registry::PromptRegistry,
     software_history: software_history::SoftwareHistory,
     searches: search_schedule::SearchSchedule,
     /// Whether this process has decided whether to seek the streams of all engines.
@@ -169,6 +171,7 @@
             spending_knowledge: spending_knowledge::SpendingKnowledge::default(),
             shares: share_registry::ShareRegistry::default(),
             origins: origin_registry::OriginRegistry::default(),
+            prompts: prompt_registry::PromptRegistry::default(),
             software_history: software_history::SoftwareHistory::default(),
             searches: search_schedule::SearchSchedule::default(),
             has_sought_after_start: false,
--- a/components/relay/src/relay_core/core_queue.rs
+++ b/components/relay/src/relay_core/core_queue.rs
@@ -90,8 +90,10 @@
         if may_place_now {
             self.selection_seed = self.selection_seed.wrapping_add(1);
             let reserved = self.reserved_versions(now);
+            let prompt = self.prompt_terms(now, &request);
             let selector = engine_selector::EngineSelector {
                 reserved: &reserved,
+                prompt: &prompt,
                 ..self.selector(now, size, self.utilization_limits(now).on_arrival)
             };
             if let Some(selection) = selector.select(&request)
@@ -247,10 +249,12 @@
         } else {
             LATE_UTILIZATION_LIMIT
         };
+        let prompt = self.prompt_terms(now, &waiting.request);
         let selector = engine_selector::EngineSelector {
             data_centre: None,
             seed: u64::from(waiting.selection_seed),
             reserved,
+            prompt: &prompt,
             ..self.selector(now, size, limit)
         };
         selector.select(&waiting.request)
--- a/components/relay/src/relay_core/core_search.rs
+++ b/components/relay/src/relay_core/core_search.rs
@@ -5,7 +5,7 @@
 use super::core_software;
 use crate::{
     instance_update, memory_evidence, origin_report, relay_core, search_notice, search_schedule,
-    stream_search,
+    software_key, stream_search,
 };
 
 /// Time for which what a search has proven is kept, at least until the deadlines of the callers.
@@ -107,16 +107,18 @@
         for (run, software) in stream_search::unambiguous_runs(&result.memories) {
             summary.runs += 1;
             if self.origins.software(now, run).is_none() {
-                self.origins.record(now, run, software, EVIDENCE_LIFETIME);
+                self.origins.record(now, &evidence_report(run, software));
             }
         }
-        let evidence = memory_evidence::MemoryEvidence::new(result, self.stream_lifetime());
+        let lifetime = self.stream_lifetime();
+        let tells_prompts = self.instances.all_tell_prompts(now);
+        let evidence = memory_evidence::MemoryEvidence::new(result, lifetime, tells_prompts);
         for (part, shown) in evidence.parts() {
             match shown {
-                memory_evidence::PartEvidence::Proven(software) => {
-                    summary.parts += 1;
+                memory_evidence::PartEvidence::Proven { software, ground } => {
+                    summary.proven.add(ground);
                     let key = origin_report::read_prompt_key(part);
-                    self.origins.record(now, key, software, EVIDENCE_LIFETIME);
+                    self.origins.record(now, &evidence_report(key, software));
                 }
                 memory_evidence::PartEvidence::Unproven(reason) => summary.unproven.add(reason),
             }
@@ -206,3 +208,13 @@
         }
     }
 }
+
+/// Returns the report of what a search has proven, under the key of a stream or a part of a prompt.
+fn evidence_report(key: u64, software: software_key::SoftwareKey) -> origin_report::OriginReport {
+    origin_report::OriginReport {
+        stream: key,
+        software,
+        remaining: EVIDENCE_LIFETIME,
+        prompt: None,
+    }
+}
--- a/components/relay/src/relay_core/core_software.rs
+++ b/components/relay/src/relay_core/core_software.rs
@@ -2,9 +2,7 @@
 
 use std::{collections, time};
 
-use crate::{
-    backend_entry, instance_update, origin_registry, origin_report, relay_core, software_key,
-};
+use crate::{instance_update, origin_registry, origin_report, relay_core, software_key};
 
 /// Time after the start of a process within which the others tell it of the streams that have begun.
 const LEARNING_TIME: time::Duration = time::Duration::from_secs(1);
@@ -13,14 +11,6 @@
 /// touch.
 pub(super) const MAX_VIEW_AGE: time::Duration = time::Duration::from_secs(3);
 
-/// Time for which a prompt is bound to the version that was sent it. The memory of engines proves the
-/// version of a stream only if no engine of another one has read its prompt.
-const PROMPT_LIFETIME: time::Duration = time::Duration::from_secs(30);
-
-/// Number of decode engines that a version needs so that repeated prompts are bound to it: with one
-/// alone, a prompt that it fails goes to another version.
-const MIN_BINDING_ENGINES: usize = 2;
-
 /// Number of instances, by rank, that tell of the streams of those that have ended.
 const ADOPTING_INSTANCES: usize = 2;
 
@@ -56,16 +46,15 @@
 }
 
 impl relay_core::RelayCore {
-    /// Records that a stream begins, or goes on, at a software version. `stream` is the hash of the
-    /// attempt that began it, `lifetime` the time within which its caller may take it up.
+    /// Records that engines of a software version are sent the request or the prompt of a stream; returns
+    /// whether the others have to be told.
     pub fn record_origin(
         &mut self,
         now: clock::Timestamp,
-        stream: u64,
-        software: software_key::SoftwareKey,
-        lifetime: time::Duration,
-    ) {
-        self.origins.record(now, stream, software, lifetime);
+        report: &origin_report::OriginReport,
+    ) -> bool {
+        self.prompts.record(now, report);
+        self.origins.record(now, report)
     }
 
     /// Returns the software version at which a stream has begun. Where only the engines can still tell,
@@ -120,52 +109,13 @@
         self.software_history.span(now)
     }
 
-    /// Records that an engine is sent a prompt, by the hash of its last part, so that the prompt goes to
-    /// the same version when it comes again. That is recorded only while a service has several versions.
-    pub fn record_prompt(
-        &mut self,
-        now: clock::Timestamp,
-        part: u64,
-        software: software_key::SoftwareKey,
-    ) {
-        if self.has_several_versions(now, software.service) {
-            let key = origin_report::sent_prompt_key(part);
-            self.origins.record(now, key, software, PROMPT_LIFETIME);
-        }
-    }
-
-    /// Returns the software version that a prompt is bound to by the hash of its last part, if that
-    /// version has two decode engines that take new work.
-    #[must_use]
-    pub fn prompt_software(
+    /// Returns the version that was sent a prompt first, as the memory of the engines shows, by the hash of
+    /// its last part.
+    pub(super) fn read_at(
         &self,
         now: clock::Timestamp,
-        service: &ids::ServiceName,
         part: u64,
     ) -> Option<software_key::SoftwareKey> {
-        if !self.has_several_versions(now, instance_update::service_hash(service)) {
-            return None;
-        }
-        let sent = self
-            .origins
-            .software(now, origin_report::sent_prompt_key(part));
-        let bound = sent.or_else(|| self.read_at(now, part))?;
-        (self.serving_engines(bound) >= MIN_BINDING_ENGINES).then_some(bound)
-    }
-
-    /// Returns the number of decode engines of a version that take new work.
-    fn serving_engines(&self, software: software_key::SoftwareKey) -> usize {
-        let entries = self.tracker.view().backends.values();
-        let decodes = entries.filter(|entry| {
-            !entry.leaving && entry.stage == Some(backend_entry::EngineStage::Decode)
-        });
-        decodes
-            .filter(|entry| software_key::SoftwareKey::of(entry) == software)
-            .count()
-    }
-
-    /// Returns the version whose engines alone can have read a prompt, by the hash of its last part.
-    fn read_at(&self, now: clock::Timestamp, part: u64) -> Option<software_key::SoftwareKey> {
         let key = origin_report::read_prompt_key(part);
         let read = self.origins.software(now, key)?;
         let sent = self
@@ -174,7 +124,7 @@
         sent.is_none_or(|sent| sent == read).then_some(read)
     }
 
-    fn has_several_versions(&self, now: clock::Timestamp, service: u64) -> bool {
+    pub(super) fn has_several_versions(&self, now: clock::Timestamp, service: u64) -> bool {
         self.software_history.versions(now, service).count() > 1
     }
 
@@ -203,6 +153,9 @@
             incarnation: update.incarnation,
         };
         let reports = std::mem::take(&mut update.origins);
+        for report in &reports {
+            self.prompts.record(now, report);
+        }
         self.origins.apply_reports(now, reporter, &reports);
         let known = self.instances.last_sequence(update.address);
         let is_same_process = known.is_some_and(|(process, _)| process == update.incarnation);
--- a/components/relay/src/relay_core/core_streams.rs
+++ b/components/relay/src/relay_core/core_streams.rs
@@ -5,8 +5,8 @@
 use rand::RngExt as _;
 
 use crate::{
-    backend, backend_entry, backend_health, engine_selector, relay_core, server_reach,
-    service_rule, software_key, stream_lease, stream_request,
+    backend, backend_entry, backend_health, engine_selector, prompt_terms, relay_core,
+    server_reach, service_rule, software_key, stream_lease, stream_request,
 };
 
 /// Limit on the expected utilization of a decode engine. The remaining memory absorbs answers that
@@ -24,6 +24,9 @@
 static NONE_RESERVED: collections::BTreeSet<software_key::SoftwareKey> =
     collections::BTreeSet::new();
 
+/// Terms that allow every engine.
+static ANY_ENGINE: prompt_terms::PromptTerms = prompt_terms::PromptTerms::unrestricted();
+
 /// Placement of a generation, with slots reserved on its engines.
 #[derive(Clone, Debug)]
 pub struct StreamPlacement {
@@ -160,9 +163,12 @@
             engine.record_outcome(now, outcome, time::Duration::ZERO);
         }
         let size = self.engine_size(&request.service)?;
-        let selected = self
-            .selector(now, size, UTILIZATION_LIMIT)
-            .select_decode(&request);
+        let prompt = self.prompt_terms(now, &request);
+        let selector = engine_selector::EngineSelector {
+            prompt: &prompt,
+            ..self.selector(now, size, UTILIZATION_LIMIT)
+        };
+        let selected = selector.select_decode(&request);
         // Without another engine the lease keeps the previous one until its release.
         let decode = selected.unwrap_or(previous);
         let entry = self.assign_decode(key, decode, &request)?;
@@ -188,7 +194,11 @@
         let (previous, request) = (lease.decode, lease.bound_request());
         let size = self.engine_size(&request.service)?;
         let draw = self.random.random::<f64>();
-        let selector = self.selector(now, size, UTILIZATION_LIMIT);
+        let prompt = self.prompt_terms(now, &request);
+        let selector = engine_selector::EngineSelector {
+            prompt: &prompt,
+            ..self.selector(now, size, UTILIZATION_LIMIT)
+        };
         let from_fill = selector.utilization(self.backends.get(previous)?);
         let excess = from_fill - OVERLOAD_UTILIZATION;
         let own = f64::from(request.mean_tokens()) / f64::from(size.kv_tokens.max(1));
@@ -299,6 +309,7 @@
             seed: self.selection_seed,
             data_centre: Some(&self.settings.data_centre),
             reserved: &NONE_RESERVED,
+            prompt: &ANY_ENGINE,
             now,
         }
     }
--- a/components/relay/src/relay_core/core_updates.rs
+++ b/components/relay/src/relay_core/core_updates.rs
@@ -179,6 +179,7 @@
         let limits = self.limits.reports(now);
         self.sent_state.record_limits(limits.clone());
         self.adopt_origins(now);
+        self.prompts.remove_old(now);
         instance_update::InstanceUpdate::builder()
             .address(self.settings.address)
             .incarnation(self.settings.incarnation)
@@ -207,6 +208,7 @@
             .knows_spending(self.knows_spending(now))
             .shares(self.shares.full_reports(now))
             .orders_by_share(self.orders_by_share())
+            .tells_prompts(true)
             .origins(self.origins.take_due(now))
             .search(self.search_notice(now, true))
             .last_fence(self.last_order.map_or(0, |(_, fence)| fence))
--- a/components/relay/src/stream_request.rs
+++ b/components/relay/src/stream_request.rs
@@ -29,6 +29,9 @@
     /// Whether the caller has already received a part of the answer.
     #[builder(default)]
     pub resumes: bool,
+    /// Hash of the last part of the prompt, from [`crate::part_hash`], if the caller may take the stream
+    /// up.
+    pub part: Option<u64>,
     /// Software version that began the stream; `None` for a new one.
     pub software: Option<software_key::SoftwareKey>,
     /// Prefill engine that has prefilled the prompt before and may still have it in its cache.
--- a/components/relay/src/stream_search.rs
+++ b/components/relay/src/stream_search.rs
@@ -56,11 +56,37 @@
     /// Streams that an engine still runs.
     pub runs: usize,
     /// Parts of prompts that prove the software version at which their streams began.
-    pub parts: usize,
+    pub proven: ProvenParts,
     /// Parts of prompts that prove nothing.
     pub unproven: UnprovenParts,
 }
 
+/// Parts of prompts that prove the software version at which their streams began, by the ground.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ProvenParts {
+    /// Held by engines of one version that are sent no prompts which another version was sent first.
+    pub sent_first: usize,
+    /// Denied by the engines of all other versions.
+    pub elimination: usize,
+}
+
+impl ProvenParts {
+    /// Counts a part.
+    pub(crate) const fn add(&mut self, ground: memory_evidence::ProofGround) {
+        let count = match ground {
+            memory_evidence::ProofGround::SentFirst => &mut self.sent_first,
+            memory_evidence::ProofGround::Elimination => &mut self.elimination,
+        };
+        *count += 1;
+    }
+
+    /// Returns the number of parts.
+    #[must_use]
+    pub const fn total(&self) -> usize {
+        self.sent_first + self.elimination
+    }
+}
+
 /// Parts of prompts that engines hold and that prove nothing, by the reason.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct UnprovenParts {
--- a/components/relay/tests/common/mod.rs
+++ b/components/relay/tests/common/mod.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod limited;
 pub mod network;
+pub mod search;
 pub mod simulation;
 pub mod spenders;
 
--- /dev/null
+++ b/components/relay/tests/prompt_terms.rs
@@ -0,0 +1,132 @@
+//! Engines that are sent a prompt which another software version may have been sent.
+
+mod common;
+
+use std::collections;
+
+use common::{
+    at, ms,
+    search::{OLD, engines, read_list, software},
+};
+
+/// Prompts of a test, by the hashes of their last parts.
+const PARTS: std::ops::Range<u64> = 1..40;
+
+/// Returns engines of two versions, of which `v1` drains.
+fn draining_engines() -> Vec<relay::BackendEntry> {
+    let mut entries = engines(&[("v1", OLD), ("v2", OLD)]);
+    for entry in &mut entries {
+        entry.leaving = entry.software.as_str() == "v1";
+    }
+    entries
+}
+
+/// Returns a core that has sent prompts to prefill engines of `v1`, which drains now.
+fn core_after_release() -> relay::RelayCore {
+    let mut core = common::empty_core();
+    read_list(&mut core, at(0), &engines(&[("v1", OLD)]));
+    for part in PARTS {
+        core.record_origin(at(10), &sent(part));
+    }
+    read_list(&mut core, at(1_000), &draining_engines());
+    core
+}
+
+/// Returns the report of a stream whose prompt a prefill engine of `v1` was sent.
+fn sent(part: u64) -> relay::OriginReport {
+    relay::OriginReport {
+        stream: part,
+        software: software("v1"),
+        remaining: ms(14_000),
+        prompt: Some(relay::SentPrompt {
+            part,
+            to_prefill: true,
+        }),
+    }
+}
+
+/// Places a request with a prompt; returns the names of its prefill and decode engines.
+fn place(
+    core: &mut relay::RelayCore,
+    now: clock::Timestamp,
+    part: u64,
+) -> (Option<String>, String) {
+    let request = relay::StreamRequest {
+        part: Some(part),
+        ..common::request(now, 1_000)
+    };
+    let placement = common::placed(core.place(now, request));
+    let completion = relay::StreamCompletion {
+        outcome: relay::BackendOutcome::Succeeded,
+        first_token: ms(100),
+    };
+    core.release(now, placement.key, completion);
+    let prefill = placement.prefill.map(|(_, entry)| entry.server.to_string());
+    (prefill, placement.decode.1.server.to_string())
+}
+
+// The memory of `v2` counted as a proof for streams that began at `v1`.
+#[test]
+fn prompt_is_sent_again_in_the_way_of_a_first_one() {
+    let mut core = core_after_release();
+    let mut other = core_after_release();
+
+    let placed: Vec<_> = PARTS
+        .map(|part| place(&mut core, at(1_500), part))
+        .collect();
+
+    assert!(placed.iter().all(|(prefill, _)| prefill.is_none()));
+    let again: Vec<_> = PARTS
+        .map(|part| place(&mut other, at(2_000), part))
+        .collect();
+    assert_eq!(placed, again);
+    let decodes: collections::BTreeSet<_> = placed.iter().map(|(_, decode)| decode).collect();
+    assert_eq!(decodes.len(), 2, "{decodes:?}");
+}
+
+#[test]
+fn prompt_is_sent_without_prefill_once_its_first_stream_is_over() {
+    let mut core = core_after_release();
+    read_list(&mut core, at(14_500), &draining_engines());
+
+    let placed = PARTS.map(|part| place(&mut core, at(14_500), part));
+
+    assert!(placed.into_iter().all(|(prefill, _)| prefill.is_some()));
+}
+
+#[test]
+fn first_prompt_is_sent_to_the_engine_of_repeated_ones_while_others_are_idle() {
+    let mut core = core_after_release();
+
+    for part in PARTS {
+        let (_, repeat_engine) = place(&mut core, at(1_500), part);
+        read_list(&mut core, at(1_500), &engines(&[("v2", OLD)]));
+        let mut fresh = common::empty_core();
+        read_list(&mut fresh, at(0), &engines(&[("v2", OLD)]));
+
+        let (prefill, decode) = place(&mut fresh, at(100), part);
+
+        assert!(prefill.is_some(), "{part}");
+        assert_ne!(decode, repeat_engine, "{part}");
+    }
+}
+
+// A prompt that the only decode engine of a version fails goes to another version.
+#[test]
+fn prompt_is_read_by_prefill_engines_of_a_version_that_it_is_not_bound_to() {
+    let mut entries = engines(&[("v1", OLD), ("v2", OLD)]);
+    entries.retain(|entry| entry.server.as_str() != "e-v2");
+    let mut core = common::empty_core();
+    read_list(&mut core, at(0), &entries);
+    let bound = |software: &str| relay::StreamRequest {
+        software: Some(common::search::software(software)),
+        part: Some(7),
+        ..common::request(at(100), 1_000)
+    };
+
+    let alone = common::placed(core.place(at(100), bound("v2")));
+    let beside = common::placed(core.place(at(100), bound("v1")));
+
+    assert!(alone.prefill.is_none());
+    assert!(beside.prefill.is_some());
+}
--- /dev/null
+++ b/components/relay/tests/sent_first_properties.rs
@@ -0,0 +1,363 @@
+//! Random releases, sessions that send their prompts again, and a loss of all instances: no stream goes on
+//! at another software version than the one that began it.
+
+mod common;
+
+use std::collections;
+
+use common::{
+    at, ms,
+    search::{self, WALL_MILLIS},
+};
+use proptest::prelude::*;
+
+/// Number of sessions, each with a prompt of its own.
+const SESSIONS: u64 = 5;
+
+/// Time for which the instances have run when the first step is taken, in milliseconds.
+const FIRST_STEP: u64 = 20_000;
+
+/// Time for which callers may take a stream up, in milliseconds.
+const STREAM_TIME: u64 = 14_000;
+
+/// Time for which all instances are gone, in milliseconds.
+const DARK_TIME: u64 = 1_500;
+
+/// Step of a history.
+#[derive(Clone, Copy, Debug)]
+enum SiteStep {
+    /// A session sends its prompt to one of the instances. The first engine that is sent it may fail before
+    /// the first event.
+    Request {
+        session: u64,
+        instance: usize,
+        fails: bool,
+    },
+    /// The next version comes, with some decode engines and perhaps a prefill engine.
+    NextVersion { decodes: usize, has_prefill: bool },
+    /// An engine drains, or all of its version do.
+    Drain { engine: usize, is_whole: bool },
+    /// An engine's entry is removed, or all entries of its version are.
+    Leave { engine: usize, is_whole: bool },
+    /// An engine drops what it holds in memory.
+    Displace { engine: usize },
+    /// Time passes, in milliseconds.
+    Wait(u64),
+}
+
+/// Engine with what it holds in memory.
+#[derive(Debug)]
+struct ModelEngine {
+    entry: relay::BackendEntry,
+    parts: collections::BTreeSet<u64>,
+    has_left: bool,
+}
+
+/// Stream that a caller may take up.
+#[derive(Clone, Copy, Debug)]
+struct ModelStream {
+    part: u64,
+    software: relay::SoftwareKey,
+    begun_at: u64,
+}
+
+/// Request that an engine was sent.
+struct SentRequest {
+    decode: relay::BackendKey,
+    stream: ModelStream,
+}
+
+/// A site with two instances that hear each other.
+struct ModelSite {
+    cores: [relay::RelayCore; 2],
+    engines: Vec<ModelEngine>,
+    streams: Vec<ModelStream>,
+    /// Number of attempts of callers.
+    attempts: u64,
+    versions: usize,
+    now: u64,
+}
+
+impl ModelSite {
+    /// Returns a site with one version that has served for long.
+    fn start() -> Self {
+        let mut site = Self {
+            cores: [common::core_of(1), common::core_of(2)],
+            engines: Vec::new(),
+            streams: Vec::new(),
+            attempts: 0,
+            versions: 0,
+            now: 0,
+        };
+        site.add_version(2, true);
+        for now in (0..=FIRST_STEP).step_by(1_000) {
+            site.now = now;
+            site.exchange();
+        }
+        site
+    }
+
+    fn add_version(&mut self, decodes: usize, has_prefill: bool) {
+        self.versions += 1;
+        let version = format!("v{}", self.versions);
+        let stages = std::iter::repeat_n(relay::EngineStage::Decode, decodes)
+            .chain(has_prefill.then_some(relay::EngineStage::Prefill));
+        let age = if self.versions == 1 { 90_000 } else { 0 };
+        let born = WALL_MILLIS + self.now - age;
+        for stage in stages {
+            let name = format!("e{}", self.engines.len());
+            self.engines.push(ModelEngine {
+                entry: search::engine(&name, stage, &version, born),
+                parts: collections::BTreeSet::new(),
+                has_left: false,
+            });
+        }
+    }
+
+    /// Returns the listed entries.
+    fn list(&self) -> Vec<relay::BackendEntry> {
+        let listed = self.engines.iter().filter(|engine| !engine.has_left);
+        listed.map(|engine| engine.entry.clone()).collect()
+    }
+
+    /// Lets the instances read the list and hear each other.
+    fn exchange(&mut self) {
+        let list = self.list();
+        let now = at(self.now);
+        let updates = self.cores.each_mut().map(|core| {
+            search::read_list(core, now, &list);
+            core.full_update(now)
+        });
+        let [first, second] = updates;
+        self.cores[0].apply_update(now, second);
+        self.cores[1].apply_update(now, first);
+    }
+
+    fn take(&mut self, step: SiteStep) {
+        match step {
+            SiteStep::Request {
+                session,
+                instance,
+                fails,
+            } => {
+                let instance = instance % self.cores.len();
+                let attempt = 100 + self.attempts;
+                self.attempts += 1;
+                let mut sent = self.send(instance, attempt, session, Vec::new());
+                if fails && let Some(failed) = sent {
+                    sent = self.send(instance, attempt, session, vec![failed.decode]);
+                }
+                self.streams.extend(sent.map(|sent| sent.stream));
+            }
+            SiteStep::NextVersion {
+                decodes,
+                has_prefill,
+            } => self.add_version(decodes, has_prefill),
+            SiteStep::Drain { engine, is_whole } => {
+                self.change(engine, is_whole, |engine| engine.entry.leaving = true);
+            }
+            SiteStep::Leave { engine, is_whole } => {
+                self.change(engine, is_whole, |engine| engine.has_left = true);
+            }
+            SiteStep::Displace { engine } => self.change(engine, false, |engine| {
+                engine.parts.clear();
+            }),
+            SiteStep::Wait(millis) => self.now += millis,
+        }
+        self.now += 20;
+        self.exchange();
+    }
+
+    /// Changes an engine, or all engines of its version.
+    fn change(&mut self, engine: usize, is_whole: bool, change: impl Fn(&mut ModelEngine)) {
+        let index = engine % self.engines.len();
+        let software = self.engines[index].entry.software.clone();
+        for (other, engine) in self.engines.iter_mut().enumerate() {
+            if other == index || (is_whole && engine.entry.software == software) {
+                change(engine);
+            }
+        }
+    }
+
+    /// Sends a prompt as an instance does: bound to a version, to a prefill engine, to a decode engine.
+    fn send(
+        &mut self,
+        instance: usize,
+        attempt: u64,
+        part: u64,
+        avoid: Vec<relay::BackendKey>,
+    ) -> Option<SentRequest> {
+        let now = at(self.now);
+        let core = &mut self.cores[instance];
+        let request = relay::StreamRequest {
+            part: Some(part),
+            software: core.prompt_software(now, &common::GENERATING_SERVICE.into(), part),
+            avoid,
+            ..common::request(now, 1_000)
+        };
+        let relay::PlacementOutcome::Placed(placement) = core.place(now, request) else {
+            return None;
+        };
+        let (decode, entry) = placement.decode;
+        let software = relay::SoftwareKey::of(&entry);
+        let report = relay::OriginReport {
+            stream: attempt,
+            software,
+            remaining: ms(STREAM_TIME),
+            prompt: Some(relay::SentPrompt {
+                part,
+                to_prefill: placement.prefill.is_some(),
+            }),
+        };
+        core.record_origin(now, &report);
+        core.release(
+            now,
+            placement.key,
+            common::completion(relay::BackendOutcome::Succeeded),
+        );
+        let prefill = placement.prefill.map(|(_, entry)| entry.server);
+        for engine in &mut self.engines {
+            let server = &engine.entry.server;
+            if *server == entry.server || Some(server) == prefill.as_ref() {
+                engine.parts.insert(part);
+            }
+        }
+        let stream = ModelStream {
+            part,
+            software,
+            begun_at: self.now,
+        };
+        Some(SentRequest { decode, stream })
+    }
+
+    /// Ends all instances; returns one that has come back and has asked the engines, some of which don't
+    /// answer. The store has dropped its history.
+    fn restart(&self, silent: &collections::BTreeSet<usize>) -> relay::RelayCore {
+        let mut core = common::empty_core();
+        search::read_list(&mut core, at(0), &self.list());
+        search::take_up(&mut core, at(600));
+        let (search, _) = core.next_search(at(700));
+        let Some(search) = search else {
+            return core;
+        };
+        let answering = self
+            .engines
+            .iter()
+            .enumerate()
+            .filter(|(index, engine)| !engine.has_left && !silent.contains(index));
+        let memories = answering.map(|(_, engine)| {
+            let parts: Vec<u64> = engine.parts.iter().copied().collect();
+            search::memory(&engine.entry, &parts)
+        });
+        let result = relay::SearchResult {
+            memories: memories.collect(),
+            search: search.clone(),
+            history: relay::ListHistory::default(),
+            wall_millis: WALL_MILLIS + self.now + DARK_TIME,
+        };
+        core.apply_search(at(900), &result);
+        core
+    }
+
+    /// Returns the streams that callers take up after all instances have ended, each with what an instance
+    /// makes of it.
+    fn taken_up(
+        &self,
+        silent: &collections::BTreeSet<usize>,
+    ) -> Vec<(ModelStream, relay::StreamSoftware)> {
+        let mut core = self.restart(silent);
+        let back = self.now + DARK_TIME;
+        let open = self
+            .streams
+            .iter()
+            .filter(|stream| stream.begun_at + STREAM_TIME > back);
+        open.map(|stream| {
+            let query = relay::StreamQuery {
+                service: &common::GENERATING_SERVICE.into(),
+                stream: None,
+                part: Some(stream.part),
+                time_left: ms(stream.begun_at + STREAM_TIME - back),
+            };
+            (*stream, core.stream_software(at(1_100), &query))
+        })
+        .collect()
+    }
+}
+
+fn any_step() -> impl Strategy<Value = SiteStep> {
+    prop_oneof![
+        8 => (0..SESSIONS, 0..2_usize, proptest::bool::weighted(0.2)).prop_map(
+            |(session, instance, fails)| SiteStep::Request {
+                session,
+                instance,
+                fails,
+            },
+        ),
+        2 => (1..4_usize, any::<bool>()).prop_map(|(decodes, has_prefill)| SiteStep::NextVersion {
+            decodes,
+            has_prefill,
+        }),
+        3 => (0..20_usize, any::<bool>())
+            .prop_map(|(engine, is_whole)| SiteStep::Drain { engine, is_whole }),
+        3 => (0..20_usize, any::<bool>())
+            .prop_map(|(engine, is_whole)| SiteStep::Leave { engine, is_whole }),
+        1 => (0..20_usize).prop_map(|engine| SiteStep::Displace { engine }),
+        3 => (50..4_000_u64).prop_map(SiteStep::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    // Sessions send their prompts to versions that come and go, and a stream goes on at another one.
+    #[test]
+    fn streams_are_joined_from_two_versions(
+        steps in proptest::collection::vec(any_step(), 1..40),
+        silent in proptest::collection::btree_set(0..12_usize, 0..4),
+    ) {
+        let mut site = ModelSite::start();
+        for step in steps {
+            site.take(step);
+        }
+
+        for (stream, found) in site.taken_up(&silent) {
+            if let relay::StreamSoftware::Remembered(software) = found {
+                prop_assert_eq!(software, stream.software, "{:?}", stream);
+            }
+        }
+    }
+}
+
+// Of the streams of a version that serves, nearly all go on after a release, whoever has left.
+#[test]
+fn streams_are_refused_after_a_release_has_ended() {
+    let mut site = ModelSite::start();
+    site.take(SiteStep::NextVersion {
+        decodes: 3,
+        has_prefill: true,
+    });
+    let old = |is_whole| SiteStep::Drain {
+        engine: 0,
+        is_whole,
+    };
+    site.take(old(true));
+    site.take(SiteStep::Wait(2_500));
+    site.take(SiteStep::Leave {
+        engine: 0,
+        is_whole: true,
+    });
+    for session in 0..SESSIONS {
+        site.take(SiteStep::Request {
+            session,
+            instance: 0,
+            fails: false,
+        });
+    }
+
+    let taken_up = site.taken_up(&collections::BTreeSet::new());
+
+    assert_eq!(taken_up.len() as u64, SESSIONS);
+    for (stream, found) in taken_up {
+        assert_eq!(found, relay::StreamSoftware::Remembered(stream.software));
+    }
+}
--- a/components/relay/tests/stream_search.rs
+++ b/components/relay/tests/stream_search.rs
@@ -3,154 +3,13 @@
 
 mod common;
 
-use std::time;
-
-use common::{at, ms, network};
-
-/// Time of the searches of the tests, in milliseconds since the Unix epoch.
-const WALL_MILLIS: u64 = 1_700_000_100_000;
-
-/// Start of engines that have run for long.
-const OLD: u64 = WALL_MILLIS - 90_000;
-
-/// Start of engines that have just started.
-const YOUNG: u64 = WALL_MILLIS - 5_000;
-
-/// Last part of the prompt of the stream that is taken up.
-const PART: u64 = 77;
-
-/// Attempt that began the stream that is taken up.
-const STREAM: u64 = 7;
-
-fn engine(name: &str, stage: relay::EngineStage, version: &str, born: u64) -> relay::BackendEntry {
-    relay::BackendEntry {
-        software: version.into(),
-        born_millis: born,
-        ..common::engine(name, stage, "a")
-    }
-}
-
-/// Returns a prefill and two decode engines of a version.
-fn engines_of(version: &str, born: u64) -> Vec<relay::BackendEntry> {
-    let engine = |name: &str, stage| engine(&format!("{name}-{version}"), stage, version, born);
-    vec![
-        engine("p", relay::EngineStage::Prefill),
-        engine("d", relay::EngineStage::Decode),
-        engine("e", relay::EngineStage::Decode),
-    ]
-}
-
-fn engines(versions: &[(&str, u64)]) -> Vec<relay::BackendEntry> {
-    let engines = versions.iter();
-    engines
-        .flat_map(|(version, born)| engines_of(version, *born))
-        .collect()
-}
-
-fn software(version: &str) -> relay::SoftwareKey {
-    relay::SoftwareKey::of(&engine("d", relay::EngineStage::Decode, version, OLD))
-}
-
-fn read_list(core: &mut relay::RelayCore, now: clock::Timestamp, engines: &[relay::BackendEntry]) {
-    let config = common::config(1, vec![common::draft_route()]);
-    core.apply_store_read(now, now, common::full_view_update(10, &config, engines));
-}
-
-/// Takes a stream up.
-fn take_up(core: &mut relay::RelayCore, now: clock::Timestamp) -> relay::StreamSoftware {
-    take_up_with(core, now, ms(9_000))
-}
-
-/// Takes a stream up whose caller has `time_left`.
-fn take_up_with(
-    core: &mut relay::RelayCore,
-    now: clock::Timestamp,
-    time_left: time::Duration,
-) -> relay::StreamSoftware {
-    let query = relay::StreamQuery {
-        service: &common::GENERATING_SERVICE.into(),
-        stream: Some(STREAM),
-        part: Some(PART),
-        time_left,
-    };
-    core.stream_software(now, &query)
-}
-
-/// Returns the memory of an engine that holds parts.
-fn memory(engine: &relay::BackendEntry, parts: &[u64]) -> relay::EngineMemory {
-    relay::EngineMemory {
-        engine: engine.clone(),
-        runs: Vec::new(),
-        parts: parts.to_vec(),
-    }
-}
-
-/// Returns a history of 20 s with changes.
-fn history(changes: Vec<relay::ViewChange>) -> relay::ListHistory {
-    relay::ListHistory {
-        span: time::Duration::from_secs(20),
-        changes,
-    }
-}
-
-/// Returns the changes by which engines were listed.
-fn listings(engines: &[relay::BackendEntry]) -> Vec<relay::ViewChange> {
-    let engines = engines.iter().cloned();
-    engines.map(relay::ViewChange::Backend).collect()
-}
-
-/// Answers to a search.
-struct Answers {
-    /// Listed engines.
-    engines: Vec<relay::BackendEntry>,
-    /// Names of the engines that hold the part of the stream.
-    holders: Vec<&'static str>,
-    /// Names of the engines that don't answer.
-    silent: Vec<&'static str>,
-    history: relay::ListHistory,
-}
-
-impl Answers {
-    /// Returns what an instance makes of the stream after the search.
-    fn found(&self) -> relay::StreamSoftware {
-        self.search().0
-    }
-
-    /// Returns what an instance makes of the stream after the search, and of the answers.
-    fn search(&self) -> (relay::StreamSoftware, relay::SearchSummary) {
-        let (mut core, summary) = self.searched_core();
-        (take_up(&mut core, at(1_100)), summary)
-    }
-
-    /// Returns a core after the search, and what it makes of the answers.
-    fn searched_core(&self) -> (relay::RelayCore, relay::SearchSummary) {
-        let mut core = common::empty_core();
-        read_list(&mut core, at(0), &self.engines);
-        take_up(&mut core, at(600));
-        let (search, _) = core.next_search(at(700));
-        let search = search.expect("the engines are asked");
-        let answering = search
-            .engines
-            .iter()
-            .filter(|engine| !self.silent.contains(&engine.server.as_str()));
-        let memories = answering.map(|engine| {
-            let holds = self.holders.contains(&engine.server.as_str());
-            memory(engine, if holds { &[PART] } else { &[] })
-        });
-        let result = relay::SearchResult {
-            memories: memories.collect(),
-            search: search.clone(),
-            history: self.history.clone(),
-            wall_millis: WALL_MILLIS,
-        };
-        let summary = core.apply_search(at(900), &result);
-        (core, summary)
-    }
-}
-
-fn remembered(version: &str) -> relay::StreamSoftware {
-    relay::StreamSoftware::Remembered(software(version))
-}
+use common::{
+    at, ms, network,
+    search::{
+        Answers, OLD, PART, STREAM, WALL_MILLIS, YOUNG, answers, engine, engines, history,
+        listings, memory, read_list, reason_of, remembered, sent, software, take_up, take_up_with,
+    },
+};
 
 #[test]
 fn stream_of_the_only_version_is_refused_although_its_engine_remembers_it() {
@@ -289,21 +148,6 @@
     }
 }
 
-/// Returns the name of the reason for which one part proves nothing; empty without such a part.
-fn reason_of(unproven: relay::UnprovenParts) -> &'static str {
-    let counts = [
-        ("several_versions", unproven.several_versions),
-        ("no_decode_engine", unproven.no_decode_engine),
-        ("others_silent", unproven.others_silent),
-        ("history_short", unproven.history_short),
-        ("others_left", unproven.others_left),
-    ];
-    let mut counted = counts.iter().filter(|(_, count)| *count == 1);
-    let reason = counted.next().map_or("", |(name, _)| name);
-    assert_eq!(unproven.total(), usize::from(!reason.is_empty()));
-    reason
-}
-
 /// Returns answers of young engines of `v2`, of which a decode engine holds the part, beside others.
 fn answers_of_young(
     others: Vec<relay::BackendEntry>,
@@ -315,21 +159,6 @@
     answers([young, others].concat(), &["d-v2"], silent, changes)
 }
 
-/// Returns answers with a history of 20 s.
-fn answers(
-    engines: Vec<relay::BackendEntry>,
-    holders: &[&'static str],
-    silent: &[&'static str],
-    changes: Vec<relay::ViewChange>,
-) -> Answers {
-    Answers {
-        engines,
-        holders: holders.to_vec(),
-        silent: silent.to_vec(),
-        history: history(changes),
-    }
-}
-
 #[test]
 fn history_that_lacks_a_young_engine_counts_as_complete() {
     let young = engine("d-v3", relay::EngineStage::Decode, "v2", YOUNG);
@@ -346,7 +175,7 @@
     read_list(&mut core, at(0), &engines(&[("v1", OLD), ("v2", OLD)]));
     let service = common::GENERATING_SERVICE.into();
 
-    core.record_prompt(at(10), PART, software("v1"));
+    core.record_origin(at(10), &sent("v1"));
     let bound = core.prompt_software(at(20_000), &service, PART);
     read_list(&mut core, at(20_000), &engines(&[("v2", OLD)]));
     read_list(&mut core, at(23_000), &engines(&[("v2", OLD)]));
@@ -356,15 +185,24 @@
     assert_eq!(without_engines, None);
 }
 
+// A prompt that was sent to the only version has to be known when the next one comes.
 #[test]
-fn prompts_are_bound_while_only_one_version_serves() {
+fn prompt_of_the_only_version_is_forgotten_when_another_one_comes() {
     let mut core = common::empty_core();
-    read_list(&mut core, at(0), &engines(&[("v1", OLD)]));
+    let mut other = common::core_of(2);
+    for core in [&mut core, &mut other] {
+        read_list(core, at(0), &engines(&[("v1", OLD)]));
+    }
+    core.record_origin(at(10), &sent("v1"));
+    other.apply_update(at(20), core.full_update(at(20)));
+
+    for core in [&mut core, &mut other] {
+        read_list(core, at(1_000), &engines(&[("v1", OLD), ("v2", YOUNG)]));
 
-    core.record_prompt(at(10), PART, software("v1"));
+        let bound = core.prompt_software(at(1_100), &common::GENERATING_SERVICE.into(), PART);
 
-    let told = core.full_update(at(20)).origins;
-    assert!(told.is_empty(), "{told:?}");
+        assert_eq!(bound, Some(software("v1")));
+    }
 }
 
 /// Ends and starts all instances of a fleet that serves two versions.
--- a/components/relay/tests/stream_software.rs
+++ b/components/relay/tests/stream_software.rs
@@ -95,6 +95,16 @@
     }
 }
 
+/// Returns the report of a stream that an engine of a version was sent.
+fn begun(stream: u64, version: &str) -> relay::OriginReport {
+    relay::OriginReport {
+        stream,
+        software: software(version),
+        remaining: LIFETIME,
+        prompt: None,
+    }
+}
+
 /// Returns the version of a stream by its number.
 fn version_of(stream: u64) -> &'static str {
     if stream.is_multiple_of(2) { "v1" } else { "v2" }
@@ -118,7 +128,7 @@
 fn begin_streams(fleet: &mut network::FleetNetwork, index: usize) {
     for stream in 0..STREAMS {
         fleet.decide(index, |core, now| {
-            core.record_origin(now, stream, software(version_of(stream)), LIFETIME);
+            core.record_origin(now, &begun(stream, version_of(stream)));
         });
     }
     fleet.notify_change(index);
@@ -239,7 +249,7 @@
     fleet.run(300);
     read_everywhere(&mut fleet, 0..7, 50, &["v1", "v2"]);
     fleet.decide(0, |core, now| {
-        core.record_origin(now, 99, software("v2"), LIFETIME)
+        core.record_origin(now, &begun(99, "v2"));
     });
     fleet.run(900);
 
@@ -379,6 +389,7 @@
             stream: 7,
             software: software("v1"),
             remaining: ms(30_000),
+            prompt: None,
         }],
         ..common::instance_update(2, 1)
     };
