relay: let instances that have lived on tell of the streams of others

Cause: the streams of instances that have ended are told by the first two by rank, and those that had just restarted counted among them. Change: the rank counts instances whose processes have been known for 3 s, by this process's own clock; a process adopts from that age on.

Test: relay stream_software streams_are_told_by_no_one_after_the_first_instances_by_rank_have_restarted, 0 of 7 informed before.

--- a/components/relay/src/instance_registry.rs
+++ b/components/relay/src/instance_registry.rs
@@ -118,7 +118,7 @@
         }
         let mut state = instance_state::InstanceState::new(now, update, &self.services);
         if let Some(before) = self.states.remove(&state.update.address) {
-            state.keep_estimates(before);
+            state.keep_omitted(before);
         }
         self.states.insert(state.update.address, state);
         true
@@ -191,6 +191,22 @@
             .count()
     }
 
+    /// Returns the rank of this instance by address among those that are alive and whose processes it has
+    /// known for `time`.
+    pub(crate) fn rank_among_known_for(
+        &self,
+        now: clock::Timestamp,
+        time: time::Duration,
+    ) -> usize {
+        let before = self.states.iter().filter(|(address, state)| {
+            **address < self.own
+                && !state.update.leaving
+                && now.since(state.received_at) < ALIVE_TIMEOUT
+                && now.since(state.known_since) >= time
+        });
+        before.count()
+    }
+
     /// Returns the numbers of alive and of known instances that aren't draining, both including
     /// this one.
     #[must_use]
--- a/components/relay/src/instance_state.rs
+++ b/components/relay/src/instance_state.rs
@@ -15,6 +15,8 @@
     /// Merged state updates, as of `received_at`.
     pub(crate) update: instance_update::InstanceUpdate,
     pub(crate) received_at: clock::Timestamp,
+    /// Time of the first update of the process.
+    pub(crate) known_since: clock::Timestamp,
     /// Time at which this instance last forwarded an update of the instance.
     pub(crate) forwarded_at: clock::Timestamp,
     /// Requests that wait at the instance.
@@ -35,6 +37,7 @@
             waiting: waiting_requests(now, &update, services),
             shares: share_counts(now, &update.shares).collect(),
             received_at: now,
+            known_since: now,
             forwarded_at: now,
             update,
         }
@@ -53,8 +56,11 @@
         }
     }
 
-    /// Keeps the estimates of the state `before` if the new update omits them.
-    pub(crate) fn keep_estimates(&mut self, before: Self) {
+    /// Keeps from the state `before` what the new update omits.
+    pub(crate) fn keep_omitted(&mut self, before: Self) {
+        if self.update.incarnation == before.update.incarnation {
+            self.known_since = before.known_since;
+        }
         if self.update.estimates.is_empty() {
             self.update.estimates = before.update.estimates;
         }
--- a/components/relay/src/relay_core/core_software.rs
+++ b/components/relay/src/relay_core/core_software.rs
@@ -14,6 +14,10 @@
 /// Number of instances, by rank, that tell of the streams of those that have ended.
 const ADOPTING_INSTANCES: usize = 2;
 
+/// Time after the start of a process from which it tells of the streams of others. Before that it may not
+/// have been told of them itself.
+const ADOPTING_AGE: time::Duration = time::Duration::from_secs(3);
+
 /// Stream that a caller takes up.
 #[derive(Clone, Copy, Debug)]
 pub struct StreamQuery<'a> {
@@ -165,9 +169,11 @@
     }
 
     /// Makes this instance tell of the streams of instances that have ended, if it is one of the
-    /// first by rank.
+    /// first by rank of those that haven't just started.
     pub(super) fn adopt_origins(&mut self, now: clock::Timestamp) {
-        if self.instances.rank(now) >= ADOPTING_INSTANCES {
+        let has_just_started = now.since(clock::Timestamp::default()) < ADOPTING_AGE;
+        let rank = self.instances.rank_among_known_for(now, ADOPTING_AGE);
+        if has_just_started || rank >= ADOPTING_INSTANCES {
             return;
         }
         let instances = &self.instances;
--- a/components/relay/tests/stream_software.rs
+++ b/components/relay/tests/stream_software.rs
@@ -180,6 +180,30 @@
     }
 }
 
+// All but the last instance by rank had restarted, and those that know nothing were the first ones.
+#[test]
+fn streams_are_told_by_no_one_after_the_first_instances_by_rank_have_restarted() {
+    for size in FLEETS {
+        let mut fleet = settled_fleet(size);
+        let survivor = size.0 - 1;
+        begin_streams(&mut fleet, 0);
+        fleet.run(TELL_MILLIS);
+        for index in 0..survivor {
+            fleet.kill(index);
+        }
+        fleet.run(300);
+        for index in 0..survivor {
+            fleet.restart(index);
+        }
+        fleet.run(2_500);
+
+        let informed = (0..survivor).filter(|index| known_streams(&mut fleet, *index) == STREAMS);
+        let informed: Vec<usize> = informed.collect();
+
+        assert_eq!(informed.len(), survivor, "{size:?}");
+    }
+}
+
 #[test]
 fn instance_that_was_cut_off_never_learns_of_streams_begun_meanwhile() {
     for size in FLEETS {
