client: pass on no answer with a status that no answer has

Cause: any three digits that the library can hold were taken for a final status. RFC 9110, section 15, has such statuses treated as server errors.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -1,11 +1,14 @@
 //! Connections to servers by address.
 
-use std::{collections, io, net, sync, time};
+use std::{collections, io, net, ops, sync, time};
 
 use hyper::client::conn::http1;
 
 use crate::{pool_settings, pooled_answer, pooled_connection, server_dialer, trace_scope};
 
+/// Statuses of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
+
 /// A body that is in memory before it is sent.
 pub type WholeBody = http_body_util::Full<bytes::Bytes>;
 
@@ -70,7 +73,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` when no byte left, and `Lost` for every later failure.
+    /// Returns `NotSent` when no byte left, `Malformed` for a status that no answer has, and `Lost` for
+    /// every other failure.
     pub async fn send(
         self: &sync::Arc<Self>,
         server: net::SocketAddr,
@@ -86,7 +90,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` when no byte left, and `Lost` for every later failure.
+    /// Returns `NotSent` when no byte left, `Malformed` for a status that no answer has, and `Lost` for
+    /// every other failure.
     pub async fn send_fresh(
         self: &sync::Arc<Self>,
         server: net::SocketAddr,
@@ -102,7 +107,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotSent` when no byte left, and `Lost` for every later failure.
+    /// Returns `NotSent` when no byte left, `Malformed` for a status that no answer has, and `Lost` for
+    /// every other failure.
     pub async fn send_alone(
         self: &sync::Arc<Self>,
         server: net::SocketAddr,
@@ -130,15 +136,18 @@
         }
         let answer = connection.sender.try_send_request(request).await;
         match answer {
-            Ok(response) => Ok(pooled_answer::PooledAnswer::new(
-                response,
-                connection,
-                pooled_answer::PoolReturn {
-                    pool: sync::Arc::clone(self),
-                    server,
-                    epoch,
-                },
-            )),
+            Ok(response) => {
+                check_status(response.status())?;
+                Ok(pooled_answer::PooledAnswer::new(
+                    response,
+                    connection,
+                    pooled_answer::PoolReturn {
+                        pool: sync::Arc::clone(self),
+                        server,
+                        epoch,
+                    },
+                ))
+            }
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let detail = error.into_error().to_string();
@@ -259,6 +268,16 @@
     }
 }
 
+/// Checks that a status is one of a final answer. Requests ask for no other protocol.
+fn check_status(status: http::StatusCode) -> Result<(), border::BorderError> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    Err(border::BorderError::Malformed {
+        detail: format!("status {} is none of an answer", status.as_u16()),
+    })
+}
+
 fn set_connection_headers(request: &mut http::Request<WholeBody>, server: net::SocketAddr) {
     let headers = request.headers_mut();
     if !headers.contains_key(http::header::HOST)
