client: take no part of an answer for whole whose request the server hasn't taken

A part of an answer without a length counted as whole where its server ended its side in order while it still got the request, or had closed with the request unread (MIXED). Cause: the end of the connection ends such an answer, and nothing looked at what had become of the request; a failed write or a reset after the end is told by the socket once, and not by the next read. Change: connections to servers and instances report a reset in place of an end while a write is blocked, after one has failed, or when the socket has an error.

--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -4,7 +4,9 @@
 
 use hyper::client::conn::http1;
 
-use crate::{pool_settings, pooled_answer, pooled_connection, server_dialer, trace_scope};
+use crate::{
+    pool_settings, pooled_answer, pooled_connection, server_dialer, trace_scope, watched_stream,
+};
 
 /// Statuses of final answers (RFC 9110, section 15).
 const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
@@ -247,7 +249,7 @@
             .await
             .map_err(|_| not_sent("the connection didn't open in time"))?
             .map_err(|error| not_sent(error.to_string()))?;
-        let io = hyper_util::rt::TokioIo::new(stream);
+        let io = hyper_util::rt::TokioIo::new(watched_stream::WatchedStream::new(stream));
         let (sender, connection) = http1::handshake(io)
             .await
             .map_err(|error| not_sent(error.to_string()))?;
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -21,6 +21,7 @@
 mod store_gateway;
 mod token_lines;
 mod trace_scope;
+mod watched_stream;
 
 pub use bounded_fetch::{FetchLimits, WholeAnswer};
 pub use config_gateway::ConfigGateway;
