gateway: bound the memory of all answers together

A faulty server that sends bytes without end fills the memory of the instances that call it, and the requests of all their callers end (LOST, a report from a similar system). Cause: each answer was bounded (calls 4 MB, events 1 MB, answers to prefills and orders 8 MB, heads 400 KB), all together were not: 60 calls at the same time took 269 MB, instances have 88 to 512 MB. Change: what answers hold beyond 64 KB each counts towards an eighth of the memory of the settings, until the caller has been sent it; answers that aren't relayed have 64 KB at most (a server's report 1 MB), heads 64 KB.

--- a/components/client/src/bounded_fetch.rs
+++ b/components/client/src/bounded_fetch.rs
@@ -16,6 +16,9 @@
     pub body: time::Duration,
 }
 
+/// Largest report of a server on itself, in bytes.
+const REPORT_LIMIT_BYTES: usize = 1024 * 1024;
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct WholeAnswer {
@@ -59,7 +62,7 @@
         limits: FetchLimits,
     ) -> Result<WholeAnswer, border::BorderError> {
         let sending = self.send_alone(server, request);
-        receive_whole(sending, self.answer_limit_bytes(), limits, |_| ()).await
+        receive_whole(sending, REPORT_LIMIT_BYTES, limits, |_| ()).await
     }
 }
 
--- a/components/client/src/connection_pool.rs
+++ b/components/client/src/connection_pool.rs
@@ -8,6 +8,9 @@
     pool_settings, pooled_answer, pooled_connection, server_dialer, trace_scope, watched_stream,
 };
 
+/// Largest head of an answer, and largest part of a body that is read at once, in bytes.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Statuses of final answers (RFC 9110, section 15).
 const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
 
@@ -250,7 +253,9 @@
             .map_err(|_| not_sent("the connection didn't open in time"))?
             .map_err(|error| not_sent(error.to_string()))?;
         let io = hyper_util::rt::TokioIo::new(watched_stream::WatchedStream::new(stream));
-        let (sender, connection) = http1::handshake(io)
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(io)
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         tokio::spawn(async move {
--- a/components/client/src/pooled_answer.rs
+++ b/components/client/src/pooled_answer.rs
@@ -93,13 +93,22 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body, of the largest answer that the pool reads into memory at most.
     ///
     /// # Errors
     ///
-    /// Returns `Lost` when the connection breaks and `Malformed` when the body is too large.
+    /// The errors of [`Self::body_within`].
     pub async fn whole_body(&mut self) -> Result<bytes::Bytes, border::BorderError> {
-        let limit = self.origin.pool.answer_limit_bytes();
+        self.body_within(self.origin.pool.answer_limit_bytes())
+            .await
+    }
+
+    /// Reads the whole body, of `limit` bytes at most.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Lost` when the connection breaks and `Malformed` when the body is too large.
+    pub async fn body_within(&mut self, limit: usize) -> Result<bytes::Bytes, border::BorderError> {
         let mut whole = bytes::BytesMut::new();
         while let Some(piece) = self.next_piece().await? {
             if whole.len() + piece.len() > limit {
--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -2,7 +2,7 @@
 
 use futures_util::StreamExt as _;
 
-use crate::{relay_client, run_evidence};
+use crate::{answer_memory, relay_client, run_evidence};
 
 /// Maximum size of a body that is held in memory, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -42,16 +42,17 @@
     }
 }
 
-/// Reads the whole body of a reply.
+/// Reads the whole body of a reply into a share of the memory for answers.
 pub(crate) async fn collect(
     reply: relay_client::RelayReply,
+    share: answer_memory::MemoryShare,
 ) -> Result<BufferedReply, border::BorderError> {
     let evidence = reply.evidence();
     let mut body = reply.body;
-    let mut bytes = bytes::BytesMut::new();
+    let mut held = answer_memory::HeldBytes::new(share);
     while let Some(chunk) = body.next().await {
-        bytes.extend_from_slice(&chunk?);
-        if bytes.len() > MAX_BUFFERED_BYTES {
+        held.push(&chunk?)?;
+        if held.bytes.len() > MAX_BUFFERED_BYTES {
             return Err(border::BorderError::Malformed {
                 detail: format!("the answer exceeds {MAX_BUFFERED_BYTES} bytes"),
             });
@@ -60,7 +61,7 @@
     Ok(BufferedReply {
         status: reply.status,
         headers: reply.headers,
-        body: bytes.freeze(),
+        body: held.freeze(),
         evidence,
     })
 }
--- a/components/gateway/src/call_session.rs
+++ b/components/gateway/src/call_session.rs
@@ -219,7 +219,7 @@
             Ok(reply) => reply,
             Err(error) => return attempt_result::failed_attempt(&error),
         };
-        let reply = match buffered_reply::collect(reply).await {
+        let reply = match buffered_reply::collect(reply, self.gateway.memory.share()).await {
             Ok(reply) => reply,
             Err(error) => return attempt_result::failed_attempt(&error),
         };
--- a/components/gateway/src/event_reader.rs
+++ b/components/gateway/src/event_reader.rs
@@ -2,7 +2,7 @@
 
 use futures_util::StreamExt as _;
 
-use crate::{event_splitter, relay_client};
+use crate::{answer_memory, event_splitter, relay_client};
 
 /// Numbers with which a stream may begin.
 const FIRST_NUMBERS: std::ops::RangeInclusive<u64> = 0..=1;
@@ -14,16 +14,23 @@
 pub(crate) struct EventReader {
     body: relay_client::ReplyBody,
     splitter: event_splitter::EventSplitter,
+    /// Memory that incomplete events take.
+    share: answer_memory::MemoryShare,
     /// Number of the last event of the stream.
     last: Option<u64>,
 }
 
 impl EventReader {
     /// Creates a reader for a body that goes on after the event `last`, or begins the stream.
-    pub(crate) fn new(body: relay_client::ReplyBody, last: Option<u64>) -> Self {
+    pub(crate) fn new(
+        body: relay_client::ReplyBody,
+        last: Option<u64>,
+        share: answer_memory::MemoryShare,
+    ) -> Self {
         Self {
             body,
             splitter: event_splitter::EventSplitter::default(),
+            share,
             last,
         }
     }
@@ -43,7 +50,10 @@
                 return self.check(event).map(Some);
             }
             match self.body.next().await {
-                Some(chunk) => self.splitter.push(&chunk?)?,
+                Some(chunk) => {
+                    self.splitter.push(&chunk?)?;
+                    self.share.hold(self.splitter.pending_bytes())?;
+                }
                 None if self.splitter.is_empty() => return Ok(None),
                 None => {
                     return Err(border::BorderError::Lost {
--- a/components/gateway/src/event_splitter.rs
+++ b/components/gateway/src/event_splitter.rs
@@ -50,6 +50,12 @@
         Some(StreamEvent { bytes, number })
     }
 
+    /// Returns the number of received bytes that haven't been returned.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether all received bytes have been returned as events, but for comments.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -5,9 +5,9 @@
 use futures_util::StreamExt as _;
 
 use crate::{
-    call_session, decision_event, decision_log, gateway_metrics, proxy_client, proxy_session,
-    relay_answer, relay_client, relay_request, run_record, shared_core, stream_session,
-    workspace_charge,
+    answer_memory, call_session, decision_event, decision_log, gateway_metrics, proxy_client,
+    proxy_session, relay_answer, relay_client, relay_request, run_record, shared_core,
+    stream_session, workspace_charge,
 };
 
 /// Retry delay that callers receive while the instance has no configuration.
@@ -77,6 +77,9 @@
     pub(crate) proxies: sync::Arc<dyn proxy_client::ProxyClient>,
     pub(crate) log: sync::Arc<decision_log::DecisionLog>,
     pub(crate) metrics: sync::Arc<gateway_metrics::GatewayMetrics>,
+    /// Memory for large answers.
+    #[builder(default)]
+    pub(crate) memory: sync::Arc<answer_memory::AnswerMemory>,
     /// Requests that may still be served for other instances at the same time.
     #[builder(default = sync::Arc::new(tokio::sync::Semaphore::new(MAX_PROXIED_REQUESTS)))]
     proxied_slots: sync::Arc<tokio::sync::Semaphore>,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! date, and [`PeerLink`] exchanges state updates with the other instances. The protocols of the
 //! platform are implemented behind the traits [`RelayClient`] and [`SiteSource`].
 
+mod answer_memory;
 mod buffered_reply;
 mod call_session;
 mod crash_message;
@@ -58,6 +59,7 @@
 mod workspace_charge;
 mod workspace_metrics;
 
+pub use answer_memory::AnswerMemory;
 pub use decision_event::{DecisionEvent, LimitEvent};
 pub use decision_log::DecisionLog;
 pub use drain_tally::DrainSummary;
--- a/components/gateway/src/proxy_session.rs
+++ b/components/gateway/src/proxy_session.rs
@@ -138,7 +138,7 @@
             };
         }
         let time_left = self.routed.time_left(self.gateway.core.now());
-        let collecting = buffered_reply::collect(reply);
+        let collecting = buffered_reply::collect(reply, self.gateway.memory.share());
         match tokio::time::timeout(time_left, collecting).await {
             Ok(Ok(reply)) => {
                 log.relayed(reply.status);
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -1,6 +1,8 @@
 //! A stream of a decode engine whose first event has arrived.
 
-use crate::{buffered_reply, event_reader, event_splitter, relay_client, run_evidence};
+use crate::{
+    answer_memory, buffered_reply, event_reader, event_splitter, relay_client, run_evidence,
+};
 
 /// Content type of streams of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
@@ -51,17 +53,21 @@
     }
 }
 
-/// Waits for the reply and for its first event, the one after the event `last`.
+/// Waits for the reply and for its first event, the one after the event `last`; what is read takes a share
+/// of the memory for answers.
 pub(crate) async fn first_event(
     reply: impl Future<Output = Result<relay_client::RelayReply, border::BorderError>>,
     last: Option<u64>,
+    share: answer_memory::MemoryShare,
 ) -> Result<StartedStream, StartFailure> {
     let reply = reply.await?;
     if reply.refusal.is_some() || !reply.status.is_success() {
-        return Err(response_failure(buffered_reply::collect(reply).await?));
+        return Err(response_failure(
+            buffered_reply::collect(reply, share).await?,
+        ));
     }
     check_head(reply.status, &reply.headers)?;
-    let mut events = event_reader::EventReader::new(reply.body, last);
+    let mut events = event_reader::EventReader::new(reply.body, last, share);
     let first = events
         .next()
         .await?
--- a/components/gateway/src/stream_opener/decode_step.rs
+++ b/components/gateway/src/stream_opener/decode_step.rs
@@ -40,7 +40,8 @@
         guard.mark_sent();
         self.routed.runs.begin();
         let sending = self.gateway.client.send(&self.routed.request, options);
-        let opening = started_stream::first_event(sending, self.last_event);
+        let opening =
+            started_stream::first_event(sending, self.last_event, self.gateway.memory.share());
         let result = tokio::time::timeout(time_left, opening).await;
         let failure = match result {
             Ok(Ok(stream)) => {
