relay: tell callers to return after 10 ms at least

Cause: the time until the next token and a random spread may both be near zero. Change: a floor.

Test: relay server_limits caller_is_told_to_return_at_once, failed before.

--- a/components/relay/src/relay_core/core_limits.rs
+++ b/components/relay/src/relay_core/core_limits.rs
@@ -14,6 +14,10 @@
 /// Time over which the retries of callers are spread that were refused because of rate limits.
 const RETRY_SPREAD: time::Duration = time::Duration::from_millis(600);
 
+/// Smallest retry delay. A caller that returns sooner comes before the instances have told each other what is
+/// left of a limit.
+const MIN_RETRY_DELAY: time::Duration = time::Duration::from_millis(10);
+
 impl relay_core::RelayCore {
     /// Returns the rate limits of the servers.
     #[must_use]
@@ -66,7 +70,7 @@
         let spread = RETRY_SPREAD.mul_f64(self.random.random::<f64>());
         Some(core_refusals::refuse(
             refusal::RefusalReason::RateLimit,
-            wait + spread,
+            (wait + spread).max(MIN_RETRY_DELAY),
         ))
     }
 
--- a/components/relay/tests/server_limits.rs
+++ b/components/relay/tests/server_limits.rs
@@ -45,6 +45,21 @@
     arrivals as f64 / seconds as f64
 }
 
+#[test]
+fn caller_is_told_to_return_at_once() {
+    let mut core = common::core_with(&[common::server("s1", "a")]);
+    let key = core.backends().table().keys().next().expect("a server");
+    core.record_rate_limit(common::at(100), key, Some(40.0));
+
+    let delays = (100..6_000).filter_map(|millis| {
+        let selected = core.select_server(common::at(millis), &common::PLAIN_SERVICE.into(), &[]);
+        selected.err().map(|refusal| refusal.retry_after)
+    });
+    let shortest = delays.min().expect("some calls are refused");
+
+    assert!(shortest >= common::ms(10), "{shortest:?}");
+}
+
 #[test]
 fn instances_exceed_a_limit_together() {
     for limit in [0.5, 4.6, 12.0] {
