--- a/components/relay/src/view_tracker/list_changes.rs
+++ b/components/relay/src/view_tracker/list_changes.rs
@@ -105,16 +105,17 @@
     /// Adds or replaces an entry.
     ///
     /// A draining server stays draining in the same incarnation: an entry that says otherwise was
-    /// written late or restored from a copy.
+    /// written late or restored from a copy. One without a start time shows no other incarnation.
     pub(super) fn list_entry(
         &mut self,
         now: clock::Timestamp,
         mut entry: backend_entry::BackendEntry,
     ) {
         let known = self.view.backends.get(&entry.server);
-        let is_draining = known
-            .is_some_and(|known| known.leaving && known.born_millis == entry.born_millis)
-            || self.removed.was_leaving(now, &entry);
+        let is_draining = known.is_some_and(|known| {
+            let is_known_start = [0, known.born_millis].contains(&entry.born_millis);
+            known.leaving && is_known_start
+        }) || self.removed.was_leaving(now, &entry);
         entry.leaving |= is_draining;
         let is_unchanged = known.is_some_and(|known| {
             known.leaving == entry.leaving && known.is_same_incarnation(&entry)
