relay: send a prompt again in the way of a repeated one for 30 s

Cause: a prompt counted as free of streams at another version once the deadline had passed that their callers had stated at the begin; callers may take their streams up with another deadline. Change: 30 s at least, as the software history has it for the longest time from the begin of a stream until it is taken up.

--- a/components/relay/src/instance_registry/fleet_reports.rs
+++ b/components/relay/src/instance_registry/fleet_reports.rs
@@ -55,19 +55,26 @@
     /// would leave capacity unused.
     #[must_use]
     pub fn all_order_by_share(&self, now: clock::Timestamp) -> bool {
-        self.states
-            .values()
-            .filter(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
-            .all(|state| state.update.orders_by_share)
+        self.updates_in_touch(now)
+            .all(|update| update.orders_by_share)
     }
 
     /// Returns whether all other instances in touch tell of the prompts of their streams.
     #[must_use]
     pub fn all_tell_prompts(&self, now: clock::Timestamp) -> bool {
+        self.updates_in_touch(now)
+            .all(|update| update.tells_prompts)
+    }
+
+    /// Returns the updates of the instances in touch.
+    fn updates_in_touch(
+        &self,
+        now: clock::Timestamp,
+    ) -> impl Iterator<Item = &instance_update::InstanceUpdate> {
         self.states
             .values()
-            .filter(|state| now.since(state.received_at) < ALIVE_TIMEOUT)
-            .all(|state| state.update.tells_prompts)
+            .filter(move |state| now.since(state.received_at) < ALIVE_TIMEOUT)
+            .map(|state| &state.update)
     }
 
     /// Returns the usage of services, by their hash, by workspaces at the other instances. The counts of
--- a/components/relay/src/prompt_registry.rs
+++ b/components/relay/src/prompt_registry.rs
@@ -7,7 +7,7 @@
 
 use std::{collections, time};
 
-use crate::{origin_report, software_key};
+use crate::{origin_report, software_history, software_key};
 
 /// Time for which a prompt counts as sent to a version.
 const MEMORY_TIME: time::Duration = time::Duration::from_secs(300);
@@ -66,7 +66,9 @@
             part: prompt.part,
             software: report.software,
         };
-        let open_until = now + report.remaining;
+        // A caller may state another deadline when it takes its stream up.
+        let open_for = report.remaining.max(software_history::STREAM_LIFETIME);
+        let open_until = now + open_for;
         let known = self.uses.get(&key).filter(|sent| sent.is_remembered(now));
         let sent = PromptUse {
             to_prefill: prompt.to_prefill || known.is_some_and(|sent| sent.to_prefill),
--- a/components/relay/src/software_history.rs
+++ b/components/relay/src/software_history.rs
@@ -5,7 +5,7 @@
 use crate::{backend_entry, software_key};
 
 /// Longest time from the begin of a stream until its caller takes it up.
-const STREAM_LIFETIME: time::Duration = time::Duration::from_secs(30);
+pub(crate) const STREAM_LIFETIME: time::Duration = time::Duration::from_secs(30);
 
 /// Software versions that the platform's list has contained recently, and since when they are known.
 #[derive(Debug, Default)]
