intake: bound what connections, heads and bodies hold together

What callers saw: with clients that send bodies and stop short of their end, an instance ran out of memory and ended; all requests on it were cut.

Cause: a body was collected as the frames of the HTTP library, each of which keeps a handle and the read buffer from which it is cut (36 bytes a byte in chunks of one byte), and was then copied whole. Nothing bounded all bodies together, nor the memory of connections and heads, and nothing ended a body that never came to its end, or came a byte at a time. headerTimeoutMs wasn't read.

Change: the crate intake decides, without I/O, which connections and bodies are kept; platform reads bodies of callers and of other instances through it. A body is copied as it arrives into one buffer whose capacity is counted. A quarter of the memory in the settings is for connections and requests, the last quarter of that for requests of up to 64 KiB, half at most for other instances. Without room, those that have held most bytes for the longest without being whole end (503 with `Connection: close`, not run; the rest of what they send is read for half a second, so that the answer arrives). Whole requests keep their room. A body ends at the caller's deadline, or after the longest timeout of a route. One body in small pieces is read at a time.

Why it works: what counts is what is allocated, growth waits until those given up have freed theirs, and an ordinary request costs so little for so short a time that it is the last to be given up.

--- a/components/gateway/src/decision_event.rs
+++ b/components/gateway/src/decision_event.rs
@@ -22,6 +22,20 @@
         /// Start of the process in milliseconds since the Unix epoch.
         incarnation: u64,
     },
+    /// Connections were ended or not taken, or bodies not read to their end; logged at most once a
+    /// second.
+    IntakeFull {
+        /// Open connections.
+        connections: usize,
+        /// Bytes that connections and requests hold.
+        held_bytes: usize,
+        /// Connections that were ended since the last line.
+        ended: u64,
+        /// Connections that had no place since the last line.
+        refused_connections: u64,
+        /// Bodies that weren't read to their end since the last line.
+        refused_bodies: u64,
+    },
     /// The process received a shutdown signal and drains.
     Draining {
         /// Open connections of callers.
@@ -489,6 +503,10 @@
                     outcome: "relayed" | "caller_left",
                     ..
                 }
+                | Self::Ended {
+                    reason: Some("no_room" | "body_timeout"),
+                    ..
+                }
         )
     }
 }
--- a/components/gateway/src/early_refusal.rs
+++ b/components/gateway/src/early_refusal.rs
@@ -9,6 +9,10 @@
 /// their keys. A copy of the configuration takes less.
 const KEYS_NOT_KNOWN_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
+/// Retry delay that callers receive while there is no room for their requests. Small requests find
+/// room as soon as one of the requests under way is answered.
+const NO_ROOM_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
+
 /// Answer to a request that isn't relayed.
 struct EarlyRefusal<'a> {
     answer: relay_answer::LocalAnswer,
@@ -52,6 +56,34 @@
         self.refuse_early("", arrived, &refusal)
     }
 
+    /// Logs, counts and answers a request that wasn't read to its end.
+    pub fn refuse_unheld(
+        &self,
+        arrived: clock::Timestamp,
+        error: intake::IntakeError,
+    ) -> relay_answer::RelayAnswer {
+        let (answer, retry_after) = match error {
+            intake::IntakeError::TooLarge => (relay_answer::LocalAnswer::TooLarge, None),
+            intake::IntakeError::Broken => (relay_answer::LocalAnswer::BadRequest, None),
+            intake::IntakeError::TimedOut => (relay_answer::LocalAnswer::NotRun, None),
+            intake::IntakeError::NoRoom => {
+                (relay_answer::LocalAnswer::NotRun, Some(NO_ROOM_RETRY_AFTER))
+            }
+        };
+        let is_refusal = answer == relay_answer::LocalAnswer::NotRun;
+        let reason = is_refusal.then(|| error.into());
+        if let Some(reason) = reason {
+            self.metrics.refused(reason);
+        }
+        let refusal = EarlyRefusal {
+            answer,
+            reason,
+            route: None,
+            retry_after,
+        };
+        self.refuse_early("", arrived, &refusal)
+    }
+
     /// Logs, counts and answers a request that its key doesn't admit.
     pub(crate) fn refuse_key(
         &self,
--- a/components/gateway/src/gateway_metrics.rs
+++ b/components/gateway/src/gateway_metrics.rs
@@ -8,7 +8,7 @@
     registry,
 };
 
-use crate::{run_evidence, workspace_metrics};
+use crate::{intake_metrics, run_evidence, workspace_metrics};
 
 /// Labels of a finished request.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, prometheus_client::encoding::EncodeLabelSet)]
@@ -56,6 +56,7 @@
     retries_left: family::Family<NameLabel, gauge::Gauge<f64, atomic::AtomicU64>>,
     orders: family::Family<NameLabel, counter::Counter>,
     pub(crate) workspaces: workspace_metrics::WorkspaceMetrics,
+    intake: intake_metrics::IntakeMetrics,
     workspace_shares: ShareFamily,
     fair_shares: ShareFamily,
 }
@@ -161,6 +162,8 @@
         );
         let workspaces = workspace_metrics::WorkspaceMetrics::default();
         workspaces.register(&mut registry);
+        let intake = intake_metrics::IntakeMetrics::default();
+        intake.register(&mut registry);
         registry.register(
             "relay_workspace_share",
             "Part of the tokens placed lately, by service, of the 16 workspaces with the largest parts",
@@ -193,6 +196,7 @@
             fair_shares,
             workspace_shares,
             workspaces,
+            intake,
         }
     }
 }
@@ -309,6 +313,11 @@
         }
     }
 
+    /// Updates the metrics of what the instance takes in.
+    pub fn update_intake(&self, intake: &intake::Intake) {
+        self.intake.update(intake);
+    }
+
     /// Sets the number of log lines that were dropped.
     pub fn set_log_lines_dropped(&self, lines: u64) {
         self.log_lines_dropped.set(signed(lines));
--- a/components/gateway/src/relay_request.rs
+++ b/components/gateway/src/relay_request.rs
@@ -1,6 +1,6 @@
 //! A request that is relayed to a backend server.
 
-use std::{net, time};
+use std::{net, sync, time};
 
 /// Sizes of a generation, which the caller states in header fields.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,6 +36,8 @@
     pub admission: relay::Admission,
     /// Body.
     pub body: bytes::Bytes,
+    /// Memory that the head and the body hold, as long as there is a copy of the request.
+    pub memory: Option<sync::Arc<intake::RequestShare>>,
     /// Time from the arrival to the caller's deadline.
     pub time_left: time::Duration,
     /// Sizes, if the request is a generation.
--- /dev/null
+++ b/components/intake/src/body_reader.rs
@@ -0,0 +1,105 @@
+//! Reads a body within bounds of size, memory and time.
+
+use http_body_util::BodyExt as _;
+
+use crate::{body_buffer, intake_error::IntakeError, request_share};
+
+/// Size below which a piece of a body counts as small, in bytes.
+const SMALL_PIECE_BYTES: usize = 64;
+
+/// Small pieces after which the readers of other bodies have their turn.
+const PIECES_PER_TURN: u32 = 64;
+
+/// Bounds of a body.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyTerms {
+    /// Largest body, in bytes.
+    pub limit_bytes: usize,
+    /// Time at which a body that isn't whole is given up.
+    pub read_by: tokio::time::Instant,
+}
+
+/// A whole body, with the memory that it and its head hold.
+pub struct HeldBody {
+    /// The body.
+    pub bytes: bytes::Bytes,
+    /// The memory of the request; to be kept as long as the request.
+    pub share: request_share::RequestShare,
+}
+
+/// Reads a whole body into the share of its request. A request that isn't read to its end is refused,
+/// and its connection ends after the answer.
+///
+/// # Errors
+///
+/// Returns an error if the body exceeds a bound or breaks off, or if there is no room for it.
+pub async fn read_body<B>(
+    share: request_share::RequestShare,
+    body: B,
+    terms: BodyTerms,
+) -> Result<HeldBody, IntakeError>
+where
+    B: http_body::Body<Data = bytes::Bytes>,
+{
+    let slot = share.slot().clone();
+    let reading = read_pieces(share, body, terms.limit_bytes);
+    let reading = tokio::time::timeout_at(terms.read_by, reading);
+    let read = tokio::select! {
+        biased;
+        read = reading => read.unwrap_or(Err(IntakeError::TimedOut)),
+        () = slot.given_up() => Err(IntakeError::NoRoom),
+    };
+    read.inspect_err(|error| {
+        slot.intake().counts().refuse_body(*error);
+        slot.refuse();
+    })
+}
+
+async fn read_pieces<B>(
+    mut share: request_share::RequestShare,
+    body: B,
+    limit_bytes: usize,
+) -> Result<HeldBody, IntakeError>
+where
+    B: http_body::Body<Data = bytes::Bytes>,
+{
+    let announced = body.size_hint().lower();
+    if usize::try_from(announced).map_or(true, |announced| announced > limit_bytes) {
+        return Err(IntakeError::TooLarge);
+    }
+    let mut buffer = body_buffer::BodyBuffer::new(limit_bytes);
+    let mut small_pieces = 0;
+    let mut body = std::pin::pin!(body);
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            // The connection of a request that was given up reads nothing more.
+            let was_given_up = share.slot().is_ending();
+            return Err(if was_given_up {
+                IntakeError::NoRoom
+            } else {
+                IntakeError::Broken
+            });
+        };
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        buffer.push(&mut share, &piece).await?;
+        small_pieces += u32::from(piece.len() < SMALL_PIECE_BYTES);
+        if small_pieces == PIECES_PER_TURN {
+            small_pieces = 0;
+            give_turn(&share).await?;
+        }
+    }
+    let bytes = buffer.finish(&mut share);
+    share.complete()?;
+    Ok(HeldBody { bytes, share })
+}
+
+/// Lets other tasks run. Of all bodies in small pieces one is read at a time, so that ordinary
+/// requests don't wait for a turn of each.
+async fn give_turn(share: &request_share::RequestShare) -> Result<(), IntakeError> {
+    let lane = share.slot().intake().slow_lane.acquire().await;
+    let _turn = lane.map_err(|_| IntakeError::NoRoom)?;
+    tokio::task::yield_now().await;
+    Ok(())
+}
--- /dev/null
+++ b/components/intake/src/connection_signal.rs
@@ -0,0 +1,42 @@
+//! Tells a connection to end.
+
+use std::{sync::atomic, task};
+
+use futures_util::task as waking;
+
+use crate::close_step::CloseStep;
+
+/// Tells a connection to end, from any task.
+#[derive(Default)]
+pub(crate) struct ConnectionSignal {
+    /// The [`CloseStep`] that was reached, or zero.
+    step: atomic::AtomicU8,
+    reader: waking::AtomicWaker,
+    writer: waking::AtomicWaker,
+}
+
+impl ConnectionSignal {
+    /// Raises the step; steps are never taken back.
+    pub(crate) fn raise(&self, step: CloseStep) {
+        self.step.fetch_max(step as u8, atomic::Ordering::AcqRel);
+        self.reader.wake();
+        self.writer.wake();
+    }
+
+    /// Returns whether the connection has reached a step.
+    pub(crate) fn has_reached(&self, step: CloseStep) -> bool {
+        self.step.load(atomic::Ordering::Acquire) >= step as u8
+    }
+
+    /// Registers the task that reads, and returns whether the connection has reached a step.
+    pub(crate) fn poll_reader(&self, context: &task::Context<'_>, step: CloseStep) -> bool {
+        self.reader.register(context.waker());
+        self.has_reached(step)
+    }
+
+    /// Registers the task that writes, and returns whether the connection has reached a step.
+    pub(crate) fn poll_writer(&self, context: &task::Context<'_>, step: CloseStep) -> bool {
+        self.writer.register(context.waker());
+        self.has_reached(step)
+    }
+}
--- /dev/null
+++ b/components/intake/src/connection_slot.rs
@@ -0,0 +1,120 @@
+//! The place of one connection.
+
+use std::{fmt, sync, task};
+
+use crate::{
+    close_step::CloseStep, connection_phase::ConnectionPhase, connection_signal, connection_table,
+    intake_error, request_share, shared_intake,
+};
+
+/// The place of one connection in an intake; the connection is removed when the last copy is dropped.
+#[derive(Clone)]
+pub struct ConnectionSlot {
+    inner: sync::Arc<SlotInner>,
+}
+
+impl fmt::Debug for ConnectionSlot {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_tuple("ConnectionSlot")
+            .field(&self.inner.key)
+            .finish()
+    }
+}
+
+struct SlotInner {
+    intake: sync::Arc<shared_intake::Intake>,
+    key: connection_table::ConnectionKey,
+    signal: sync::Arc<connection_signal::ConnectionSignal>,
+}
+
+impl Drop for SlotInner {
+    fn drop(&mut self) {
+        self.intake.remove(self.key);
+    }
+}
+
+impl ConnectionSlot {
+    pub(crate) fn new(
+        intake: sync::Arc<shared_intake::Intake>,
+        key: connection_table::ConnectionKey,
+        signal: sync::Arc<connection_signal::ConnectionSignal>,
+    ) -> Self {
+        let inner = SlotInner {
+            intake,
+            key,
+            signal,
+        };
+        Self {
+            inner: sync::Arc::new(inner),
+        }
+    }
+
+    /// Begins a request whose head takes `head_bytes`; its body is to be read.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NoRoom` if there is no memory for the request.
+    pub async fn begin_request(
+        &self,
+        head_bytes: usize,
+    ) -> Result<request_share::RequestShare, intake_error::IntakeError> {
+        self.set_phase(ConnectionPhase::Reading);
+        let mut share = request_share::RequestShare::new(self.clone());
+        share.grow(head_bytes).await?;
+        Ok(share)
+    }
+
+    /// Sets the phase of the connection; returns whether the connection goes on.
+    pub fn set_phase(&self, phase: ConnectionPhase) -> bool {
+        self.inner.intake.set_phase(self.inner.key, phase)
+    }
+
+    /// Returns the intake.
+    #[must_use]
+    pub fn intake(&self) -> &sync::Arc<shared_intake::Intake> {
+        &self.inner.intake
+    }
+
+    pub(crate) fn key(&self) -> connection_table::ConnectionKey {
+        self.inner.key
+    }
+
+    pub(crate) fn signal(&self) -> &connection_signal::ConnectionSignal {
+        &self.inner.signal
+    }
+
+    /// Waits until the connection is given up.
+    pub(crate) async fn given_up(&self) {
+        let signal = &self.inner.signal;
+        std::future::poll_fn(|context| {
+            if signal.poll_reader(context, CloseStep::Refuse) {
+                task::Poll::Ready(())
+            } else {
+                task::Poll::Pending
+            }
+        })
+        .await;
+    }
+
+    /// Returns whether the connection was given up.
+    pub(crate) fn is_ending(&self) -> bool {
+        self.inner.signal.has_reached(CloseStep::Refuse)
+    }
+
+    /// Returns a place for the wait until a refused client ends; `None` if the connection wasn't refused
+    /// or too many wait already.
+    pub(crate) fn begin_linger(&self) -> Option<tokio::sync::OwnedSemaphorePermit> {
+        if !self.is_ending() {
+            return None;
+        }
+        let lingering = sync::Arc::clone(&self.inner.intake.lingering);
+        lingering.try_acquire_owned().ok()
+    }
+
+    /// Ends the connection after the answer, since its request isn't read to the end.
+    pub(crate) fn refuse(&self) {
+        self.inner.intake.end(self.inner.key);
+        self.inner.signal.raise(CloseStep::Refuse);
+    }
+}
--- /dev/null
+++ b/components/intake/src/connection_table.rs
@@ -0,0 +1,346 @@
+//! Decides which connections and bodies are kept.
+
+use std::{cmp, collections, time};
+
+use crate::{
+    close_step::CloseStep,
+    connection_class::ConnectionClass,
+    connection_phase::ConnectionPhase,
+    intake_limits,
+    table_entry::TableEntry,
+    table_verdict::{AdmitVerdict, GrowVerdict},
+};
+
+/// Time for which a connection that was told to end may send what it has to tell its client.
+const END_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+slotmap::new_key_type! {
+    /// Key of a connection.
+    pub struct ConnectionKey;
+}
+
+/// Reasons why a connection ends before its client closes it.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, strum::EnumIter, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum EndReason {
+    /// There was no memory for another request beside it.
+    Memory,
+    /// There was no descriptor for another connection beside it.
+    Descriptors,
+    /// A head wasn't whole in time.
+    HeadTimeout,
+    /// The client took nothing of its answer for too long.
+    UnreadAnswer,
+    /// The connection was told to end and is still open.
+    EndTimeout,
+}
+
+/// Decides which connections and bodies are kept.
+///
+/// Only clients that let the process wait are given up: those whose head or body isn't whole, and
+/// those that take nothing of their answer. A request that is whole keeps its room until it is
+/// answered.
+pub struct ConnectionTable {
+    limits: intake_limits::IntakeLimits,
+    entries: slotmap::SlotMap<ConnectionKey, TableEntry>,
+    counts: collections::BTreeMap<ConnectionClass, usize>,
+    held_bytes: usize,
+    /// Part of the held bytes that connections which end are about to free.
+    ending_bytes: usize,
+}
+
+impl ConnectionTable {
+    /// Creates a table without connections.
+    #[must_use]
+    pub fn new(limits: intake_limits::IntakeLimits) -> Self {
+        Self {
+            limits,
+            entries: slotmap::SlotMap::with_key(),
+            counts: collections::BTreeMap::new(),
+            held_bytes: 0,
+            ending_bytes: 0,
+        }
+    }
+
+    /// Returns the bytes that connections and requests hold.
+    #[must_use]
+    pub const fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
+    /// Returns the number of connections.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are no connections.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes a new connection. If its class has all connections that it may have, or the memory for
+    /// connections is full, others make room.
+    pub fn admit(&mut self, now: clock::Timestamp, class: ConnectionClass) -> AdmitVerdict {
+        let mut ends = Vec::new();
+        let count = self.counts.get(&class).copied().unwrap_or_default();
+        if count >= self.limits.connections(class) {
+            let Some(victim) = self.longest_idle(now, class) else {
+                return AdmitVerdict::Refused;
+            };
+            ends.push(victim);
+        }
+        let added = self.limits.connection_bytes;
+        let ceiling = self.class_ceiling(class);
+        if ends.is_empty() && !self.has_room(added, ceiling) {
+            match self.make_room(now, (class, None), added, ceiling) {
+                Some(victims) => ends = victims,
+                None => return AdmitVerdict::Refused,
+            }
+        }
+        for victim in &ends {
+            self.end(now, *victim);
+        }
+        *self.counts.entry(class).or_default() += 1;
+        self.held_bytes += added;
+        let key = self.entries.insert(TableEntry {
+            class,
+            phase: ConnectionPhase::Waiting,
+            since: now,
+            head_since: None,
+            blocked_since: None,
+            held_bytes: added,
+            ending_since: None,
+        });
+        AdmitVerdict::Admitted { key, ends }
+    }
+
+    /// Counts more bytes of a request.
+    pub fn grow(&mut self, now: clock::Timestamp, key: ConnectionKey, bytes: usize) -> GrowVerdict {
+        let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_ending()) else {
+            return GrowVerdict::Refused;
+        };
+        let (ceiling, class) = (self.ceiling(entry, bytes), entry.class);
+        if self.held_bytes + bytes <= ceiling {
+            self.entries[key].held_bytes += bytes;
+            self.held_bytes += bytes;
+            return GrowVerdict::Granted;
+        }
+        if self.has_room(bytes, ceiling) {
+            return GrowVerdict::Wait { ends: Vec::new() };
+        }
+        match self.make_room(now, (class, Some(key)), bytes, ceiling) {
+            Some(ends) => {
+                for victim in &ends {
+                    self.end(now, *victim);
+                }
+                GrowVerdict::Wait { ends }
+            }
+            None => GrowVerdict::Refused,
+        }
+    }
+
+    /// Takes back bytes of a request. The connection may have ended before.
+    pub fn shrink(&mut self, key: ConnectionKey, bytes: usize) {
+        self.held_bytes -= bytes;
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.held_bytes -= bytes;
+        if entry.is_ending() {
+            self.ending_bytes -= bytes;
+        }
+    }
+
+    /// Sets the phase of a connection; returns whether the connection goes on.
+    pub fn set_phase(
+        &mut self,
+        now: clock::Timestamp,
+        key: ConnectionKey,
+        phase: ConnectionPhase,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return false;
+        };
+        entry.phase = phase;
+        entry.since = now;
+        entry.head_since = None;
+        !entry.is_ending()
+    }
+
+    /// Records that bytes have arrived.
+    pub fn record_input(&mut self, now: clock::Timestamp, key: ConnectionKey) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        if !entry.class.has_phases() {
+            entry.since = now;
+        } else if entry.phase == ConnectionPhase::Waiting {
+            entry.head_since.get_or_insert(now);
+        }
+    }
+
+    /// Records whether the client takes what is to be sent.
+    pub fn record_output(&mut self, now: clock::Timestamp, key: ConnectionKey, is_blocked: bool) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.blocked_since = is_blocked.then_some(now);
+        }
+    }
+
+    /// Ends the connection of a class that has let the process wait longest, so that a descriptor is
+    /// free; returns `None` if all have requests under way.
+    pub fn relieve(
+        &mut self,
+        now: clock::Timestamp,
+        class: ConnectionClass,
+    ) -> Option<ConnectionKey> {
+        let victim = self.longest_idle(now, class)?;
+        self.end(now, victim);
+        Some(victim)
+    }
+
+    /// Ends the connections that have exceeded a timeout.
+    pub fn expire(
+        &mut self,
+        now: clock::Timestamp,
+        timeouts: &intake_limits::IntakeTimeouts,
+    ) -> Vec<(ConnectionKey, EndReason)> {
+        let exceeds = |since: Option<clock::Timestamp>, timeout| {
+            since.is_some_and(|since| now.since(since) > timeout)
+        };
+        let expired: Vec<_> = self
+            .entries
+            .iter()
+            .filter_map(|(key, entry)| {
+                if entry.is_ending() {
+                    let is_late = exceeds(entry.ending_since, END_TIMEOUT);
+                    return is_late.then_some((key, EndReason::EndTimeout));
+                }
+                if exceeds(entry.head_since, timeouts.head) {
+                    Some((key, EndReason::HeadTimeout))
+                } else if exceeds(entry.blocked_since, timeouts.unread) {
+                    Some((key, EndReason::UnreadAnswer))
+                } else {
+                    None
+                }
+            })
+            .collect();
+        for (key, _) in &expired {
+            self.end(now, *key);
+        }
+        expired
+    }
+
+    /// Removes a closed connection. What its request holds counts until it is taken back.
+    pub fn remove(&mut self, key: ConnectionKey) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        if entry.is_ending() {
+            self.ending_bytes -= entry.held_bytes;
+        } else {
+            self.release_place(entry.class);
+        }
+        self.held_bytes -= self.limits.connection_bytes;
+    }
+
+    /// Returns up to which sum of all bytes a request may grow by `bytes`.
+    fn ceiling(&self, entry: &TableEntry, bytes: usize) -> usize {
+        let request_bytes = entry.held_bytes - self.limits.connection_bytes + bytes;
+        let ceiling = self.class_ceiling(entry.class);
+        if request_bytes > intake_limits::SMALL_REQUEST_BYTES {
+            ceiling.min(self.limits.large_bytes())
+        } else {
+            ceiling
+        }
+    }
+
+    /// Returns up to which sum of all bytes connections of a class and their requests may grow.
+    fn class_ceiling(&self, class: ConnectionClass) -> usize {
+        if class == ConnectionClass::Peer {
+            self.limits.peer_bytes()
+        } else {
+            self.limits.memory_bytes
+        }
+    }
+
+    /// Returns whether `bytes` have room once all that end have freed theirs.
+    const fn has_room(&self, bytes: usize, ceiling: usize) -> bool {
+        self.held_bytes - self.ending_bytes + bytes <= ceiling
+    }
+
+    /// Returns the costliest connections whose end makes room for `bytes`; `None` if the one that asks is one
+    /// of them, or all together aren't enough. Requests of other instances make room for each other,
+    /// and all make room for callers.
+    fn make_room(
+        &self,
+        now: clock::Timestamp,
+        (class, asking): (ConnectionClass, Option<ConnectionKey>),
+        bytes: usize,
+        ceiling: usize,
+    ) -> Option<Vec<ConnectionKey>> {
+        let is_peer = class == ConnectionClass::Peer;
+        let mut candidates: collections::BinaryHeap<(u128, ConnectionKey)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !is_peer || entry.class == ConnectionClass::Peer)
+            .filter_map(|(key, entry)| Some((entry.cost(now)?, key)))
+            .collect();
+        let mut left = self.held_bytes - self.ending_bytes + bytes;
+        let mut victims = Vec::new();
+        while left > ceiling {
+            let (_, victim) = candidates.pop()?;
+            if Some(victim) == asking {
+                return None;
+            }
+            left -= self.entries[victim].held_bytes;
+            victims.push(victim);
+        }
+        Some(victims)
+    }
+
+    /// Returns the connection of a class whose client has let the process wait longest; one without a
+    /// whole head comes before the others.
+    fn longest_idle(&self, now: clock::Timestamp, class: ConnectionClass) -> Option<ConnectionKey> {
+        self.entries
+            .iter()
+            .filter(|(_, entry)| entry.class == class)
+            .filter_map(|(key, entry)| {
+                let is_waiting = entry.phase == ConnectionPhase::Waiting;
+                Some((is_waiting, entry.idle_time(now)?, cmp::Reverse(key)))
+            })
+            .max()
+            .map(|(_, _, cmp::Reverse(key))| key)
+    }
+
+    /// Returns how a connection is to end: the answer to a request that isn't whole may be sent.
+    pub(crate) fn close_step(&self, key: ConnectionKey) -> CloseStep {
+        let phase = self.entries.get(key).map(|entry| entry.phase);
+        if phase == Some(ConnectionPhase::Reading) {
+            CloseStep::Refuse
+        } else {
+            CloseStep::Abort
+        }
+    }
+
+    /// Tells a connection to end; its place is free for another one.
+    pub(crate) fn end(&mut self, now: clock::Timestamp, key: ConnectionKey) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        if entry.is_ending() {
+            return;
+        }
+        entry.ending_since = Some(now);
+        self.ending_bytes += entry.held_bytes;
+        let class = entry.class;
+        self.release_place(class);
+    }
+
+    fn release_place(&mut self, class: ConnectionClass) {
+        if let Some(count) = self.counts.get_mut(&class) {
+            *count -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/components/intake/src/shared_intake.rs
@@ -0,0 +1,213 @@
+//! Shares a connection table among the listeners of a process.
+
+use std::{collections, sync};
+
+use crate::{
+    close_step::CloseStep, connection_class, connection_phase::ConnectionPhase, connection_signal,
+    connection_slot, connection_table, intake_counts, intake_error, intake_limits, table_verdict,
+};
+
+/// Bodies in small pieces that are read at the same time.
+const SLOW_LANES: usize = 1;
+
+/// A share of the places of callers that connections may take which wait for a refused client to end.
+const LINGER_DIVISOR: usize = 4;
+
+struct IntakeState {
+    table: connection_table::ConnectionTable,
+    signals: collections::HashMap<
+        connection_table::ConnectionKey,
+        sync::Arc<connection_signal::ConnectionSignal>,
+    >,
+}
+
+/// Shares a connection table among the listeners of a process.
+///
+/// The lock is held for one decision at a time and never across an await point.
+pub struct Intake {
+    clock: sync::Arc<dyn clock::ClockSource>,
+    state: sync::Mutex<IntakeState>,
+    /// Wakes requests that wait until others have freed their memory.
+    freed: tokio::sync::Notify,
+    /// Held by a body in small pieces while some of them are read.
+    pub(crate) slow_lane: tokio::sync::Semaphore,
+    /// Held by connections that wait for a refused client to end.
+    pub(crate) lingering: sync::Arc<tokio::sync::Semaphore>,
+    counts: intake_counts::IntakeCounts,
+}
+
+impl Intake {
+    /// Creates an intake without connections.
+    #[must_use]
+    pub fn new(
+        limits: intake_limits::IntakeLimits,
+        clock: sync::Arc<dyn clock::ClockSource>,
+    ) -> sync::Arc<Self> {
+        let callers = limits.connections(connection_class::ConnectionClass::Caller);
+        let lingering = tokio::sync::Semaphore::new(callers / LINGER_DIVISOR);
+        sync::Arc::new(Self {
+            clock,
+            state: sync::Mutex::new(IntakeState {
+                table: connection_table::ConnectionTable::new(limits),
+                signals: collections::HashMap::new(),
+            }),
+            freed: tokio::sync::Notify::new(),
+            slow_lane: tokio::sync::Semaphore::new(SLOW_LANES),
+            lingering: sync::Arc::new(lingering),
+            counts: intake_counts::IntakeCounts::default(),
+        })
+    }
+
+    /// Returns the counts since the start.
+    #[must_use]
+    pub const fn counts(&self) -> &intake_counts::IntakeCounts {
+        &self.counts
+    }
+
+    /// Returns the number of connections and the bytes that they and their requests hold.
+    #[must_use]
+    pub fn usage(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.table.len(), state.table.held_bytes())
+    }
+
+    /// Takes a new connection, for which others may have to end; returns `None` if there is no place.
+    pub fn admit(
+        self: &sync::Arc<Self>,
+        class: connection_class::ConnectionClass,
+    ) -> Option<connection_slot::ConnectionSlot> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let table_verdict::AdmitVerdict::Admitted { key, ends } = state.table.admit(now, class)
+        else {
+            self.counts.refuse_connection(class);
+            return None;
+        };
+        self.end_all(&state, &ends, connection_table::EndReason::Descriptors);
+        let signal = sync::Arc::new(connection_signal::ConnectionSignal::default());
+        state.signals.insert(key, sync::Arc::clone(&signal));
+        drop(state);
+        Some(connection_slot::ConnectionSlot::new(
+            sync::Arc::clone(self),
+            key,
+            signal,
+        ))
+    }
+
+    /// Ends a connection of a class so that a descriptor is free.
+    pub fn relieve(&self, class: connection_class::ConnectionClass) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let victim = state.table.relieve(now, class);
+        let reason = connection_table::EndReason::Descriptors;
+        self.end_all(&state, victim.as_slice(), reason);
+    }
+
+    /// Ends the connections that have exceeded a timeout.
+    pub fn expire(&self, timeouts: &intake_limits::IntakeTimeouts) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        for (key, reason) in state.table.expire(now, timeouts) {
+            let signal = state.signals.get(&key);
+            if let Some(signal) = signal.filter(|signal| !signal.has_reached(CloseStep::Abort)) {
+                self.counts.end(reason);
+                signal.raise(CloseStep::Abort);
+            }
+        }
+    }
+
+    /// Counts more bytes of a request, and waits until others have freed theirs if need be.
+    pub(crate) async fn grow(
+        &self,
+        slot: &connection_slot::ConnectionSlot,
+        bytes: usize,
+    ) -> Result<(), intake_error::IntakeError> {
+        loop {
+            // Created before the decision, so that no notification after it is missed.
+            let freed = self.freed.notified();
+            if self.try_grow(slot.key(), bytes)? {
+                return Ok(());
+            }
+            tokio::select! {
+                () = freed => {}
+                () = slot.given_up() => return Err(intake_error::IntakeError::NoRoom),
+            }
+        }
+    }
+
+    /// Counts more bytes of a request; returns whether there is room for them yet.
+    fn try_grow(
+        &self,
+        key: connection_table::ConnectionKey,
+        bytes: usize,
+    ) -> Result<bool, intake_error::IntakeError> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match state.table.grow(now, key, bytes) {
+            table_verdict::GrowVerdict::Granted => Ok(true),
+            table_verdict::GrowVerdict::Wait { ends } => {
+                self.end_all(&state, &ends, connection_table::EndReason::Memory);
+                Ok(false)
+            }
+            table_verdict::GrowVerdict::Refused => Err(intake_error::IntakeError::NoRoom),
+        }
+    }
+
+    /// Takes back bytes of a request.
+    pub(crate) fn shrink(&self, key: connection_table::ConnectionKey, bytes: usize) {
+        self.lock().table.shrink(key, bytes);
+        self.freed.notify_waiters();
+    }
+
+    /// Tells a connection to end after its answer.
+    pub(crate) fn end(&self, key: connection_table::ConnectionKey) {
+        let now = self.clock.now();
+        self.lock().table.end(now, key);
+    }
+
+    pub(crate) fn remove(&self, key: connection_table::ConnectionKey) {
+        let mut state = self.lock();
+        state.table.remove(key);
+        state.signals.remove(&key);
+        drop(state);
+        self.freed.notify_waiters();
+    }
+
+    /// Runs a decision on the locked table at the current time.
+    pub(crate) fn decide<T>(
+        &self,
+        decision: impl FnOnce(&mut connection_table::ConnectionTable, clock::Timestamp) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        decision(&mut self.lock().table, now)
+    }
+
+    /// Sets the phase of a connection; returns whether the connection goes on.
+    pub(crate) fn set_phase(
+        &self,
+        key: connection_table::ConnectionKey,
+        phase: ConnectionPhase,
+    ) -> bool {
+        self.decide(|table, now| table.set_phase(now, key, phase))
+    }
+
+    fn end_all(
+        &self,
+        state: &IntakeState,
+        keys: &[connection_table::ConnectionKey],
+        reason: connection_table::EndReason,
+    ) {
+        for key in keys {
+            self.counts.end(reason);
+            if let Some(signal) = state.signals.get(key) {
+                signal.raise(state.table.close_step(*key));
+            }
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, IntakeState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- a/components/relay/src/site_config.rs
+++ b/components/relay/src/site_config.rs
@@ -13,6 +13,15 @@
     pub body_bytes: usize,
     /// Time after which an idle connection is closed.
     pub idle_timeout: time::Duration,
+    /// Time from the first byte of a head until it is whole; the default in the views of instances of
+    /// earlier releases.
+    #[serde(default = "default_head_timeout")]
+    pub head_timeout: time::Duration,
+}
+
+/// Time for a head where the configuration names none.
+const fn default_head_timeout() -> time::Duration {
+    time::Duration::from_secs(15)
 }
 
 impl Default for RequestBounds {
@@ -21,6 +30,7 @@
             head_bytes: 16 * 1024,
             body_bytes: 4 * 1024 * 1024,
             idle_timeout: time::Duration::from_secs(15),
+            head_timeout: default_head_timeout(),
         }
     }
 }
@@ -43,6 +53,12 @@
 }
 
 impl SiteConfig {
+    /// Returns the longest timeout of a route; a request can't be served after it.
+    #[must_use]
+    pub fn longest_timeout(&self) -> Option<time::Duration> {
+        self.routes.iter().map(|route| route.timeout).max()
+    }
+
     /// Returns the route of the host with the longest prefix that matches the path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&route_rule::RouteRule> {
