--- a/components/gateway/src/view_reader.rs
+++ b/components/gateway/src/view_reader.rs
@@ -2,8 +2,6 @@
 
 use std::{net, sync, time};
 
-use http_body_util::BodyExt as _;
-
 use crate::{
     decision_event, decision_log, gateway_metrics, shared_core, site_source, view_message,
     view_transfer,
@@ -282,18 +280,16 @@
 /// # Errors
 ///
 /// Returns the codec's error when the view can't be encoded.
-pub async fn answer_view(
+pub fn answer_view<B>(
     core: &shared_core::SharedCore,
-    request: http::Request<hyper::body::Incoming>,
+    request: &http::Request<B>,
 ) -> Result<http::Response<http_body_util::Full<bytes::Bytes>>, serde_json::Error> {
     let is_view = request.uri().path() == view_message::VIEW_PATH;
     let (age, own_version) = core.decide(|core, now| {
         let tracker = core.tracker();
         (tracker.age(now), tracker.view().config_version())
     });
-    let form = view_message::ViewForm::requested(&request, own_version);
-    // The body is ignored, but has to be read before the connection can be reused.
-    let _body = request.into_body().collect().await;
+    let form = view_message::ViewForm::requested(request, own_version);
     let Some(age) = age.filter(|_| is_view) else {
         let mut response = http::Response::new(http_body_util::Full::default());
         *response.status_mut() = http::StatusCode::NOT_FOUND;
