entry: let requests that aren't whole make room for others

What callers of `serve` saw: 503 to all while small bodies that stop short of their end fill the sum of bodies, and no connection at all while as many silent connections are open as requests may be in flight twice.

Cause: bodies and places of connections were held by whoever came first, for the whole body or header timeout (10 s, 5 s), and again after each. Bodies counted by their length, not by what they had allocated, and an unfinished one took a place in flight, also one of its workspace.

Change: entry reads bodies and takes connections through the intake, as platform does; body_reader no longer has a loop of its own, LoadGate counts requests in flight alone, from when they are whole. Three quarters of the intake are held_bytes, the last is for small bodies alone. Callers have half of the descriptors. The daemon ends unread answers after the patience for callers and logs once a second what was turned away.

Why it works: as for platform: what has been held largest and longest without being whole is given up for what is new.

Evidence: hostile_clients entry_clients: 180 bodies of 9 kB that lack their end fill 1 MiB, and a request of 12 kB gets 200 (before: 503); 400 silent connections of 200 descriptors, and it gets 200 with 103 descriptors (before: no connection). cargo test -p daemon -p entry: 33 passed, among them bad_input, whose limits on body, header and time are as they were.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     action_runner, address_book, admin_source, border_set, control_loop, core_meter, core_port,
-    daemon_error, daemon_handle, daemon_options, outage_log, peer_port, placement_spans,
+    daemon_error, daemon_handle, daemon_options, intake_watch, outage_log, peer_port,
+    placement_spans,
 };
 
 /// Messages of peers that may wait for the control thread.
@@ -58,6 +59,11 @@
         let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
         let hub = peer_hub(&traffic, &settings, incarnation, message_sender)?;
         let meter = meter::Meter::default();
+        let intake = intake::Intake::new(intake_limits(&settings), sync::Arc::clone(&clock));
+        let timeouts = intake::IntakeTimeouts {
+            head: time::Duration::from_millis(settings.limits.header_timeout_ms),
+            unread: options.caller_patience,
+        };
         let (commands, command_receiver) = mpsc::unbounded_channel();
         let core = core(&settings, hub.address(), incarnation, options);
         let context = entry_context(&settings, &shares, port.clone(), incarnation);
@@ -98,13 +104,14 @@
         traffic.spawn(admin.run(std::future::pending()));
         traffic.spawn(share_stats(sync::Arc::clone(&hub), meter));
         let (entry_stop, stop) = oneshot::channel::<()>();
-        let server = entry_server(&traffic, callers.listener, context)
+        let server = entry_server(&traffic, callers.listener, &intake, context)
             .map_err(|source| listen_error(callers.address, source))?;
         let entry_done = traffic.spawn(server.run(async {
             // A dropped sender stops the listener, too.
             let _ = stop.await;
         }));
         traffic.spawn(sweep_connections(pool));
+        traffic.spawn(intake_watch::run(intake, timeouts));
         traffic.spawn(read_store(borders.store, port));
         start_control(control)?;
         Ok(daemon_handle::DaemonHandle {
@@ -230,13 +237,27 @@
 fn entry_server(
     traffic: &tokio::runtime::Runtime,
     listener: net::TcpListener,
+    intake: &sync::Arc<intake::Intake>,
     context: entry::EntryContext,
 ) -> std::io::Result<entry::EntryServer> {
     let _guard = traffic.enter();
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    let class = intake::ConnectionClass::Caller;
+    let listener = intake::ConnectionListener::new(listener, sync::Arc::clone(intake), class);
     Ok(entry::EntryServer::new(listener, sync::Arc::new(context)))
 }
 
+/// Returns the limits of what clients may make the instance hold. Three quarters of the memory are the
+/// bodies of the settings; the rest is for small ones alone.
+fn intake_limits(settings: &settings::InstanceSettings) -> intake::IntakeLimits {
+    let descriptors = intake::system_descriptors().unwrap_or(intake::DEFAULT_DESCRIPTORS);
+    intake::IntakeLimits::builder()
+        .memory_bytes(settings.limits.held_bytes.saturating_add(3) / 3 * 4)
+        .connection_bytes(0)
+        .descriptors(descriptors)
+        .build()
+}
+
 fn start_control(control: control_loop::ControlLoop) -> Result<(), daemon_error::DaemonError> {
     let thread_error = |source| daemon_error::DaemonError::Thread {
         thread: "control",
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod engine_count;
 mod hop_span;
 mod instance_snapshot;
+mod intake_watch;
 mod outage_log;
 mod peer_port;
 mod placement_spans;
--- a/components/entry/src/call_handler.rs
+++ b/components/entry/src/call_handler.rs
@@ -52,8 +52,8 @@
     let state = context.state.load_full();
     let route = service_route::ServiceRoute::find(&state, &parts.method, host, parts.uri.path())
         .ok_or(entry_error::EntryError::UnknownPath)?;
+    let held = body_reader::read(context, &parts, body).await?;
     let ticket = context.gate.enter(&workspace)?;
-    let held = body_reader::read(context, body).await?;
     let checked = CheckedCall {
         workspace,
         ticket,
@@ -66,7 +66,7 @@
     context: &sync::Arc<entry_context::EntryContext>,
     parts: &http::request::Parts,
     checked: CheckedCall,
-    held: body_reader::HeldBody,
+    held: intake::HeldBody,
 ) -> PendingCall {
     let request = context.numbers.next();
     let target = parts
@@ -95,13 +95,17 @@
         .method(parts.method.clone())
         .target(target.to_owned())
         .headers(headers_for_server(&parts.headers, request))
-        .body(held.bytes.clone())
+        .body(held.bytes)
         .trace(trace)
         .span(span)
         .build();
     let (session, end) = call_session::CallSession::new(source);
-    let guard =
-        caller_guard::CallerGuard::new(sync::Arc::clone(context), request, checked.ticket, held);
+    let guard = caller_guard::CallerGuard::new(
+        sync::Arc::clone(context),
+        request,
+        checked.ticket,
+        held.share,
+    );
     context.book.insert_call(request, session);
     context.port.call_arrived(spec);
     PendingCall {
--- a/components/entry/src/caller_guard.rs
+++ b/components/entry/src/caller_guard.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::{body_reader, entry_context, load_gate};
+use crate::{entry_context, load_gate};
 
 /// Held as long as a caller waits; dropped before the end, it cancels the request.
 pub(crate) struct CallerGuard {
@@ -10,7 +10,7 @@
     request: ids::RequestId,
     ended: bool,
     _ticket: load_gate::LoadTicket,
-    _share: Option<tokio::sync::OwnedSemaphorePermit>,
+    _share: intake::RequestShare,
 }
 
 impl CallerGuard {
@@ -19,14 +19,14 @@
         context: sync::Arc<entry_context::EntryContext>,
         request: ids::RequestId,
         ticket: load_gate::LoadTicket,
-        body: body_reader::HeldBody,
+        share: intake::RequestShare,
     ) -> Self {
         Self {
             context,
             request,
             ended: false,
             _ticket: ticket,
-            _share: body.share,
+            _share: share,
         }
     }
 
--- a/components/entry/src/entry_context.rs
+++ b/components/entry/src/entry_context.rs
@@ -19,7 +19,7 @@
     pub limits: settings::RequestLimits,
     /// Header field that names the workspace of a request.
     pub workspace_header: String,
-    /// Bounds on what is held at once.
+    /// Bounds on the requests in flight at once.
     pub gate: sync::Arc<load_gate::LoadGate>,
     /// Numbers for requests.
     pub numbers: request_numbers::RequestNumbers,
--- a/components/entry/src/generation_handler.rs
+++ b/components/entry/src/generation_handler.rs
@@ -108,15 +108,15 @@
 ) -> Result<(PendingAnswer, generation_query::GenerationQuery), entry_error::EntryError> {
     let (parts, body) = request.into_parts();
     let workspace = workspace_of(context, &parts.headers)?;
+    let held = body_reader::read(context, &parts, body).await?;
     let ticket = context.gate.enter(&workspace)?;
-    let held = body_reader::read(context, body).await?;
     let mut query = read(&held.bytes)?;
     let checked = check(context, &parts.headers, &query)?;
     let prompt = std::mem::take(&mut query.prompt);
     let pending = submit(
         context,
         &parts.headers,
-        (workspace, ticket, held),
+        (workspace, ticket, held.share),
         checked,
         prompt,
     );
@@ -126,10 +126,10 @@
 fn submit(
     context: &sync::Arc<entry_context::EntryContext>,
     headers: &http::HeaderMap,
-    (workspace, ticket, held): (
+    (workspace, ticket, share): (
         sync::Arc<note::WorkspaceEntry>,
         load_gate::LoadTicket,
-        body_reader::HeldBody,
+        intake::RequestShare,
     ),
     checked: CheckedRequest,
     prompt: String,
@@ -158,7 +158,7 @@
         .span(span)
         .build();
     let (session, receiver) = answer_session::AnswerSession::new(source);
-    let guard = caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, held);
+    let guard = caller_guard::CallerGuard::new(sync::Arc::clone(context), request, ticket, share);
     context.book.insert_answer(session);
     context.port.request_arrived(spec);
     PendingAnswer {
--- a/components/entry/src/load_gate.rs
+++ b/components/entry/src/load_gate.rs
@@ -1,13 +1,12 @@
-//! Bounds on the requests and bodies held at once.
+//! Bounds on the requests in flight at once.
 
 use std::{collections, sync};
 
 use crate::entry_error;
 
-/// Bounds on what is held at once, for the instance and for each workspace.
+/// Bounds on the requests in flight at once, for the instance and for each workspace.
 pub struct LoadGate {
     requests: sync::Arc<tokio::sync::Semaphore>,
-    body_bytes: sync::Arc<tokio::sync::Semaphore>,
     workspaces: sync::Mutex<collections::HashMap<ids::WorkspaceName, u32>>,
 }
 
@@ -24,10 +23,8 @@
     pub fn new(limits: &settings::RequestLimits) -> sync::Arc<Self> {
         let most = tokio::sync::Semaphore::MAX_PERMITS;
         let requests = limits.in_flight_requests.min(most);
-        let body_bytes = limits.held_bytes.min(most);
         sync::Arc::new(Self {
             requests: sync::Arc::new(tokio::sync::Semaphore::new(requests)),
-            body_bytes: sync::Arc::new(tokio::sync::Semaphore::new(body_bytes)),
             workspaces: sync::Mutex::default(),
         })
     }
@@ -54,17 +51,6 @@
         })
     }
 
-    /// Takes memory for `bytes` bytes of a body.
-    pub(crate) fn hold_bytes(
-        &self,
-        bytes: usize,
-    ) -> Result<tokio::sync::OwnedSemaphorePermit, entry_error::EntryError> {
-        let count = u32::try_from(bytes).unwrap_or(u32::MAX);
-        sync::Arc::clone(&self.body_bytes)
-            .try_acquire_many_owned(count)
-            .map_err(|_| entry_error::EntryError::InstanceFull)
-    }
-
     fn lock(&self) -> sync::MutexGuard<'_, collections::HashMap<ids::WorkspaceName, u32>> {
         self.workspaces
             .lock()
--- a/components/intake/src/intake_counts.rs
+++ b/components/intake/src/intake_counts.rs
@@ -4,7 +4,7 @@
 
 use strum::IntoEnumIterator as _;
 
-use crate::{connection_class, connection_table, intake_error};
+use crate::{connection_class, connection_table, intake_error, turned_away};
 
 /// Counts of an intake since its start.
 #[derive(Debug)]
@@ -40,6 +40,16 @@
         values(&self.refused_bodies)
     }
 
+    /// Returns the sums of all counts.
+    #[must_use]
+    pub fn turned_away(&self) -> turned_away::TurnedAway {
+        turned_away::TurnedAway {
+            ended: self.ended().map(|(_, count)| count).sum(),
+            refused_connections: self.refused_connections().map(|(_, count)| count).sum(),
+            refused_bodies: self.refused_bodies().map(|(_, count)| count).sum(),
+        }
+    }
+
     pub(crate) fn end(&self, reason: connection_table::EndReason) {
         increment(&self.ended, reason.into());
     }
--- a/components/intake/src/lib.rs
+++ b/components/intake/src/lib.rs
@@ -28,6 +28,7 @@
 mod shared_intake;
 mod table_entry;
 mod table_verdict;
+mod turned_away;
 
 pub use answering_body::AnsweringBody;
 pub use body_reader::{BodyTerms, HeldBody, read_body};
@@ -41,5 +42,6 @@
 pub use intake_error::IntakeError;
 pub use intake_limits::{IntakeLimits, IntakeTimeouts};
 pub use request_share::RequestShare;
-pub use shared_intake::Intake;
+pub use shared_intake::{DEFAULT_DESCRIPTORS, Intake};
 pub use table_verdict::{AdmitVerdict, GrowVerdict};
+pub use turned_away::TurnedAway;
--- a/components/intake/src/shared_intake.rs
+++ b/components/intake/src/shared_intake.rs
@@ -1,15 +1,22 @@
 //! Shares a connection table among the listeners of a process.
 
-use std::{collections, sync};
+use std::{collections, fmt, sync};
 
 use crate::{
-    close_step::CloseStep, connection_class, connection_phase::ConnectionPhase, connection_signal,
-    connection_slot, connection_table, intake_counts, intake_error, intake_limits, table_verdict,
+    close_step::CloseStep, connection_class, connection_listener,
+    connection_phase::ConnectionPhase, connection_signal, connection_slot, connection_table,
+    intake_counts, intake_error, intake_limits, table_verdict,
 };
 
 /// Bodies in small pieces that are read at the same time.
 const SLOW_LANES: usize = 1;
 
+/// Memory of an intake of its own, in bytes.
+const STANDALONE_BYTES: usize = 64 * 1024 * 1024;
+
+/// Descriptors where the system tells no limit.
+pub const DEFAULT_DESCRIPTORS: usize = 1_024;
+
 /// A share of the places of callers that connections may take which wait for a refused client to end.
 const LINGER_DIVISOR: usize = 4;
 
@@ -36,6 +43,17 @@
     counts: intake_counts::IntakeCounts,
 }
 
+impl fmt::Debug for Intake {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (connections, held_bytes) = self.usage();
+        formatter
+            .debug_struct("Intake")
+            .field("connections", &connections)
+            .field("held_bytes", &held_bytes)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Intake {
     /// Creates an intake without connections.
     #[must_use]
@@ -58,6 +76,16 @@
         })
     }
 
+    /// Creates an intake of its own for one listener, within the system's limit on descriptors.
+    #[must_use]
+    pub fn standalone() -> sync::Arc<Self> {
+        let limits = intake_limits::IntakeLimits::builder()
+            .memory_bytes(STANDALONE_BYTES)
+            .descriptors(connection_listener::system_descriptors().unwrap_or(DEFAULT_DESCRIPTORS))
+            .build();
+        Self::new(limits, sync::Arc::new(clock::SystemClock::start()))
+    }
+
     /// Returns the counts since the start.
     #[must_use]
     pub const fn counts(&self) -> &intake_counts::IntakeCounts {
