admin: take connections of operators through the intake

What operators saw: 400 silent connections to the admin port took all descriptors of a process; neither the port nor callers were served while they stayed.

Cause: the server accepted any number of connections and never closed one.

Change: the admin server accepts through the intake of the process: a 32nd of the descriptors for sockets; a new connection takes the place of the one that has been silent for longest.

Why it works: operators' connections can't take the descriptors of callers and instances, and one that asks is served as a new one.

--- a/components/admin/src/admin_server.rs
+++ b/components/admin/src/admin_server.rs
@@ -4,7 +4,7 @@
 
 use axum::{extract, response, routing};
 
-use crate::{admin_error, engine_report, state_report, state_source};
+use crate::{admin_error, engine_report, operator_listener, state_report, state_source};
 
 /// Largest body of a request, in bytes; operators send none.
 const BODY_LIMIT_BYTES: usize = 1_024;
@@ -21,6 +21,7 @@
     listener: net::TcpListener,
     address: net::SocketAddr,
     context: AdminContext,
+    intake: sync::Arc<intake::Intake>,
 }
 
 impl AdminServer {
@@ -42,9 +43,17 @@
             listener,
             address,
             context: AdminContext { source, meter },
+            intake: intake::Intake::standalone(),
         })
     }
 
+    /// Takes connections through the intake of the process instead of one of its own.
+    #[must_use]
+    pub fn with_intake(mut self, intake: sync::Arc<intake::Intake>) -> Self {
+        self.intake = intake;
+        self
+    }
+
     /// Returns the address the server listens on.
     #[must_use]
     pub const fn address(&self) -> net::SocketAddr {
@@ -59,7 +68,7 @@
             .route("/metrics", routing::get(metrics))
             .layer(extract::DefaultBodyLimit::max(BODY_LIMIT_BYTES))
             .with_state(self.context);
-        if let Err(error) = serve(self.listener, router, stopped).await {
+        if let Err(error) = serve(self.listener, self.intake, router, stopped).await {
             tracing::error!(%error, "no longer answering operators");
         }
     }
@@ -67,11 +76,14 @@
 
 async fn serve(
     listener: net::TcpListener,
+    intake: sync::Arc<intake::Intake>,
     router: axum::Router,
     stopped: impl future::Future<Output = ()> + Send + 'static,
 ) -> io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    axum::serve(listener, router)
+    let class = intake::ConnectionClass::Operator;
+    let listener = intake::ConnectionListener::new(listener, intake, class);
+    axum::serve(operator_listener::OperatorListener::new(listener), router)
         .with_graceful_shutdown(stopped)
         .await
 }
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -11,6 +11,7 @@
 mod instance_report;
 mod member_report;
 mod note_report;
+mod operator_listener;
 mod order_report;
 mod state_report;
 mod state_source;
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -100,6 +100,7 @@
         };
         let admin =
             admin::AdminServer::bind(settings.listen.admin, sync::Arc::new(source), meter.clone())?;
+        let admin = admin.with_intake(sync::Arc::clone(&intake));
         let admin_address = admin.address();
         traffic.spawn(admin.run(std::future::pending()));
         traffic.spawn(share_stats(sync::Arc::clone(&hub), meter));
