peer: take connections of instances through the intake

What callers of `serve` saw: 400 silent connections to the port for instances took all descriptors; no ordinary request was answered while they stayed.

Cause: the server accepted any number of connections; only those that speak HTTP/2 were probed.

A connection counts as silent since its last byte, so that those of instances, which are probed every five seconds, outlive the others.

Why it works: a new connection takes the place of the one that has been silent for longest; the descriptors of callers are others.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -57,9 +57,9 @@
         let incarnation = ids::Incarnation(clock.wall_millis());
         let (port, events) = core_port::CorePort::new();
         let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
-        let hub = peer_hub(&traffic, &settings, incarnation, message_sender)?;
-        let meter = meter::Meter::default();
         let intake = intake::Intake::new(intake_limits(&settings), sync::Arc::clone(&clock));
+        let hub = peer_hub(&traffic, &settings, (incarnation, &intake), message_sender)?;
+        let meter = meter::Meter::default();
         let timeouts = intake::IntakeTimeouts {
             head: time::Duration::from_millis(settings.limits.header_timeout_ms),
             unread: options.caller_patience,
@@ -173,7 +173,7 @@
 fn peer_hub(
     traffic: &tokio::runtime::Runtime,
     settings: &settings::InstanceSettings,
-    incarnation: ids::Incarnation,
+    (incarnation, intake): (ids::Incarnation, &sync::Arc<intake::Intake>),
     messages: mpsc::Sender<(ids::InstanceId, wire::PeerMessage)>,
 ) -> Result<sync::Arc<peer::PeerHub>, daemon_error::DaemonError> {
     let _guard = traffic.enter();
@@ -182,6 +182,7 @@
         .incarnation(incarnation)
         .listen(settings.listen.peers)
         .connect_timeout(time::Duration::from_millis(settings.timeouts.connect_ms))
+        .intake(sync::Arc::clone(intake))
         .build();
     let hub = peer::PeerHub::start(config, messages)?;
     Ok(sync::Arc::new(hub))
--- a/components/peer/src/lib.rs
+++ b/components/peer/src/lib.rs
@@ -15,6 +15,7 @@
 mod link_reader;
 mod link_service;
 mod peer_config;
+mod peer_connection;
 mod peer_error;
 mod peer_hub;
 mod peer_lane;
--- a/components/peer/src/peer_config.rs
+++ b/components/peer/src/peer_config.rs
@@ -1,6 +1,6 @@
 //! What a hub is started with.
 
-use std::{net, time};
+use std::{net, sync, time};
 
 /// What a hub is started with.
 #[derive(Clone, Debug, bon::Builder)]
@@ -27,6 +27,9 @@
     /// Time between two HTTP/2 keepalive probes.
     #[builder(default = time::Duration::from_secs(5))]
     pub keepalive_interval: time::Duration,
+    /// Takes the connections of other instances; that of the process, or one of the hub's own.
+    #[builder(default = intake::Intake::standalone())]
+    pub intake: sync::Arc<intake::Intake>,
     /// Messages that wait for one peer at most; further ones are dropped.
     #[builder(default = 1_024)]
     pub queue_length: usize,
--- a/components/peer/src/peer_hub.rs
+++ b/components/peer/src/peer_hub.rs
@@ -1,16 +1,17 @@
 //! Sends messages to other instances and receives theirs.
 
-use std::{net, sync};
+use std::{io, net, sync};
 
 use tokio::{
     runtime,
     sync::{mpsc, oneshot},
     time,
 };
-use tonic::transport::{self, server};
+use tonic::transport;
 
 use crate::{
-    hub_shared, lane_input, link_dialer, link_service, peer_config, peer_error, peer_stats,
+    hub_shared, lane_input, link_dialer, link_service, peer_config, peer_connection, peer_error,
+    peer_stats,
 };
 
 /// Sends messages to other instances and receives theirs; it ends when it is dropped.
@@ -37,13 +38,16 @@
             address: listen,
             source,
         };
-        let incoming = server::TcpIncoming::bind(listen)
-            .map_err(listen_error)?
-            .with_nodelay(Some(true));
-        let address = incoming.local_addr().map_err(listen_error)?;
+        let listener = listen_on(listen).map_err(listen_error)?;
+        let address = listener.local_addr().map_err(listen_error)?;
+        let (intake, class) = (
+            sync::Arc::clone(&config.intake),
+            intake::ConnectionClass::View,
+        );
+        let listener = intake::ConnectionListener::new(listener, intake, class);
         let shared = hub_shared::HubShared::new(config, inbound, runtime.clone());
         let shared = sync::Arc::new(shared);
-        runtime.spawn(serve(sync::Arc::clone(&shared), incoming));
+        runtime.spawn(serve(sync::Arc::clone(&shared), listener));
         Ok(Self { shared, address })
     }
 
@@ -114,7 +118,13 @@
     }
 }
 
-async fn serve(shared: sync::Arc<hub_shared::HubShared>, incoming: server::TcpIncoming) {
+fn listen_on(address: net::SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let listener = net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    tokio::net::TcpListener::from_std(listener)
+}
+
+async fn serve(shared: sync::Arc<hub_shared::HubShared>, listener: intake::ConnectionListener) {
     let stopped = shared.stopped.clone();
     let keepalive = shared.config.keepalive_interval;
     let service = link_service::LinkService::new(shared);
@@ -124,7 +134,7 @@
         .http2_keepalive_interval(Some(keepalive))
         .http2_keepalive_timeout(Some(keepalive))
         .add_service(service)
-        .serve_with_incoming_shutdown(incoming, stopped.cancelled())
+        .serve_with_incoming_shutdown(peer_connection::incoming(listener), stopped.cancelled())
         .await;
     if let Err(error) = served {
         tracing::error!(%error, "no longer accepting connections of other instances");
