intake: count requests that are served and answers that aren't sent

What callers saw: 800 clients that ask for answers of 60 kB and read none of them took 167 MB of an instance of 88 MB. Large answers that nobody reads could fill the memory for large answers, so that another one was answered 502, until their clients left.

Cause: answers below 64 KB weren't counted, neither while they were read from a server nor while they waited for their caller, and nothing counted the connection to the server that each request takes. An answer that nobody reads kept its memory for as long as its client stayed.

An answer counts from its begin until it is written to the socket; one that nobody reads is given up when others need the room, by its bytes times the time for which its client has taken nothing, and after idleTimeoutMs anyway. Before a large answer is refused, the largest unread one is given up.

Why it works: what a served request takes is in the same sum as bodies and connections; an answer that is being read is never given up.

--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -256,6 +256,7 @@
     intake::IntakeLimits::builder()
         .memory_bytes(settings.limits.held_bytes.saturating_add(3) / 3 * 4)
         .connection_bytes(0)
+        .serving_bytes(0)
         .descriptors(descriptors)
         .build()
 }
--- a/components/gateway/src/answer_memory.rs
+++ b/components/gateway/src/answer_memory.rs
@@ -4,7 +4,7 @@
 //! Each answer is bounded, and all together are: what exceeds the limit is given up, while small answers
 //! are never short of memory.
 
-use std::{sync, sync::atomic};
+use std::{sync, sync::atomic, time};
 
 /// Bytes of each answer that aren't counted, more than most answers have.
 const FREE_BYTES: usize = 64 * 1024;
@@ -12,11 +12,18 @@
 /// Limit without a setting, in bytes.
 const DEFAULT_LIMIT: usize = 16 * 1024 * 1024;
 
+/// Time within which an answer that was given up, since nobody reads it, frees its memory.
+const RELIEF_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// Memory that answers of servers take while they are read.
 #[derive(Debug)]
 pub struct AnswerMemory {
     limit_bytes: usize,
     used_bytes: atomic::AtomicUsize,
+    /// Wakes answers that wait until others have freed their memory.
+    freed: tokio::sync::Notify,
+    /// Knows the connections on which callers take nothing of their answers.
+    intake: Option<sync::Arc<intake::Intake>>,
 }
 
 impl Default for AnswerMemory {
@@ -32,9 +39,18 @@
         Self {
             limit_bytes,
             used_bytes: atomic::AtomicUsize::new(0),
+            freed: tokio::sync::Notify::const_new(),
+            intake: None,
         }
     }
 
+    /// Gives up answers that callers don't read when there is no room for others.
+    #[must_use]
+    pub fn relieved_by(mut self, intake: sync::Arc<intake::Intake>) -> Self {
+        self.intake = Some(intake);
+        self
+    }
+
     /// Returns the share of an answer, which is empty.
     pub(crate) fn share(self: &sync::Arc<Self>) -> MemoryShare {
         MemoryShare {
@@ -75,10 +91,36 @@
     }
 }
 
+impl MemoryShare {
+    /// Sets the number of bytes like [`Self::hold`]; gives up answers that nobody reads to make room.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Malformed` when large answers that callers read would exceed the limit together.
+    async fn hold_relieved(&mut self, bytes: usize) -> Result<(), border::BorderError> {
+        loop {
+            let memory = sync::Arc::clone(&self.memory);
+            // Created before the attempt, so that no notification after it is missed.
+            let freed = memory.freed.notified();
+            let result = self.hold(bytes);
+            let intake = memory.intake.as_ref().filter(|_| result.is_err());
+            if !intake.is_some_and(|intake| intake.end_unread_answer()) {
+                return result;
+            }
+            if tokio::time::timeout(RELIEF_TIMEOUT, freed).await.is_err() {
+                return result;
+            }
+        }
+    }
+}
+
 impl Drop for MemoryShare {
     fn drop(&mut self) {
         let used = &self.memory.used_bytes;
         used.fetch_sub(self.counted_bytes, atomic::Ordering::Relaxed);
+        if self.counted_bytes > 0 {
+            self.memory.freed.notify_waiters();
+        }
     }
 }
 
@@ -106,9 +148,11 @@
     ///
     /// # Errors
     ///
-    /// The errors of [`MemoryShare::hold`].
-    pub(crate) fn push(&mut self, chunk: &[u8]) -> Result<(), border::BorderError> {
-        self.share.hold(self.bytes.len() + chunk.len())?;
+    /// Returns `Malformed` when large answers that callers read would exceed the limit together.
+    pub(crate) async fn push(&mut self, chunk: &[u8]) -> Result<(), border::BorderError> {
+        self.share
+            .hold_relieved(self.bytes.len() + chunk.len())
+            .await?;
         self.bytes.extend_from_slice(chunk);
         Ok(())
     }
--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -51,7 +51,7 @@
     let mut body = reply.body;
     let mut held = answer_memory::HeldBytes::new(share);
     while let Some(chunk) = body.next().await {
-        held.push(&chunk?)?;
+        held.push(&chunk?).await?;
         if held.bytes.len() > MAX_BUFFERED_BYTES {
             return Err(border::BorderError::Malformed {
                 detail: format!("the answer exceeds {MAX_BUFFERED_BYTES} bytes"),
--- a/components/intake/src/answering_body.rs
+++ b/components/intake/src/answering_body.rs
@@ -2,7 +2,7 @@
 
 use std::{pin, task};
 
-use crate::{connection_phase::ConnectionPhase, connection_slot};
+use crate::connection_slot;
 
 /// The body of an answer; once it is taken or dropped, the connection waits for the next request.
 pub struct AnsweringBody<B> {
@@ -10,17 +10,18 @@
     slot: connection_slot::ConnectionSlot,
 }
 
-impl<B> AnsweringBody<B> {
-    /// Begins the answer on a connection.
+impl<B: http_body::Body> AnsweringBody<B> {
+    /// Begins the answer on a connection. What the body announces counts until it is sent.
     pub fn new(inner: B, slot: connection_slot::ConnectionSlot) -> Self {
-        slot.set_phase(ConnectionPhase::Answering);
+        let announced = inner.size_hint().lower();
+        slot.begin_answer(usize::try_from(announced).unwrap_or(usize::MAX));
         Self { inner, slot }
     }
 }
 
 impl<B> Drop for AnsweringBody<B> {
     fn drop(&mut self) {
-        self.slot.set_phase(ConnectionPhase::Waiting);
+        self.slot.end_answer();
     }
 }
 
--- a/components/intake/src/body_reader.rs
+++ b/components/intake/src/body_reader.rs
@@ -91,7 +91,7 @@
         }
     }
     let bytes = buffer.finish(&mut share);
-    share.complete()?;
+    share.complete().await?;
     Ok(HeldBody { bytes, share })
 }
 
--- a/components/intake/src/connection_signal.rs
+++ b/components/intake/src/connection_signal.rs
@@ -11,6 +11,8 @@
 pub(crate) struct ConnectionSignal {
     /// The [`CloseStep`] that was reached, or zero.
     step: atomic::AtomicU8,
+    /// Whether an answer is whole and not yet known to be sent.
+    owes_answer: atomic::AtomicBool,
     reader: waking::AtomicWaker,
     writer: waking::AtomicWaker,
 }
@@ -28,6 +30,17 @@
         self.step.load(atomic::Ordering::Acquire) >= step as u8
     }
 
+    /// Records that an answer is whole, which is to be sent.
+    pub(crate) fn owe_answer(&self) {
+        self.owes_answer.store(true, atomic::Ordering::Release);
+    }
+
+    /// Returns whether an answer was whole since the last call.
+    pub(crate) fn take_owed(&self) -> bool {
+        self.owes_answer.load(atomic::Ordering::Acquire)
+            && self.owes_answer.swap(false, atomic::Ordering::AcqRel)
+    }
+
     /// Registers the task that reads, and returns whether the connection has reached a step.
     pub(crate) fn poll_reader(&self, context: &task::Context<'_>, step: CloseStep) -> bool {
         self.reader.register(context.waker());
--- a/components/intake/src/connection_slot.rs
+++ b/components/intake/src/connection_slot.rs
@@ -70,6 +70,24 @@
         self.inner.intake.set_phase(self.inner.key, phase)
     }
 
+    /// Begins an answer of a number of bytes.
+    pub(crate) fn begin_answer(&self, bytes: usize) {
+        self.inner.intake.begin_answer(self.inner.key, bytes);
+    }
+
+    /// Records that an answer is whole; its bytes count until they are sent.
+    pub(crate) fn end_answer(&self) {
+        self.set_phase(ConnectionPhase::Waiting);
+        self.inner.signal.owe_answer();
+    }
+
+    /// Records that all that was to be sent is sent.
+    pub(crate) fn record_flush(&self) {
+        if self.inner.signal.take_owed() {
+            self.inner.intake.finish_answers(self.inner.key);
+        }
+    }
+
     /// Returns the intake.
     #[must_use]
     pub fn intake(&self) -> &sync::Arc<shared_intake::Intake> {
--- a/components/intake/src/connection_table.rs
+++ b/components/intake/src/connection_table.rs
@@ -111,6 +111,8 @@
             head_since: None,
             blocked_since: None,
             held_bytes: added,
+            serving_bytes: 0,
+            answer_bytes: 0,
             ending_since: None,
         });
         AdmitVerdict::Admitted { key, ends }
@@ -121,7 +123,40 @@
         let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_ending()) else {
             return GrowVerdict::Refused;
         };
-        let (ceiling, class) = (self.ceiling(entry, bytes), entry.class);
+        let ceiling = self.ceiling(entry, bytes);
+        self.grow_below(now, key, bytes, ceiling)
+    }
+
+    /// Counts what a request takes while it is served, and keeps its room from then on.
+    pub fn serve(&mut self, now: clock::Timestamp, key: ConnectionKey) -> GrowVerdict {
+        let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_ending()) else {
+            return GrowVerdict::Refused;
+        };
+        let (bytes, ceiling) = (self.limits.serving_bytes, self.class_ceiling(entry.class));
+        let verdict = self.grow_below(now, key, bytes, ceiling);
+        if verdict == GrowVerdict::Granted {
+            self.entries[key].serving_bytes += bytes;
+            self.set_phase(now, key, ConnectionPhase::Serving);
+        }
+        verdict
+    }
+
+    /// Takes back what a request took while it was served.
+    pub fn end_serving(&mut self, key: ConnectionKey) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.serving_bytes = 0;
+        }
+        self.shrink(key, self.limits.serving_bytes);
+    }
+
+    fn grow_below(
+        &mut self,
+        now: clock::Timestamp,
+        key: ConnectionKey,
+        bytes: usize,
+        ceiling: usize,
+    ) -> GrowVerdict {
+        let class = self.entries[key].class;
         if self.held_bytes + bytes <= ceiling {
             self.entries[key].held_bytes += bytes;
             self.held_bytes += bytes;
@@ -169,6 +204,44 @@
         !entry.is_ending()
     }
 
+    /// Begins an answer, which is counted whatever room there is; returns the connections that end for
+    /// it.
+    pub fn begin_answer(
+        &mut self,
+        now: clock::Timestamp,
+        key: ConnectionKey,
+        bytes: usize,
+    ) -> Vec<ConnectionKey> {
+        self.set_phase(now, key, ConnectionPhase::Answering);
+        let Some(entry) = self.entries.get_mut(key) else {
+            return Vec::new();
+        };
+        entry.answer_bytes += bytes;
+        entry.held_bytes += bytes;
+        self.held_bytes += bytes;
+        if entry.is_ending() {
+            self.ending_bytes += bytes;
+        }
+        let (class, ceiling) = (entry.class, self.limits.memory_bytes);
+        let ends = self.make_room(now, (class, Some(key)), 0, ceiling);
+        let ends = ends.unwrap_or_default();
+        for victim in &ends {
+            self.end(now, *victim);
+        }
+        ends
+    }
+
+    /// Takes back the bytes of answers that are sent.
+    pub fn finish_answers(&mut self, key: ConnectionKey) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        if entry.phase != ConnectionPhase::Answering {
+            let bytes = std::mem::take(&mut entry.answer_bytes);
+            self.shrink(key, bytes);
+        }
+    }
+
     /// Records that bytes have arrived.
     pub fn record_input(&mut self, now: clock::Timestamp, key: ConnectionKey) {
         let Some(entry) = self.entries.get_mut(key) else {
@@ -200,6 +273,20 @@
         Some(victim)
     }
 
+    /// Ends the connection whose client takes nothing of the largest answer for the longest; returns
+    /// `None` if all take theirs.
+    pub fn end_unread_answer(&mut self, now: clock::Timestamp) -> Option<ConnectionKey> {
+        let unread = self.entries.iter().filter_map(|(key, entry)| {
+            let blocked = now.since(entry.blocked_since?);
+            let is_unread = entry.answer_bytes > 0 && !entry.is_ending();
+            let cost = entry.answer_bytes as u128 * blocked.as_micros().max(1);
+            is_unread.then_some((cost, key))
+        });
+        let (_, victim) = unread.max()?;
+        self.end(now, victim);
+        Some(victim)
+    }
+
     /// Ends the connections that have exceeded a timeout.
     pub fn expire(
         &mut self,
@@ -242,12 +329,13 @@
         } else {
             self.release_place(entry.class);
         }
-        self.held_bytes -= self.limits.connection_bytes;
+        self.held_bytes -= self.limits.connection_bytes + entry.answer_bytes;
     }
 
     /// Returns up to which sum of all bytes a request may grow by `bytes`.
     fn ceiling(&self, entry: &TableEntry, bytes: usize) -> usize {
-        let request_bytes = entry.held_bytes - self.limits.connection_bytes + bytes;
+        let own_bytes = self.limits.connection_bytes + entry.answer_bytes + entry.serving_bytes;
+        let request_bytes = entry.held_bytes - own_bytes + bytes;
         let ceiling = self.class_ceiling(entry.class);
         if request_bytes > intake_limits::SMALL_REQUEST_BYTES {
             ceiling.min(self.limits.large_bytes())
--- a/components/intake/src/guarded_stream.rs
+++ b/components/intake/src/guarded_stream.rs
@@ -160,6 +160,8 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
+        // The HTTP library flushes once it has written all that it has.
+        self.slot.record_flush();
         pin::Pin::new(&mut self.inner).poll_flush(context)
     }
 
--- a/components/intake/src/intake_limits.rs
+++ b/components/intake/src/intake_limits.rs
@@ -22,6 +22,10 @@
     /// Memory that a connection takes beside the body, in bytes.
     #[builder(default = 24 * 1024)]
     pub connection_bytes: usize,
+    /// Memory that a request takes while it is served, in bytes: a connection to a server and the part
+    /// of an answer that has arrived.
+    #[builder(default = 64 * 1024)]
+    pub serving_bytes: usize,
     /// Descriptors that the process may open.
     pub descriptors: usize,
 }
--- a/components/intake/src/request_share.rs
+++ b/components/intake/src/request_share.rs
@@ -1,17 +1,22 @@
 //! The memory that one request holds.
 
-use crate::{connection_phase::ConnectionPhase, connection_slot, intake_error};
+use crate::{connection_slot, intake_error};
 
 /// The memory that one request holds, until it is dropped.
 #[derive(Debug)]
 pub struct RequestShare {
     slot: connection_slot::ConnectionSlot,
     bytes: usize,
+    is_served: bool,
 }
 
 impl RequestShare {
     pub(crate) const fn new(slot: connection_slot::ConnectionSlot) -> Self {
-        Self { slot, bytes: 0 }
+        Self {
+            slot,
+            bytes: 0,
+            is_served: false,
+        }
     }
 
     pub(crate) const fn slot(&self) -> &connection_slot::ConnectionSlot {
@@ -35,21 +40,25 @@
         self.bytes -= bytes;
     }
 
-    /// Records that the request is whole, so that it keeps its memory.
+    /// Records that the request is whole, so that it keeps its memory and may be served.
     ///
     /// # Errors
     ///
-    /// Returns `NoRoom` if the request was given up before.
-    pub(crate) fn complete(&self) -> Result<(), intake_error::IntakeError> {
-        if self.slot.set_phase(ConnectionPhase::Serving) && !self.slot.is_ending() {
-            return Ok(());
-        }
-        Err(intake_error::IntakeError::NoRoom)
+    /// Returns `NoRoom` if the request was given up before, or the requests under way leave no memory to
+    /// serve it.
+    pub(crate) async fn complete(&mut self) -> Result<(), intake_error::IntakeError> {
+        self.slot.intake().serve(&self.slot).await?;
+        self.is_served = true;
+        Ok(())
     }
 }
 
 impl Drop for RequestShare {
     fn drop(&mut self) {
-        self.slot.intake().shrink(self.slot.key(), self.bytes);
+        let intake = self.slot.intake();
+        if self.is_served {
+            intake.end_serving(self.slot.key());
+        }
+        intake.shrink(self.slot.key(), self.bytes);
     }
 }
--- a/components/intake/src/shared_intake.rs
+++ b/components/intake/src/shared_intake.rs
@@ -149,11 +149,51 @@
         &self,
         slot: &connection_slot::ConnectionSlot,
         bytes: usize,
+    ) -> Result<(), intake_error::IntakeError> {
+        let key = slot.key();
+        self.when_room(slot, |table, now| table.grow(now, key, bytes))
+            .await
+    }
+
+    /// Counts what a request takes while it is served, and waits like [`Self::grow`].
+    pub(crate) async fn serve(
+        &self,
+        slot: &connection_slot::ConnectionSlot,
+    ) -> Result<(), intake_error::IntakeError> {
+        let key = slot.key();
+        self.when_room(slot, |table, now| table.serve(now, key))
+            .await
+    }
+
+    /// Takes back what a request took while it was served.
+    pub(crate) fn end_serving(&self, key: connection_table::ConnectionKey) {
+        self.lock().table.end_serving(key);
+        self.freed.notify_waiters();
+    }
+
+    /// Ends the connection whose client takes nothing of the largest answer for the longest; returns
+    /// whether there is one.
+    pub fn end_unread_answer(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let victim = state.table.end_unread_answer(now);
+        let reason = connection_table::EndReason::Memory;
+        self.end_all(&state, victim.as_slice(), reason);
+        victim.is_some()
+    }
+
+    async fn when_room(
+        &self,
+        slot: &connection_slot::ConnectionSlot,
+        decision: impl Fn(
+            &mut connection_table::ConnectionTable,
+            clock::Timestamp,
+        ) -> table_verdict::GrowVerdict,
     ) -> Result<(), intake_error::IntakeError> {
         loop {
             // Created before the decision, so that no notification after it is missed.
             let freed = self.freed.notified();
-            if self.try_grow(slot.key(), bytes)? {
+            if self.judge(&decision)? {
                 return Ok(());
             }
             tokio::select! {
@@ -163,15 +203,17 @@
         }
     }
 
-    /// Counts more bytes of a request; returns whether there is room for them yet.
-    fn try_grow(
+    /// Runs a decision on room; returns whether there is some yet.
+    fn judge(
         &self,
-        key: connection_table::ConnectionKey,
-        bytes: usize,
+        decision: impl Fn(
+            &mut connection_table::ConnectionTable,
+            clock::Timestamp,
+        ) -> table_verdict::GrowVerdict,
     ) -> Result<bool, intake_error::IntakeError> {
         let now = self.clock.now();
         let mut state = self.lock();
-        match state.table.grow(now, key, bytes) {
+        match decision(&mut state.table, now) {
             table_verdict::GrowVerdict::Granted => Ok(true),
             table_verdict::GrowVerdict::Wait { ends } => {
                 self.end_all(&state, &ends, connection_table::EndReason::Memory);
@@ -187,6 +229,20 @@
         self.freed.notify_waiters();
     }
 
+    /// Begins an answer, for which others may have to end.
+    pub(crate) fn begin_answer(&self, key: connection_table::ConnectionKey, bytes: usize) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let ends = state.table.begin_answer(now, key, bytes);
+        self.end_all(&state, &ends, connection_table::EndReason::Memory);
+    }
+
+    /// Takes back the bytes of answers that are sent.
+    pub(crate) fn finish_answers(&self, key: connection_table::ConnectionKey) {
+        self.lock().table.finish_answers(key);
+        self.freed.notify_waiters();
+    }
+
     /// Tells a connection to end after its answer.
     pub(crate) fn end(&self, key: connection_table::ConnectionKey) {
         let now = self.clock.now();
--- a/components/intake/src/table_entry.rs
+++ b/components/intake/src/table_entry.rs
@@ -14,8 +14,12 @@
     pub(crate) head_since: Option<clock::Timestamp>,
     /// Time since which the client has taken nothing of what is to be sent.
     pub(crate) blocked_since: Option<clock::Timestamp>,
-    /// Bytes that the connection and its request hold.
+    /// Bytes that the connection, its request and its answers hold.
     pub(crate) held_bytes: usize,
+    /// Part of them that is counted while the request is served.
+    pub(crate) serving_bytes: usize,
+    /// Part of them that answers hold which aren't sent yet.
+    pub(crate) answer_bytes: usize,
     /// Time at which the connection was told to end.
     pub(crate) ending_since: Option<clock::Timestamp>,
 }
--- a/components/intake/tests/body_reading.rs
+++ b/components/intake/tests/body_reading.rs
@@ -11,6 +11,8 @@
 fn new_intake() -> sync::Arc<intake::Intake> {
     let limits = intake::IntakeLimits::builder()
         .memory_bytes(1_000_000)
+        .connection_bytes(0)
+        .serving_bytes(0)
         .descriptors(1_000)
         .build();
     intake::Intake::new(limits, sync::Arc::new(clock::SystemClock::start()))
@@ -65,7 +67,7 @@
 
     assert_eq!(held.bytes.len(), LIMIT_BYTES);
     assert!(
-        intake.usage().1 < LIMIT_BYTES * 5 / 4,
+        intake.usage().1 < LIMIT_BYTES * 9 / 8,
         "{:?}",
         intake.usage()
     );
--- a/components/intake/tests/connection_table.rs
+++ b/components/intake/tests/connection_table.rs
@@ -11,6 +11,9 @@
 /// Memory of a connection in bytes.
 const CONNECTION_BYTES: usize = 24 * 1024;
 
+/// Memory of a request while it is served, in bytes.
+const SERVING_BYTES: usize = 64 * 1024;
+
 fn empty_table(descriptors: usize) -> intake::ConnectionTable {
     let limits = intake::IntakeLimits::builder()
         .memory_bytes(MEMORY_BYTES)
@@ -218,12 +221,68 @@
     let _ = idle;
 }
 
+#[test]
+fn requests_are_served_as_long_as_there_is_memory_for_that() {
+    let mut table = empty_table(4_100);
+    let mut served = 0;
+    for _ in 0..200 {
+        let (key, _) = reading(&mut table, 0, 1_000);
+        if table.serve(at(1), key) == GrowVerdict::Granted {
+            served += 1;
+        } else {
+            close(&mut table, key, 1_000);
+        }
+    }
+
+    assert!(table.held_bytes() <= MEMORY_BYTES);
+    assert!((80..=115).contains(&served), "{served}");
+}
+
+#[test]
+fn unread_answers_make_room_for_requests() {
+    let mut table = empty_table(4_100);
+    let mut answering = |bytes, is_blocked| {
+        let (key, _) = admit(&mut table, 0, ConnectionClass::Caller);
+        table.begin_answer(at(0), key, bytes);
+        table.record_output(at(1), key, is_blocked);
+        key
+    };
+    let _read = answering(5_000_000, false);
+    let unread = answering(4_000_000, true);
+
+    let (_, verdict) = reading(&mut table, 1_000, 1_000_000);
+
+    assert_eq!(verdict, GrowVerdict::Wait { ends: vec![unread] });
+}
+
+#[test]
+fn the_largest_unread_answer_is_given_up_for_another_answer() {
+    let mut table = empty_table(4_100);
+    let mut answering = |bytes, is_blocked| {
+        let (key, _) = admit(&mut table, 0, ConnectionClass::Caller);
+        table.begin_answer(at(0), key, bytes);
+        table.record_output(at(1), key, is_blocked);
+        table.set_phase(at(2), key, ConnectionPhase::Waiting);
+        key
+    };
+    let _read = answering(3_000_000, false);
+    let _small = answering(1_000, true);
+    let large = answering(2_000_000, true);
+
+    let first = table.end_unread_answer(at(1_000));
+
+    assert_eq!(first, Some(large));
+}
+
 /// A step of a random history.
 #[derive(Clone, Debug)]
 enum Step {
     Admit(bool),
     Grow(usize, usize),
     SetPhase(usize, u8),
+    Serve(usize),
+    Answer(usize, usize),
+    Finish(usize),
     Close(usize),
     Wait(u64),
 }
@@ -233,18 +292,44 @@
         any::<bool>().prop_map(Step::Admit),
         (0..64_usize, 1..3_000_000_usize).prop_map(|(at, bytes)| Step::Grow(at, bytes)),
         (0..64_usize, 0..4_u8).prop_map(|(at, phase)| Step::SetPhase(at, phase)),
+        (0..64_usize).prop_map(Step::Serve),
+        (0..64_usize, 0..500_000_usize).prop_map(|(at, bytes)| Step::Answer(at, bytes)),
+        (0..64_usize).prop_map(Step::Finish),
         (0..64_usize).prop_map(Step::Close),
         (1..5_000_u64).prop_map(Step::Wait),
     ]
 }
 
+/// What a connection of a random history holds.
+struct HeldEntry {
+    key: ConnectionKey,
+    request_bytes: usize,
+    answer_bytes: usize,
+    phase: ConnectionPhase,
+}
+
+impl HeldEntry {
+    const fn new(key: ConnectionKey) -> Self {
+        Self {
+            key,
+            request_bytes: 0,
+            answer_bytes: 0,
+            phase: ConnectionPhase::Waiting,
+        }
+    }
+
+    const fn bytes(&self) -> usize {
+        CONNECTION_BYTES + self.request_bytes + self.answer_bytes
+    }
+}
+
 proptest! {
     // Whatever clients do, what is held is what was granted and not taken back, requests that are
     // whole are never given up, and bytes are only granted within the memory.
     #[test]
     fn memory_is_never_granted_twice(steps in prop::collection::vec(any_step(), 1..300)) {
         let mut table = empty_table(200);
-        let mut held: Vec<(ConnectionKey, usize, ConnectionPhase)> = Vec::new();
+        let mut held: Vec<HeldEntry> = Vec::new();
         let mut now = 0;
         for step in steps {
             let mut ended = Vec::new();
@@ -252,15 +337,15 @@
                 Step::Admit(is_peer) => {
                     let class = if is_peer { ConnectionClass::Peer } else { ConnectionClass::Caller };
                     if let AdmitVerdict::Admitted { key, ends } = table.admit(at(now), class) {
-                        held.push((key, 0, ConnectionPhase::Waiting));
+                        held.push(HeldEntry::new(key));
                         ended = ends;
                     }
                 }
                 Step::Grow(index, bytes) => {
-                    if let Some((key, sum, _)) = held.get_mut(index) {
-                        match table.grow(at(now), *key, bytes) {
+                    if let Some(entry) = held.get_mut(index) {
+                        match table.grow(at(now), entry.key, bytes) {
                             GrowVerdict::Granted => {
-                                *sum += bytes;
+                                entry.request_bytes += bytes;
                                 prop_assert!(table.held_bytes() <= MEMORY_BYTES);
                             }
                             GrowVerdict::Wait { ends } => ended = ends,
@@ -268,29 +353,57 @@
                         }
                     }
                 }
+                Step::Serve(index) => {
+                    if let Some(entry) = held.get_mut(index) {
+                        match table.serve(at(now), entry.key) {
+                            GrowVerdict::Granted => {
+                                entry.request_bytes += SERVING_BYTES;
+                                entry.phase = ConnectionPhase::Serving;
+                                prop_assert!(table.held_bytes() <= MEMORY_BYTES);
+                            }
+                            GrowVerdict::Wait { ends } => ended = ends,
+                            GrowVerdict::Refused => {}
+                        }
+                    }
+                }
+                Step::Answer(index, bytes) => {
+                    if let Some(entry) = held.get_mut(index) {
+                        ended = table.begin_answer(at(now), entry.key, bytes);
+                        entry.phase = ConnectionPhase::Answering;
+                        entry.answer_bytes += bytes;
+                    }
+                }
+                Step::Finish(index) => {
+                    if let Some(entry) = held.get_mut(index) {
+                        table.finish_answers(entry.key);
+                        if entry.phase != ConnectionPhase::Answering {
+                            entry.answer_bytes = 0;
+                        }
+                    }
+                }
                 Step::SetPhase(index, phase) => {
-                    if let Some((key, _, current)) = held.get_mut(index) {
-                        *current = match phase {
+                    if let Some(entry) = held.get_mut(index) {
+                        entry.phase = match phase {
                             0 => ConnectionPhase::Waiting,
                             1 => ConnectionPhase::Reading,
                             2 => ConnectionPhase::Serving,
                             _ => ConnectionPhase::Answering,
                         };
-                        table.set_phase(at(now), *key, *current);
+                        table.set_phase(at(now), entry.key, entry.phase);
                     }
                 }
                 Step::Close(index) if index < held.len() => {
-                    let (key, sum, _) = held.swap_remove(index);
-                    close(&mut table, key, sum);
+                    let entry = held.swap_remove(index);
+                    close(&mut table, entry.key, entry.request_bytes);
                 }
                 Step::Close(_) => {}
                 Step::Wait(millis) => now += millis,
             }
             for end in ended {
-                let (_, _, phase) = held.iter().find(|(key, ..)| *key == end).expect("it is open");
-                prop_assert_ne!(*phase, ConnectionPhase::Serving);
+                let entry = held.iter().find(|entry| entry.key == end).expect("it is open");
+                prop_assert_ne!(entry.phase, ConnectionPhase::Serving);
             }
-            let sum: usize = held.iter().map(|(_, sum, _)| sum + CONNECTION_BYTES).sum();
+            let sum: usize = held.iter().map(HeldEntry::bytes).sum();
             prop_assert_eq!(table.held_bytes(), sum);
             prop_assert_eq!(table.len(), held.len());
         }
--- a/tests/hostile_clients/client_crowd.rs
+++ b/tests/hostile_clients/client_crowd.rs
@@ -14,6 +14,8 @@
     rest: sync::Arc<Vec<u8>>,
     /// Number of times that the rest is sent.
     repeats: usize,
+    /// Size of the buffer into which the system receives, if it isn't its own choice.
+    receive_bytes: Option<u32>,
 }
 
 impl ClientPayload {
@@ -22,6 +24,7 @@
             head: sync::Arc::new(head),
             rest: sync::Arc::new(rest),
             repeats: 1,
+            receive_bytes: None,
         }
     }
 
@@ -30,6 +33,12 @@
         self.repeats = repeats;
         self
     }
+
+    /// Lets the system receive into a buffer of a size.
+    pub fn receiving(mut self, bytes: u32) -> Self {
+        self.receive_bytes = Some(bytes);
+        self
+    }
 }
 
 /// Connected clients; they leave on drop.
@@ -50,7 +59,7 @@
         for number in 0..count {
             let payload = payload.clone();
             clients.spawn(async move {
-                let mut stream = connect(source, address).await?;
+                let mut stream = connect(source, address, payload.receive_bytes).await?;
                 let sending = send(&mut stream, number, &payload);
                 // The server may cut the client off, or not read it.
                 let _ended = tokio::time::timeout(SEND_TIMEOUT, sending).await;
@@ -72,8 +81,12 @@
 async fn connect(
     source: Option<net::Ipv4Addr>,
     address: net::SocketAddr,
+    receive_bytes: Option<u32>,
 ) -> Option<tokio::net::TcpStream> {
     let socket = tokio::net::TcpSocket::new_v4().ok()?;
+    if let Some(bytes) = receive_bytes {
+        socket.set_recv_buffer_size(bytes).ok()?;
+    }
     if let Some(source) = source {
         socket.bind((source, 0).into()).ok()?;
     }
