gateway: let other tasks run while datagrams arrive without end

What callers saw: while anything sends datagrams to the port for state updates faster than the instance reads them, no call is answered, nor readiness.

Cause: the receiver read until the socket was empty, which it never was; all tasks of an instance share one thread.

Change: after 64 datagrams in a row the other tasks have their turn.

Why it works: a turn of the receiver is bounded, and so is that of each other task; what doesn't fit the socket's buffer is dropped by the system, and state updates are repeated.

--- a/components/gateway/src/peer_link.rs
+++ b/components/gateway/src/peer_link.rs
@@ -23,6 +23,10 @@
 /// Minimum time between checks of the wait queue while state updates arrive.
 const QUEUE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(3);
 
+/// Datagrams that are processed before other tasks have their turn. The updates of a large fleet come in
+/// bursts of fewer.
+const DATAGRAMS_PER_TURN: usize = 64;
+
 /// Maximum size of a datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
@@ -151,8 +155,15 @@
         loop {
             let received = self.socket.recv_from(&mut buffer).await;
             self.process_datagram(&buffer, received);
-            while let Ok(more) = self.socket.try_recv_from(&mut buffer) {
+            let mut processed = 1;
+            while processed < DATAGRAMS_PER_TURN
+                && let Ok(more) = self.socket.try_recv_from(&mut buffer)
+            {
                 self.process_datagram(&buffer, Ok(more));
+                processed += 1;
+            }
+            if processed == DATAGRAMS_PER_TURN {
+                tokio::task::yield_now().await;
             }
             if self.core.decide(|core, _| core.has_waiting()) {
                 self.core.decide_and_poll_queue(|_, _| ());
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -19,4 +19,5 @@
 mod node_site;
 mod page_ports;
 mod peer_bodies;
+mod state_updates;
 mod unread_answers;
