tests, intake: a refusal arrives while the client goes on sending

Change: hostile_clients refusals: twenty bodies beyond the limit, each followed by 2,000 heads of requests; the client gets one 413 each time, and no server gets a request. A request without id or host whose body isn't read is closed in the same way (400). The count of ended connections tells whether memory or descriptors were short.

--- a/components/intake/src/connection_slot.rs
+++ b/components/intake/src/connection_slot.rs
@@ -131,7 +131,7 @@
     }
 
     /// Ends the connection after the answer, since its request isn't read to the end.
-    pub(crate) fn refuse(&self) {
+    pub fn refuse(&self) {
         self.inner.intake.end(self.inner.key);
         self.inner.signal.raise(CloseStep::Refuse);
     }
--- a/components/intake/src/connection_table.rs
+++ b/components/intake/src/connection_table.rs
@@ -84,6 +84,7 @@
     /// connections is full, others make room.
     pub fn admit(&mut self, now: clock::Timestamp, class: ConnectionClass) -> AdmitVerdict {
         let mut ends = Vec::new();
+        let mut reason = EndReason::Descriptors;
         let count = self.counts.get(&class).copied().unwrap_or_default();
         if count >= self.limits.connections(class) {
             let Some(victim) = self.longest_idle(now, class) else {
@@ -98,6 +99,7 @@
                 Some(victims) => ends = victims,
                 None => return AdmitVerdict::Refused,
             }
+            reason = EndReason::Memory;
         }
         for victim in &ends {
             self.end(now, *victim);
@@ -115,7 +117,7 @@
             answer_bytes: 0,
             ending_since: None,
         });
-        AdmitVerdict::Admitted { key, ends }
+        AdmitVerdict::Admitted { key, ends, reason }
     }
 
     /// Counts more bytes of a request.
--- a/components/intake/src/shared_intake.rs
+++ b/components/intake/src/shared_intake.rs
@@ -106,12 +106,13 @@
     ) -> Option<connection_slot::ConnectionSlot> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let table_verdict::AdmitVerdict::Admitted { key, ends } = state.table.admit(now, class)
+        let table_verdict::AdmitVerdict::Admitted { key, ends, reason } =
+            state.table.admit(now, class)
         else {
             self.counts.refuse_connection(class);
             return None;
         };
-        self.end_all(&state, &ends, connection_table::EndReason::Descriptors);
+        self.end_all(&state, &ends, reason);
         let signal = sync::Arc::new(connection_signal::ConnectionSignal::default());
         state.signals.insert(key, sync::Arc::clone(&signal));
         drop(state);
--- a/components/intake/src/table_verdict.rs
+++ b/components/intake/src/table_verdict.rs
@@ -11,6 +11,8 @@
         key: connection_table::ConnectionKey,
         /// Connections that make room.
         ends: Vec<connection_table::ConnectionKey>,
+        /// What they make room for.
+        reason: connection_table::EndReason,
     },
     /// All connections have requests under way.
     Refused,
--- a/components/intake/tests/connection_table.rs
+++ b/components/intake/tests/connection_table.rs
@@ -33,7 +33,7 @@
     class: ConnectionClass,
 ) -> (ConnectionKey, Vec<ConnectionKey>) {
     match table.admit(at(millis), class) {
-        AdmitVerdict::Admitted { key, ends } => (key, ends),
+        AdmitVerdict::Admitted { key, ends, .. } => (key, ends),
         AdmitVerdict::Refused => panic!("there is no place"),
     }
 }
@@ -336,7 +336,7 @@
             match step {
                 Step::Admit(is_peer) => {
                     let class = if is_peer { ConnectionClass::Peer } else { ConnectionClass::Caller };
-                    if let AdmitVerdict::Admitted { key, ends } = table.admit(at(now), class) {
+                    if let AdmitVerdict::Admitted { key, ends, .. } = table.admit(at(now), class) {
                         held.push(HeldEntry::new(key));
                         ended = ends;
                     }
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -19,5 +19,6 @@
 mod node_site;
 mod page_ports;
 mod peer_bodies;
+mod refusals;
 mod state_updates;
 mod unread_answers;
