--- a/components/intake/src/body_buffer.rs
+++ b/components/intake/src/body_buffer.rs
@@ -1,6 +1,6 @@
 //! A body that grows as its pieces arrive.
 
-use crate::{intake_error::IntakeError, request_share};
+use crate::{intake_error, request_share};
 
 /// Part of its capacity by which a body grows at least, as a divisor.
 const GROWTH_DIVISOR: usize = 2;
@@ -35,10 +35,10 @@
         &mut self,
         share: &mut request_share::RequestShare,
         piece: &[u8],
-    ) -> Result<(), IntakeError> {
+    ) -> Result<(), intake_error::IntakeError> {
         let needed = self.bytes.len() + piece.len();
         if needed > self.limit_bytes {
-            return Err(IntakeError::TooLarge);
+            return Err(intake_error::IntakeError::TooLarge);
         }
         if needed > self.counted_bytes {
             let grown = self.counted_bytes + self.counted_bytes / GROWTH_DIVISOR;
--- a/components/intake/src/body_reader.rs
+++ b/components/intake/src/body_reader.rs
@@ -2,7 +2,7 @@
 
 use http_body_util::BodyExt as _;
 
-use crate::{body_buffer, intake_error::IntakeError, request_share};
+use crate::{body_buffer, intake_error, request_share};
 
 /// Size below which a piece of a body counts as small, in bytes.
 const SMALL_PIECE_BYTES: usize = 64;
@@ -37,7 +37,7 @@
     share: request_share::RequestShare,
     body: B,
     terms: BodyTerms,
-) -> Result<HeldBody, IntakeError>
+) -> Result<HeldBody, intake_error::IntakeError>
 where
     B: http_body::Body<Data = bytes::Bytes>,
 {
@@ -46,8 +46,8 @@
     let reading = tokio::time::timeout_at(terms.read_by, reading);
     let read = tokio::select! {
         biased;
-        read = reading => read.unwrap_or(Err(IntakeError::TimedOut)),
-        () = slot.given_up() => Err(IntakeError::NoRoom),
+        read = reading => read.unwrap_or(Err(intake_error::IntakeError::TimedOut)),
+        () = slot.given_up() => Err(intake_error::IntakeError::NoRoom),
     };
     read.inspect_err(|error| {
         slot.intake().counts().refuse_body(*error);
@@ -59,13 +59,13 @@
     mut share: request_share::RequestShare,
     body: B,
     limit_bytes: usize,
-) -> Result<HeldBody, IntakeError>
+) -> Result<HeldBody, intake_error::IntakeError>
 where
     B: http_body::Body<Data = bytes::Bytes>,
 {
     let announced = body.size_hint().lower();
     if usize::try_from(announced).map_or(true, |announced| announced > limit_bytes) {
-        return Err(IntakeError::TooLarge);
+        return Err(intake_error::IntakeError::TooLarge);
     }
     let mut buffer = body_buffer::BodyBuffer::new(limit_bytes);
     let mut small_pieces = 0;
@@ -75,9 +75,9 @@
             // The connection of a request that was given up reads nothing more.
             let was_given_up = share.slot().is_ending();
             return Err(if was_given_up {
-                IntakeError::NoRoom
+                intake_error::IntakeError::NoRoom
             } else {
-                IntakeError::Broken
+                intake_error::IntakeError::Broken
             });
         };
         let Ok(piece) = frame.into_data() else {
@@ -97,9 +97,9 @@
 
 /// Lets other tasks run. Of all bodies in small pieces one is read at a time, so that ordinary
 /// requests don't wait for a turn of each.
-async fn give_turn(share: &request_share::RequestShare) -> Result<(), IntakeError> {
+async fn give_turn(share: &request_share::RequestShare) -> Result<(), intake_error::IntakeError> {
     let lane = share.slot().intake().slow_lane.acquire().await;
-    let _turn = lane.map_err(|_| IntakeError::NoRoom)?;
+    let _turn = lane.map_err(|_| intake_error::IntakeError::NoRoom)?;
     tokio::task::yield_now().await;
     Ok(())
 }
--- a/components/intake/src/connection_signal.rs
+++ b/components/intake/src/connection_signal.rs
@@ -4,7 +4,7 @@
 
 use futures_util::task as waking;
 
-use crate::close_step::CloseStep;
+use crate::close_step;
 
 /// Tells a connection to end, from any task.
 #[derive(Default)]
@@ -19,14 +19,14 @@
 
 impl ConnectionSignal {
     /// Raises the step; steps are never taken back.
-    pub(crate) fn raise(&self, step: CloseStep) {
+    pub(crate) fn raise(&self, step: close_step::CloseStep) {
         self.step.fetch_max(step as u8, atomic::Ordering::AcqRel);
         self.reader.wake();
         self.writer.wake();
     }
 
     /// Returns whether the connection has reached a step.
-    pub(crate) fn has_reached(&self, step: CloseStep) -> bool {
+    pub(crate) fn has_reached(&self, step: close_step::CloseStep) -> bool {
         self.step.load(atomic::Ordering::Acquire) >= step as u8
     }
 
@@ -42,13 +42,21 @@
     }
 
     /// Registers the task that reads, and returns whether the connection has reached a step.
-    pub(crate) fn poll_reader(&self, context: &task::Context<'_>, step: CloseStep) -> bool {
+    pub(crate) fn poll_reader(
+        &self,
+        context: &task::Context<'_>,
+        step: close_step::CloseStep,
+    ) -> bool {
         self.reader.register(context.waker());
         self.has_reached(step)
     }
 
     /// Registers the task that writes, and returns whether the connection has reached a step.
-    pub(crate) fn poll_writer(&self, context: &task::Context<'_>, step: CloseStep) -> bool {
+    pub(crate) fn poll_writer(
+        &self,
+        context: &task::Context<'_>,
+        step: close_step::CloseStep,
+    ) -> bool {
         self.writer.register(context.waker());
         self.has_reached(step)
     }
--- a/components/intake/src/connection_slot.rs
+++ b/components/intake/src/connection_slot.rs
@@ -3,8 +3,8 @@
 use std::{fmt, sync, task};
 
 use crate::{
-    close_step::CloseStep, connection_phase::ConnectionPhase, connection_signal, connection_table,
-    intake_error, request_share, shared_intake,
+    close_step, connection_phase, connection_signal, connection_table, intake_error, request_share,
+    shared_intake,
 };
 
 /// The place of one connection in an intake; the connection is removed when the last copy is dropped.
@@ -59,14 +59,14 @@
         &self,
         head_bytes: usize,
     ) -> Result<request_share::RequestShare, intake_error::IntakeError> {
-        self.set_phase(ConnectionPhase::Reading);
+        self.set_phase(connection_phase::ConnectionPhase::Reading);
         let mut share = request_share::RequestShare::new(self.clone());
         share.grow(head_bytes).await?;
         Ok(share)
     }
 
     /// Sets the phase of the connection; returns whether the connection goes on.
-    pub fn set_phase(&self, phase: ConnectionPhase) -> bool {
+    pub fn set_phase(&self, phase: connection_phase::ConnectionPhase) -> bool {
         self.inner.intake.set_phase(self.inner.key, phase)
     }
 
@@ -77,7 +77,7 @@
 
     /// Records that an answer is whole; its bytes count until they are sent.
     pub(crate) fn end_answer(&self) {
-        self.set_phase(ConnectionPhase::Waiting);
+        self.set_phase(connection_phase::ConnectionPhase::Waiting);
         self.inner.signal.owe_answer();
     }
 
@@ -106,7 +106,7 @@
     pub(crate) async fn given_up(&self) {
         let signal = &self.inner.signal;
         std::future::poll_fn(|context| {
-            if signal.poll_reader(context, CloseStep::Refuse) {
+            if signal.poll_reader(context, close_step::CloseStep::Refuse) {
                 task::Poll::Ready(())
             } else {
                 task::Poll::Pending
@@ -117,7 +117,7 @@
 
     /// Returns whether the connection was given up.
     pub(crate) fn is_ending(&self) -> bool {
-        self.inner.signal.has_reached(CloseStep::Refuse)
+        self.inner.signal.has_reached(close_step::CloseStep::Refuse)
     }
 
     /// Returns a place for the wait until a refused client ends; `None` if the connection wasn't refused
@@ -133,6 +133,6 @@
     /// Ends the connection after the answer, since its request isn't read to the end.
     pub fn refuse(&self) {
         self.inner.intake.end(self.inner.key);
-        self.inner.signal.raise(CloseStep::Refuse);
+        self.inner.signal.raise(close_step::CloseStep::Refuse);
     }
 }
--- a/components/intake/src/connection_table.rs
+++ b/components/intake/src/connection_table.rs
@@ -1,18 +1,10 @@
 //! Decides which connections and bodies are kept.
 
-use std::{cmp, collections, time};
+mod giving_up;
 
-use crate::{
-    close_step::CloseStep,
-    connection_class::ConnectionClass,
-    connection_phase::ConnectionPhase,
-    intake_limits,
-    table_entry::TableEntry,
-    table_verdict::{AdmitVerdict, GrowVerdict},
-};
+use std::collections;
 
-/// Time for which a connection that was told to end may send what it has to tell its client.
-const END_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+use crate::{connection_class, connection_phase, intake_limits, table_entry, table_verdict};
 
 slotmap::new_key_type! {
     /// Key of a connection.
@@ -42,8 +34,8 @@
 /// answered.
 pub struct ConnectionTable {
     limits: intake_limits::IntakeLimits,
-    entries: slotmap::SlotMap<ConnectionKey, TableEntry>,
-    counts: collections::BTreeMap<ConnectionClass, usize>,
+    entries: slotmap::SlotMap<ConnectionKey, table_entry::TableEntry>,
+    counts: collections::BTreeMap<connection_class::ConnectionClass, usize>,
     held_bytes: usize,
     /// Part of the held bytes that connections which end are about to free.
     ending_bytes: usize,
@@ -82,13 +74,17 @@
 
     /// Takes a new connection. If its class has all connections that it may have, or the memory for
     /// connections is full, others make room.
-    pub fn admit(&mut self, now: clock::Timestamp, class: ConnectionClass) -> AdmitVerdict {
+    pub fn admit(
+        &mut self,
+        now: clock::Timestamp,
+        class: connection_class::ConnectionClass,
+    ) -> table_verdict::AdmitVerdict {
         let mut ends = Vec::new();
         let mut reason = EndReason::Descriptors;
         let count = self.counts.get(&class).copied().unwrap_or_default();
         if count >= self.limits.connections(class) {
             let Some(victim) = self.longest_idle(now, class) else {
-                return AdmitVerdict::Refused;
+                return table_verdict::AdmitVerdict::Refused;
             };
             ends.push(victim);
         }
@@ -97,7 +93,7 @@
         if ends.is_empty() && !self.has_room(added, ceiling) {
             match self.make_room(now, (class, None), added, ceiling) {
                 Some(victims) => ends = victims,
-                None => return AdmitVerdict::Refused,
+                None => return table_verdict::AdmitVerdict::Refused,
             }
             reason = EndReason::Memory;
         }
@@ -106,9 +102,9 @@
         }
         *self.counts.entry(class).or_default() += 1;
         self.held_bytes += added;
-        let key = self.entries.insert(TableEntry {
+        let key = self.entries.insert(table_entry::TableEntry {
             class,
-            phase: ConnectionPhase::Waiting,
+            phase: connection_phase::ConnectionPhase::Waiting,
             since: now,
             head_since: None,
             blocked_since: None,
@@ -117,28 +113,37 @@
             answer_bytes: 0,
             ending_since: None,
         });
-        AdmitVerdict::Admitted { key, ends, reason }
+        table_verdict::AdmitVerdict::Admitted { key, ends, reason }
     }
 
     /// Counts more bytes of a request.
-    pub fn grow(&mut self, now: clock::Timestamp, key: ConnectionKey, bytes: usize) -> GrowVerdict {
+    pub fn grow(
+        &mut self,
+        now: clock::Timestamp,
+        key: ConnectionKey,
+        bytes: usize,
+    ) -> table_verdict::GrowVerdict {
         let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_ending()) else {
-            return GrowVerdict::Refused;
+            return table_verdict::GrowVerdict::Refused;
         };
         let ceiling = self.ceiling(entry, bytes);
         self.grow_below(now, key, bytes, ceiling)
     }
 
     /// Counts what a request takes while it is served, and keeps its room from then on.
-    pub fn serve(&mut self, now: clock::Timestamp, key: ConnectionKey) -> GrowVerdict {
+    pub fn serve(
+        &mut self,
+        now: clock::Timestamp,
+        key: ConnectionKey,
+    ) -> table_verdict::GrowVerdict {
         let Some(entry) = self.entries.get(key).filter(|entry| !entry.is_ending()) else {
-            return GrowVerdict::Refused;
+            return table_verdict::GrowVerdict::Refused;
         };
         let (bytes, ceiling) = (self.limits.serving_bytes, self.class_ceiling(entry.class));
         let verdict = self.grow_below(now, key, bytes, ceiling);
-        if verdict == GrowVerdict::Granted {
+        if verdict == table_verdict::GrowVerdict::Granted {
             self.entries[key].serving_bytes += bytes;
-            self.set_phase(now, key, ConnectionPhase::Serving);
+            self.set_phase(now, key, connection_phase::ConnectionPhase::Serving);
         }
         verdict
     }
@@ -157,24 +162,24 @@
         key: ConnectionKey,
         bytes: usize,
         ceiling: usize,
-    ) -> GrowVerdict {
+    ) -> table_verdict::GrowVerdict {
         let class = self.entries[key].class;
         if self.held_bytes + bytes <= ceiling {
             self.entries[key].held_bytes += bytes;
             self.held_bytes += bytes;
-            return GrowVerdict::Granted;
+            return table_verdict::GrowVerdict::Granted;
         }
         if self.has_room(bytes, ceiling) {
-            return GrowVerdict::Wait { ends: Vec::new() };
+            return table_verdict::GrowVerdict::Wait { ends: Vec::new() };
         }
         match self.make_room(now, (class, Some(key)), bytes, ceiling) {
             Some(ends) => {
                 for victim in &ends {
                     self.end(now, *victim);
                 }
-                GrowVerdict::Wait { ends }
+                table_verdict::GrowVerdict::Wait { ends }
             }
-            None => GrowVerdict::Refused,
+            None => table_verdict::GrowVerdict::Refused,
         }
     }
 
@@ -195,7 +200,7 @@
         &mut self,
         now: clock::Timestamp,
         key: ConnectionKey,
-        phase: ConnectionPhase,
+        phase: connection_phase::ConnectionPhase,
     ) -> bool {
         let Some(entry) = self.entries.get_mut(key) else {
             return false;
@@ -214,7 +219,7 @@
         key: ConnectionKey,
         bytes: usize,
     ) -> Vec<ConnectionKey> {
-        self.set_phase(now, key, ConnectionPhase::Answering);
+        self.set_phase(now, key, connection_phase::ConnectionPhase::Answering);
         let Some(entry) = self.entries.get_mut(key) else {
             return Vec::new();
         };
@@ -238,7 +243,7 @@
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
-        if entry.phase != ConnectionPhase::Answering {
+        if entry.phase != connection_phase::ConnectionPhase::Answering {
             let bytes = std::mem::take(&mut entry.answer_bytes);
             self.shrink(key, bytes);
         }
@@ -251,7 +256,7 @@
         };
         if !entry.class.has_phases() {
             entry.since = now;
-        } else if entry.phase == ConnectionPhase::Waiting {
+        } else if entry.phase == connection_phase::ConnectionPhase::Waiting {
             entry.head_since.get_or_insert(now);
         }
     }
@@ -263,64 +268,6 @@
         }
     }
 
-    /// Ends the connection of a class that has let the process wait longest, so that a descriptor is
-    /// free; returns `None` if all have requests under way.
-    pub fn relieve(
-        &mut self,
-        now: clock::Timestamp,
-        class: ConnectionClass,
-    ) -> Option<ConnectionKey> {
-        let victim = self.longest_idle(now, class)?;
-        self.end(now, victim);
-        Some(victim)
-    }
-
-    /// Ends the connection whose client takes nothing of the largest answer for the longest; returns
-    /// `None` if all take theirs.
-    pub fn end_unread_answer(&mut self, now: clock::Timestamp) -> Option<ConnectionKey> {
-        let unread = self.entries.iter().filter_map(|(key, entry)| {
-            let blocked = now.since(entry.blocked_since?);
-            let is_unread = entry.answer_bytes > 0 && !entry.is_ending();
-            let cost = entry.answer_bytes as u128 * blocked.as_micros().max(1);
-            is_unread.then_some((cost, key))
-        });
-        let (_, victim) = unread.max()?;
-        self.end(now, victim);
-        Some(victim)
-    }
-
-    /// Ends the connections that have exceeded a timeout.
-    pub fn expire(
-        &mut self,
-        now: clock::Timestamp,
-        timeouts: &intake_limits::IntakeTimeouts,
-    ) -> Vec<(ConnectionKey, EndReason)> {
-        let exceeds = |since: Option<clock::Timestamp>, timeout| {
-            since.is_some_and(|since| now.since(since) > timeout)
-        };
-        let expired: Vec<_> = self
-            .entries
-            .iter()
-            .filter_map(|(key, entry)| {
-                if entry.is_ending() {
-                    let is_late = exceeds(entry.ending_since, END_TIMEOUT);
-                    return is_late.then_some((key, EndReason::EndTimeout));
-                }
-                if exceeds(entry.head_since, timeouts.head) {
-                    Some((key, EndReason::HeadTimeout))
-                } else if exceeds(entry.blocked_since, timeouts.unread) {
-                    Some((key, EndReason::UnreadAnswer))
-                } else {
-                    None
-                }
-            })
-            .collect();
-        for (key, _) in &expired {
-            self.end(now, *key);
-        }
-        expired
-    }
-
     /// Removes a closed connection. What its request holds counts until it is taken back.
     pub fn remove(&mut self, key: ConnectionKey) {
         let Some(entry) = self.entries.remove(key) else {
@@ -335,7 +282,7 @@
     }
 
     /// Returns up to which sum of all bytes a request may grow by `bytes`.
-    fn ceiling(&self, entry: &TableEntry, bytes: usize) -> usize {
+    fn ceiling(&self, entry: &table_entry::TableEntry, bytes: usize) -> usize {
         let own_bytes = self.limits.connection_bytes + entry.answer_bytes + entry.serving_bytes;
         let request_bytes = entry.held_bytes - own_bytes + bytes;
         let ceiling = self.class_ceiling(entry.class);
@@ -347,8 +294,8 @@
     }
 
     /// Returns up to which sum of all bytes connections of a class and their requests may grow.
-    fn class_ceiling(&self, class: ConnectionClass) -> usize {
-        if class == ConnectionClass::Peer {
+    fn class_ceiling(&self, class: connection_class::ConnectionClass) -> usize {
+        if class == connection_class::ConnectionClass::Peer {
             self.limits.peer_bytes()
         } else {
             self.limits.memory_bytes
@@ -360,75 +307,7 @@
         self.held_bytes - self.ending_bytes + bytes <= ceiling
     }
 
-    /// Returns the costliest connections whose end makes room for `bytes`; `None` if the one that asks is one
-    /// of them, or all together aren't enough. Requests of other instances make room for each other,
-    /// and all make room for callers.
-    fn make_room(
-        &self,
-        now: clock::Timestamp,
-        (class, asking): (ConnectionClass, Option<ConnectionKey>),
-        bytes: usize,
-        ceiling: usize,
-    ) -> Option<Vec<ConnectionKey>> {
-        let is_peer = class == ConnectionClass::Peer;
-        let mut candidates: collections::BinaryHeap<(u128, ConnectionKey)> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| !is_peer || entry.class == ConnectionClass::Peer)
-            .filter_map(|(key, entry)| Some((entry.cost(now)?, key)))
-            .collect();
-        let mut left = self.held_bytes - self.ending_bytes + bytes;
-        let mut victims = Vec::new();
-        while left > ceiling {
-            let (_, victim) = candidates.pop()?;
-            if Some(victim) == asking {
-                return None;
-            }
-            left -= self.entries[victim].held_bytes;
-            victims.push(victim);
-        }
-        Some(victims)
-    }
-
-    /// Returns the connection of a class whose client has let the process wait longest; one without a
-    /// whole head comes before the others.
-    fn longest_idle(&self, now: clock::Timestamp, class: ConnectionClass) -> Option<ConnectionKey> {
-        self.entries
-            .iter()
-            .filter(|(_, entry)| entry.class == class)
-            .filter_map(|(key, entry)| {
-                let is_waiting = entry.phase == ConnectionPhase::Waiting;
-                Some((is_waiting, entry.idle_time(now)?, cmp::Reverse(key)))
-            })
-            .max()
-            .map(|(_, _, cmp::Reverse(key))| key)
-    }
-
-    /// Returns how a connection is to end: the answer to a request that isn't whole may be sent.
-    pub(crate) fn close_step(&self, key: ConnectionKey) -> CloseStep {
-        let phase = self.entries.get(key).map(|entry| entry.phase);
-        if phase == Some(ConnectionPhase::Reading) {
-            CloseStep::Refuse
-        } else {
-            CloseStep::Abort
-        }
-    }
-
-    /// Tells a connection to end; its place is free for another one.
-    pub(crate) fn end(&mut self, now: clock::Timestamp, key: ConnectionKey) {
-        let Some(entry) = self.entries.get_mut(key) else {
-            return;
-        };
-        if entry.is_ending() {
-            return;
-        }
-        entry.ending_since = Some(now);
-        self.ending_bytes += entry.held_bytes;
-        let class = entry.class;
-        self.release_place(class);
-    }
-
-    fn release_place(&mut self, class: ConnectionClass) {
+    pub(super) fn release_place(&mut self, class: connection_class::ConnectionClass) {
         if let Some(count) = self.counts.get_mut(&class) {
             *count -= 1;
         }
--- a/components/intake/src/guarded_stream.rs
+++ b/components/intake/src/guarded_stream.rs
@@ -7,7 +7,7 @@
     net,
 };
 
-use crate::{close_step::CloseStep, connection_slot};
+use crate::{close_step, connection_slot};
 
 /// Time for which a refused client may go on sending, so that the refusal isn't lost in a reset.
 const LINGER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -81,7 +81,9 @@
     }
 
     fn is_aborted(&self, context: &task::Context<'_>) -> bool {
-        self.slot.signal().poll_writer(context, CloseStep::Abort)
+        self.slot
+            .signal()
+            .poll_writer(context, close_step::CloseStep::Abort)
     }
 
     /// Drops what a refused client still sends.
@@ -113,7 +115,11 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        if self.slot.signal().poll_reader(context, CloseStep::Refuse) {
+        if self
+            .slot
+            .signal()
+            .poll_reader(context, close_step::CloseStep::Refuse)
+        {
             return task::Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         let filled = buffer.filled().len();
--- a/components/intake/src/shared_intake.rs
+++ b/components/intake/src/shared_intake.rs
@@ -3,9 +3,8 @@
 use std::{collections, fmt, sync};
 
 use crate::{
-    close_step::CloseStep, connection_class, connection_listener,
-    connection_phase::ConnectionPhase, connection_signal, connection_slot, connection_table,
-    intake_counts, intake_error, intake_limits, table_verdict,
+    close_step, connection_class, connection_listener, connection_phase, connection_signal,
+    connection_slot, connection_table, intake_counts, intake_error, intake_limits, table_verdict,
 };
 
 /// Bodies in small pieces that are read at the same time.
@@ -138,9 +137,11 @@
         let mut state = self.lock();
         for (key, reason) in state.table.expire(now, timeouts) {
             let signal = state.signals.get(&key);
-            if let Some(signal) = signal.filter(|signal| !signal.has_reached(CloseStep::Abort)) {
+            if let Some(signal) =
+                signal.filter(|signal| !signal.has_reached(close_step::CloseStep::Abort))
+            {
                 self.counts.end(reason);
-                signal.raise(CloseStep::Abort);
+                signal.raise(close_step::CloseStep::Abort);
             }
         }
     }
@@ -271,7 +272,7 @@
     pub(crate) fn set_phase(
         &self,
         key: connection_table::ConnectionKey,
-        phase: ConnectionPhase,
+        phase: connection_phase::ConnectionPhase,
     ) -> bool {
         self.decide(|table, now| table.set_phase(now, key, phase))
     }
--- a/components/intake/src/table_entry.rs
+++ b/components/intake/src/table_entry.rs
@@ -2,12 +2,12 @@
 
 use std::time;
 
-use crate::{connection_class, connection_phase::ConnectionPhase};
+use crate::{connection_class, connection_phase};
 
 /// One connection of the table.
 pub(crate) struct TableEntry {
     pub(crate) class: connection_class::ConnectionClass,
-    pub(crate) phase: ConnectionPhase,
+    pub(crate) phase: connection_phase::ConnectionPhase,
     /// Begin of the phase.
     pub(crate) since: clock::Timestamp,
     /// Arrival of the first byte of a head that isn't whole.
@@ -37,9 +37,12 @@
             return None;
         }
         match self.phase {
-            ConnectionPhase::Waiting | ConnectionPhase::Reading => Some(now.since(self.since)),
-            ConnectionPhase::Serving => None,
-            ConnectionPhase::Answering => self.blocked_since.map(|since| now.since(since)),
+            connection_phase::ConnectionPhase::Waiting
+            | connection_phase::ConnectionPhase::Reading => Some(now.since(self.since)),
+            connection_phase::ConnectionPhase::Serving => None,
+            connection_phase::ConnectionPhase::Answering => {
+                self.blocked_since.map(|since| now.since(since))
+            }
         }
     }
 
