logs: bound the lines that wait in bytes, too

What on-call saw: nothing yet; found by the test. While nothing reads the log, requests whose ids are as long as a head may be fill the queue of lines: 68 MB of an instance of 60 MB.

Cause: the queue is bounded at 2,048 lines, and a line holds the id as the caller sent it, up to 16 KB; the lines that are being written are held twice.

Change: 2 MiB of lines wait at most, 512 KiB of those of lesser weight; beyond that they are dropped and counted like lines beyond the number. A full queue of usual lines has less.

Why it works: what waits and what is being written is bounded whatever a line holds.

--- a/components/logs/src/line_writer.rs
+++ b/components/logs/src/line_writer.rs
@@ -8,6 +8,13 @@
 /// Lines that wait before lines of lesser weight are dropped.
 const LESSER_LINES: usize = 512;
 
+/// Bytes that wait to be written at the most. Usual lines are shorter than a full queue allows; lines with
+/// long texts of callers are not.
+const QUEUE_BYTES: usize = 2 * 1024 * 1024;
+
+/// Bytes that wait before lines of lesser weight are dropped.
+const LESSER_BYTES: usize = 512 * 1024;
+
 /// Time in which lines are gathered into one write.
 const GATHER_TIME: time::Duration = time::Duration::from_millis(100);
 
@@ -26,6 +33,8 @@
 #[derive(Default)]
 struct LineQueue {
     lines: collections::VecDeque<String>,
+    /// Bytes of these lines.
+    bytes: usize,
     /// Lines dropped since the last write.
     dropped: u64,
     dropped_since_start: u64,
@@ -39,7 +48,7 @@
 
 /// Writes lines to an output on a thread of its own.
 ///
-/// The queue is bounded: lines beyond it are dropped and counted, and the next line that is written
+/// The queue is bounded in lines and in bytes: lines beyond it are dropped and counted, and the next line that is written
 /// says how many are missing.
 pub struct LineWriter {
     shared: sync::Arc<QueueShared>,
@@ -70,17 +79,18 @@
 
     /// Queues a line, without its end, unless the queue is full for its weight.
     pub fn push(&self, line: String, weight: LineWeight) {
-        let limit = match weight {
-            LineWeight::Lesser => LESSER_LINES,
-            LineWeight::Greater => QUEUE_LINES,
+        let (limit, limit_bytes) = match weight {
+            LineWeight::Lesser => (LESSER_LINES, LESSER_BYTES),
+            LineWeight::Greater => (QUEUE_LINES, QUEUE_BYTES),
         };
         let mut queue = lock(&self.shared);
-        if queue.lines.len() >= limit {
+        if queue.lines.len() >= limit || queue.bytes + line.len() > limit_bytes {
             queue.dropped += 1;
             queue.dropped_since_start += 1;
             return;
         }
         let wakes = queue.lines.is_empty();
+        queue.bytes += line.len();
         queue.lines.push_back(line);
         drop(queue);
         if wakes {
@@ -145,6 +155,7 @@
         queue = lock(shared);
     }
     let lines = std::mem::take(&mut queue.lines);
+    queue.bytes = 0;
     let dropped = std::mem::take(&mut queue.dropped);
     (lines, dropped, queue.closed)
 }
--- a/tests/hostile_clients/bounded_process.rs
+++ b/tests/hostile_clients/bounded_process.rs
@@ -28,11 +28,12 @@
 
 impl BoundedProcess {
     /// Starts the program with arguments and a variable; the system enforces its number of
-    /// descriptors.
+    /// descriptors. Its log goes to `output`.
     pub fn start(
         arguments: &[&ffi::OsStr],
         variable: (&str, &ffi::OsStr),
         limits: ProcessLimits,
+        output: process::Stdio,
     ) -> Self {
         let child = process::Command::new("sh")
             .args(["-c", "ulimit -n \"$1\" && shift && exec \"$@\"", "sh"])
@@ -40,7 +41,7 @@
             .arg(env!("CARGO_BIN_EXE_plantainreach"))
             .args(arguments)
             .env(variable.0, variable.1)
-            .stdout(process::Stdio::null())
+            .stdout(output)
             .stderr(process::Stdio::null())
             .spawn()
             .expect("the program can be started");
--- a/tests/hostile_clients/entry_clients.rs
+++ b/tests/hostile_clients/entry_clients.rs
@@ -1,6 +1,6 @@
 //! Clients of a process that runs with the project's own interface.
 
-use std::{ffi, fs, net, path, time};
+use std::{ffi, fs, net, path, process, time};
 
 use crate::{bounded_process, client_crowd, node_site};
 
@@ -53,6 +53,7 @@
             &["serve".as_ref(), "--settings".as_ref(), file.as_os_str()],
             ("LANG", ffi::OsStr::new("C")),
             limits,
+            process::Stdio::null(),
         );
         let site = Self {
             _site: site,
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -16,6 +16,7 @@
 mod caller_connections;
 mod client_crowd;
 mod entry_clients;
+mod log_lines;
 mod node_site;
 mod page_ports;
 mod peer_bodies;
--- a/tests/hostile_clients/node_site.rs
+++ b/tests/hostile_clients/node_site.rs
@@ -1,6 +1,6 @@
 //! A site with processes whose limits are low.
 
-use std::{ffi, fs, net, path, time};
+use std::{ffi, fs, net, path, process, time};
 
 use tokio::sync;
 
@@ -38,13 +38,22 @@
 impl NodeSite {
     /// Starts processes with limits and waits until they are ready.
     pub async fn start(count: usize, limits: bounded_process::ProcessLimits) -> Self {
+        Self::start_logging(count, limits, process::Stdio::null).await
+    }
+
+    /// Starts processes whose logs go to an output each.
+    pub async fn start_logging(
+        count: usize,
+        limits: bounded_process::ProcessLimits,
+        output: impl Fn() -> process::Stdio,
+    ) -> Self {
         let turn = wait_for_turn().await;
         let site = site::Site::start().await;
         site.store.put("op/config", config().to_string());
         let ips: Vec<_> = (0..count).map(|_| site::next_address()).collect();
         let mut processes = Vec::new();
         for ip in &ips {
-            processes.push((*ip, start_process(&site, *ip, &ips, limits)));
+            processes.push((*ip, start_process(&site, *ip, &ips, (limits, output()))));
         }
         for ip in &ips {
             wait_ready(*ip).await;
@@ -149,7 +158,7 @@
     site: &site::Site,
     ip: net::Ipv4Addr,
     ips: &[net::Ipv4Addr],
-    limits: bounded_process::ProcessLimits,
+    (limits, output): (bounded_process::ProcessLimits, process::Stdio),
 ) -> bounded_process::BoundedProcess {
     let directory = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
     let file = directory.join(format!("hostile-{ip}.toml"));
@@ -165,5 +174,6 @@
         &[ffi::OsStr::new("node")],
         ("PLANTAINREACH_CONFIG", file.as_os_str()),
         limits,
+        output,
     )
 }
