--- a/components/intake/src/connection_slot.rs
+++ b/components/intake/src/connection_slot.rs
@@ -50,7 +50,8 @@
         }
     }
 
-    /// Begins a request whose head takes `head_bytes`; its body is to be read.
+    /// Begins a request whose head takes `head_bytes`; its body is to be read. A connection whose
+    /// request is refused ends after the answer.
     ///
     /// # Errors
     ///
@@ -61,7 +62,11 @@
     ) -> Result<request_share::RequestShare, intake_error::IntakeError> {
         self.set_phase(connection_phase::ConnectionPhase::Reading);
         let mut share = request_share::RequestShare::new(self.clone());
-        share.grow(head_bytes).await?;
+        let grown = share.grow(head_bytes).await;
+        grown.inspect_err(|error| {
+            self.inner.intake.counts().refuse_body(*error);
+            self.refuse();
+        })?;
         Ok(share)
     }
 
--- a/tests/hostile_clients/main.rs
+++ b/tests/hostile_clients/main.rs
@@ -17,6 +17,7 @@
 mod client_crowd;
 mod entry_clients;
 mod log_lines;
+mod long_prompts;
 mod node_site;
 mod page_ports;
 mod peer_bodies;
