--- a/components/intake/src/body_reader.rs
+++ b/components/intake/src/body_reader.rs
@@ -1,5 +1,7 @@
 //! Reads a body within bounds of size, memory and time.
 
+use std::{sync::atomic, task};
+
 use http_body_util::BodyExt as _;
 
 use crate::{body_buffer, intake_error, request_share};
@@ -7,7 +9,7 @@
 /// Size below which a piece of a body counts as small, in bytes.
 const SMALL_PIECE_BYTES: usize = 64;
 
-/// Small pieces after which the readers of other bodies have their turn.
+/// Pieces after which, if they are small, the readers of other bodies have their turn.
 const PIECES_PER_TURN: u32 = 64;
 
 /// Bounds of a body.
@@ -42,23 +44,50 @@
     B: http_body::Body<Data = bytes::Bytes>,
 {
     let slot = share.slot().clone();
-    let reading = read_pieces(share, body, terms.limit_bytes);
-    let reading = tokio::time::timeout_at(terms.read_by, reading);
-    let read = tokio::select! {
-        biased;
-        read = reading => read.unwrap_or(Err(intake_error::IntakeError::TimedOut)),
-        () = slot.given_up() => Err(intake_error::IntakeError::NoRoom),
+    let pieces = atomic::AtomicU32::new(0);
+    let reading = read_pieces(share, body, terms.limit_bytes, &pieces);
+    let bounds = async {
+        tokio::select! {
+            () = tokio::time::sleep_until(terms.read_by) => intake_error::IntakeError::TimedOut,
+            () = slot.given_up() => intake_error::IntakeError::NoRoom,
+        }
     };
+    let read = within(reading, bounds, &pieces).await;
     read.inspect_err(|error| {
         slot.intake().counts().refuse_body(*error);
         slot.refuse();
     })
 }
 
+/// Reads until the end or a bound. As long as pieces arrive one by one, the bounds are checked once in
+/// [`PIECES_PER_TURN`] of them, since a check costs about as much as a small piece.
+async fn within<T>(
+    reading: impl Future<Output = Result<T, intake_error::IntakeError>>,
+    bounds: impl Future<Output = intake_error::IntakeError>,
+    pieces: &atomic::AtomicU32,
+) -> Result<T, intake_error::IntakeError> {
+    let mut reading = std::pin::pin!(reading);
+    let mut bounds = std::pin::pin!(bounds);
+    let mut before = None;
+    std::future::poll_fn(|context| {
+        if let task::Poll::Ready(read) = reading.as_mut().poll(context) {
+            return task::Poll::Ready(read);
+        }
+        let now = pieces.load(atomic::Ordering::Relaxed);
+        let is_moving = before.replace(now).is_some_and(|before| before != now);
+        if is_moving && !now.is_multiple_of(PIECES_PER_TURN) {
+            return task::Poll::Pending;
+        }
+        bounds.as_mut().poll(context).map(Err)
+    })
+    .await
+}
+
 async fn read_pieces<B>(
     mut share: request_share::RequestShare,
     body: B,
     limit_bytes: usize,
+    pieces: &atomic::AtomicU32,
 ) -> Result<HeldBody, intake_error::IntakeError>
 where
     B: http_body::Body<Data = bytes::Bytes>,
@@ -68,7 +97,6 @@
         return Err(intake_error::IntakeError::TooLarge);
     }
     let mut buffer = body_buffer::BodyBuffer::new(limit_bytes);
-    let mut small_pieces = 0;
     let mut body = std::pin::pin!(body);
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
@@ -84,9 +112,8 @@
             continue;
         };
         buffer.push(&mut share, &piece).await?;
-        small_pieces += u32::from(piece.len() < SMALL_PIECE_BYTES);
-        if small_pieces == PIECES_PER_TURN {
-            small_pieces = 0;
+        let read = pieces.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        if piece.len() < SMALL_PIECE_BYTES && read.is_multiple_of(PIECES_PER_TURN) {
             give_turn(&share).await?;
         }
     }
--- a/components/intake/src/connection_slot.rs
+++ b/components/intake/src/connection_slot.rs
@@ -120,8 +120,9 @@
         .await;
     }
 
-    /// Returns whether the connection was given up.
-    pub(crate) fn is_ending(&self) -> bool {
+    /// Returns whether the connection ends after its answer at the latest.
+    #[must_use]
+    pub fn is_ending(&self) -> bool {
         self.inner.signal.has_reached(close_step::CloseStep::Refuse)
     }
 
--- a/tests/hostile_clients/bounded_process.rs
+++ b/tests/hostile_clients/bounded_process.rs
@@ -67,7 +67,8 @@
         let ended = self.child.try_wait().expect("a child can be waited for");
         assert!(ended.is_none(), "the process has ended: {ended:?}");
         let (memory, descriptors) = (self.peak_memory(), self.open_descriptors());
-        println!("{memory} bytes at most, {descriptors} descriptors");
+        let ticks = self.processor_ticks();
+        println!("{memory} bytes at most, {descriptors} descriptors, {ticks} ticks");
         let memory_limit = self.limits.memory_mb * BYTES_PER_MB;
         assert!(memory <= memory_limit, "{memory} bytes of {memory_limit}");
         let limit = self.limits.descriptors;
