intake: take connections for readiness however full the memory is

What the platform would have seen: while requests under way fill the memory for connections and requests, a new connection for the readiness check was closed at once, so that an instance that serves what it can counts as not ready.

Cause: all classes were admitted by the same memory.

Change: connections for readiness, metrics and views are bounded in number alone.

Why it works: there are few of them, and their requests hold nothing.

Evidence: intake connection_table::readiness_is_answered_while_requests_under_way_fill_the_memory fails without the change.

--- a/components/intake/src/connection_table.rs
+++ b/components/intake/src/connection_table.rs
@@ -73,7 +73,8 @@
     }
 
     /// Takes a new connection. If its class has all connections that it may have, or the memory for
-    /// connections is full, others make room.
+    /// callers and requests of instances is full, others make room. Pages, as readiness, are served
+    /// however full the memory is.
     pub fn admit(
         &mut self,
         now: clock::Timestamp,
@@ -90,7 +91,7 @@
         }
         let added = self.limits.connection_bytes;
         let ceiling = self.class_ceiling(class);
-        if ends.is_empty() && !self.has_room(added, ceiling) {
+        if ends.is_empty() && class.has_phases() && !self.has_room(added, ceiling) {
             match self.make_room(now, (class, None), added, ceiling) {
                 Some(victims) => ends = victims,
                 None => return table_verdict::AdmitVerdict::Refused,
--- a/components/intake/tests/connection_table.rs
+++ b/components/intake/tests/connection_table.rs
@@ -194,6 +194,23 @@
     ));
 }
 
+#[test]
+fn readiness_is_answered_while_requests_under_way_fill_the_memory() {
+    let mut table = empty_table(4_100);
+    while let (key, GrowVerdict::Granted) = reading(&mut table, 0, 60_000) {
+        if table.serve(at(1), key) != GrowVerdict::Granted {
+            break;
+        }
+    }
+    while let AdmitVerdict::Admitted { key, .. } = table.admit(at(2), ConnectionClass::Caller) {
+        table.set_phase(at(2), key, ConnectionPhase::Serving);
+    }
+
+    let verdict = table.admit(at(3), ConnectionClass::Readiness);
+
+    assert!(matches!(verdict, AdmitVerdict::Admitted { .. }));
+}
+
 #[test]
 fn heads_and_unread_answers_expire() {
     let mut table = empty_table(4_100);
