client: bound what all calls of `serve` hold of their answers

What callers of `serve` saw: nothing within the bound of the test; 80 clients that ask for answers of 2 MB and read nothing took 126.1 MB of the 128 MB that an instance may take, since only each answer was bounded (8 MB), not all together.

Cause: the limit on all answers was in gateway, which `serve` doesn't use.

Change: the memory for answers moves to client, unchanged but for its names, and the gateway to plain services reads into it, too: held_bytes again, and small answers uncounted as in `node`. Before an answer is given up (502, may have run), the largest unread one is.

Why it works: as in `node`.

--- a/components/gateway/src/answer_memory.rs
+++ b/components/client/src/answer_memory.rs
@@ -52,8 +52,9 @@
     }
 
     /// Returns the share of an answer, which is empty.
-    pub(crate) fn share(self: &sync::Arc<Self>) -> MemoryShare {
-        MemoryShare {
+    #[must_use]
+    pub fn share(self: &sync::Arc<Self>) -> AnswerShare {
+        AnswerShare {
             memory: sync::Arc::clone(self),
             counted_bytes: 0,
         }
@@ -61,18 +62,19 @@
 }
 
 /// Memory that one answer takes, until it is dropped.
-pub(crate) struct MemoryShare {
+#[derive(Debug)]
+pub struct AnswerShare {
     memory: sync::Arc<AnswerMemory>,
     counted_bytes: usize,
 }
 
-impl MemoryShare {
+impl AnswerShare {
     /// Sets the number of bytes that the answer holds.
     ///
     /// # Errors
     ///
     /// Returns `Malformed` when large answers would exceed the limit together.
-    pub(crate) fn hold(&mut self, bytes: usize) -> Result<(), border::BorderError> {
+    pub fn hold(&mut self, bytes: usize) -> Result<(), border::BorderError> {
         let counted = bytes.saturating_sub(FREE_BYTES);
         let used = &self.memory.used_bytes;
         if let Some(added) = counted.checked_sub(self.counted_bytes) {
@@ -91,7 +93,7 @@
     }
 }
 
-impl MemoryShare {
+impl AnswerShare {
     /// Sets the number of bytes like [`Self::hold`]; gives up answers that nobody reads to make room.
     ///
     /// # Errors
@@ -114,7 +116,7 @@
     }
 }
 
-impl Drop for MemoryShare {
+impl Drop for AnswerShare {
     fn drop(&mut self) {
         let used = &self.memory.used_bytes;
         used.fetch_sub(self.counted_bytes, atomic::Ordering::Relaxed);
@@ -125,31 +127,46 @@
 }
 
 /// Bytes of an answer, with the memory that they take.
-pub(crate) struct HeldBytes {
-    pub(crate) bytes: bytes::BytesMut,
-    pub(crate) share: MemoryShare,
+#[derive(Debug)]
+pub struct HeldAnswer {
+    bytes: bytes::BytesMut,
+    share: AnswerShare,
 }
 
-impl AsRef<[u8]> for HeldBytes {
+impl AsRef<[u8]> for HeldAnswer {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-impl HeldBytes {
-    pub(crate) fn new(share: MemoryShare) -> Self {
+impl HeldAnswer {
+    /// Creates an answer without bytes.
+    #[must_use]
+    pub fn new(share: AnswerShare) -> Self {
         Self {
             bytes: bytes::BytesMut::new(),
             share,
         }
     }
 
+    /// Returns the number of bytes so far.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns whether there are no bytes yet.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// Appends received bytes.
     ///
     /// # Errors
     ///
     /// Returns `Malformed` when large answers that callers read would exceed the limit together.
-    pub(crate) async fn push(&mut self, chunk: &[u8]) -> Result<(), border::BorderError> {
+    pub async fn push(&mut self, chunk: &[u8]) -> Result<(), border::BorderError> {
         self.share
             .hold_relieved(self.bytes.len() + chunk.len())
             .await?;
@@ -158,7 +175,8 @@
     }
 
     /// Returns the bytes, which take memory until the last copy is dropped.
-    pub(crate) fn freeze(self) -> bytes::Bytes {
+    #[must_use]
+    pub fn freeze(self) -> bytes::Bytes {
         if self.share.counted_bytes == 0 {
             return self.bytes.freeze();
         }
--- a/components/client/src/lib.rs
+++ b/components/client/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`border::BorderError::Lost`]. The gateways implement the traits of `border` over it. Nothing
 //! here sends a request twice.
 
+mod answer_memory;
 mod bounded_fetch;
 mod config_gateway;
 mod connection_pool;
@@ -23,6 +24,7 @@
 mod trace_scope;
 mod watched_stream;
 
+pub use answer_memory::{AnswerMemory, AnswerShare, HeldAnswer};
 pub use bounded_fetch::{FetchLimits, WholeAnswer};
 pub use config_gateway::ConfigGateway;
 pub use connection_pool::ConnectionPool;
--- a/components/daemon/src/border_set.rs
+++ b/components/daemon/src/border_set.rs
@@ -18,15 +18,17 @@
 }
 
 impl BorderSet {
-    /// Makes clients that speak HTTP to the addresses in the settings.
+    /// Makes clients that speak HTTP to the addresses in the settings; answers to calls are read into
+    /// `memory`.
     #[must_use]
     pub fn over_http(
         settings: &settings::InstanceSettings,
         pool: &sync::Arc<client::ConnectionPool>,
+        memory: client::AnswerMemory,
     ) -> Self {
         let timeouts = engine_timeouts(&settings.timeouts);
         let engines = client::EngineGateway::new(sync::Arc::clone(pool), timeouts);
-        let services = client::ServiceGateway::new(sync::Arc::clone(pool));
+        let services = client::ServiceGateway::new(sync::Arc::clone(pool), sync::Arc::new(memory));
         let platform = &settings.platform;
         let notes =
             client::ConfigGateway::new(sync::Arc::clone(pool), platform.configuration_service);
--- a/components/daemon/src/daemon.rs
+++ b/components/daemon/src/daemon.rs
@@ -46,7 +46,10 @@
         let callers = bind(settings.listen.callers)?;
         let traffic = traffic_runtime(options)?;
         let pool = client::ConnectionPool::new(pool_settings(&settings), sync::Arc::clone(&clock));
-        let borders = border_set::BorderSet::over_http(&settings, &pool);
+        let intake = intake::Intake::new(intake_limits(&settings), sync::Arc::clone(&clock));
+        let memory = client::AnswerMemory::new(settings.limits.held_bytes);
+        let memory = memory.relieved_by(sync::Arc::clone(&intake));
+        let borders = border_set::BorderSet::over_http(&settings, &pool, memory);
         let shares = control_loop::ControlShares {
             clock: sync::Arc::clone(&clock),
             state: sync::Arc::default(),
@@ -57,7 +60,6 @@
         let incarnation = ids::Incarnation(clock.wall_millis());
         let (port, events) = core_port::CorePort::new();
         let (message_sender, messages) = mpsc::channel(MESSAGE_QUEUE);
-        let intake = intake::Intake::new(intake_limits(&settings), sync::Arc::clone(&clock));
         let hub = peer_hub(&traffic, &settings, (incarnation, &intake), message_sender)?;
         let meter = meter::Meter::default();
         let timeouts = intake::IntakeTimeouts {
--- a/components/fakes/src/service_stand.rs
+++ b/components/fakes/src/service_stand.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, io, net, sync, time};
 
+use axum::response::IntoResponse as _;
+
 use crate::stand_server;
 
 /// What a stand-in server does with a call.
@@ -10,6 +12,8 @@
     /// Runs the call and answers.
     #[default]
     Answer,
+    /// Runs the call and answers with a body of this many bytes.
+    AnswerLarge(usize),
     /// Runs the call and never answers.
     RunAndHang,
 }
@@ -91,7 +95,7 @@
     uri: http::Uri,
     headers: http::HeaderMap,
     body: bytes::Bytes,
-) -> axum::Json<u32> {
+) -> axum::response::Response {
     let name = format!("{method} {uri} {}", String::from_utf8_lossy(&body));
     if let Some(Ok(trace)) = headers
         .get(border::TRACE_HEADER)
@@ -110,7 +114,10 @@
         std::future::pending::<()>().await;
     }
     tokio::time::sleep(state.latency).await;
-    axum::Json(count)
+    match behaviour {
+        ServiceBehaviour::AnswerLarge(bytes) => vec![b'x'; bytes].into_response(),
+        _ => axum::Json(count).into_response(),
+    }
 }
 
 fn lock<Value>(mutex: &sync::Mutex<Value>) -> sync::MutexGuard<'_, Value> {
--- a/components/gateway/src/buffered_reply.rs
+++ b/components/gateway/src/buffered_reply.rs
@@ -2,7 +2,7 @@
 
 use futures_util::StreamExt as _;
 
-use crate::{answer_memory, relay_client, run_evidence};
+use crate::{relay_client, run_evidence};
 
 /// Maximum size of a body that is held in memory, in bytes.
 const MAX_BUFFERED_BYTES: usize = 4 * 1024 * 1024;
@@ -45,14 +45,14 @@
 /// Reads the whole body of a reply into a share of the memory for answers.
 pub(crate) async fn collect(
     reply: relay_client::RelayReply,
-    share: answer_memory::MemoryShare,
+    share: client::AnswerShare,
 ) -> Result<BufferedReply, border::BorderError> {
     let evidence = reply.evidence();
     let mut body = reply.body;
-    let mut held = answer_memory::HeldBytes::new(share);
+    let mut held = client::HeldAnswer::new(share);
     while let Some(chunk) = body.next().await {
         held.push(&chunk?).await?;
-        if held.bytes.len() > MAX_BUFFERED_BYTES {
+        if held.len() > MAX_BUFFERED_BYTES {
             return Err(border::BorderError::Malformed {
                 detail: format!("the answer exceeds {MAX_BUFFERED_BYTES} bytes"),
             });
--- a/components/gateway/src/event_reader.rs
+++ b/components/gateway/src/event_reader.rs
@@ -2,7 +2,7 @@
 
 use futures_util::StreamExt as _;
 
-use crate::{answer_memory, event_splitter, relay_client};
+use crate::{event_splitter, relay_client};
 
 /// Numbers with which a stream may begin.
 const FIRST_NUMBERS: std::ops::RangeInclusive<u64> = 0..=1;
@@ -15,7 +15,7 @@
     body: relay_client::ReplyBody,
     splitter: event_splitter::EventSplitter,
     /// Memory that incomplete events take.
-    share: answer_memory::MemoryShare,
+    share: client::AnswerShare,
     /// Number of the last event of the stream.
     last: Option<u64>,
 }
@@ -25,7 +25,7 @@
     pub(crate) fn new(
         body: relay_client::ReplyBody,
         last: Option<u64>,
-        share: answer_memory::MemoryShare,
+        share: client::AnswerShare,
     ) -> Self {
         Self {
             body,
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -5,9 +5,9 @@
 use futures_util::StreamExt as _;
 
 use crate::{
-    answer_memory, call_session, decision_event, decision_log, gateway_metrics, proxy_client,
-    proxy_session, relay_answer, relay_client, relay_request, run_record, shared_core,
-    stream_session, workspace_charge,
+    call_session, decision_event, decision_log, gateway_metrics, proxy_client, proxy_session,
+    relay_answer, relay_client, relay_request, run_record, shared_core, stream_session,
+    workspace_charge,
 };
 
 /// Retry delay that callers receive while the instance has no configuration.
@@ -79,7 +79,7 @@
     pub(crate) metrics: sync::Arc<gateway_metrics::GatewayMetrics>,
     /// Memory for large answers.
     #[builder(default)]
-    pub(crate) memory: sync::Arc<answer_memory::AnswerMemory>,
+    pub(crate) memory: sync::Arc<client::AnswerMemory>,
     /// Requests that may still be served for other instances at the same time.
     #[builder(default = sync::Arc::new(tokio::sync::Semaphore::new(MAX_PROXIED_REQUESTS)))]
     proxied_slots: sync::Arc<tokio::sync::Semaphore>,
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 //! date, and [`PeerLink`] exchanges state updates with the other instances. The protocols of the
 //! platform are implemented behind the traits [`RelayClient`] and [`SiteSource`].
 
-mod answer_memory;
 mod buffered_reply;
 mod call_session;
 mod crash_message;
@@ -61,7 +60,6 @@
 mod workspace_charge;
 mod workspace_metrics;
 
-pub use answer_memory::AnswerMemory;
 pub use decision_event::{DecisionEvent, LimitEvent};
 pub use decision_log::DecisionLog;
 pub use drain_tally::DrainSummary;
--- a/components/gateway/src/started_stream.rs
+++ b/components/gateway/src/started_stream.rs
@@ -1,8 +1,6 @@
 //! A stream of a decode engine whose first event has arrived.
 
-use crate::{
-    answer_memory, buffered_reply, event_reader, event_splitter, relay_client, run_evidence,
-};
+use crate::{buffered_reply, event_reader, event_splitter, relay_client, run_evidence};
 
 /// Content type of streams of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
@@ -58,7 +56,7 @@
 pub(crate) async fn first_event(
     reply: impl Future<Output = Result<relay_client::RelayReply, border::BorderError>>,
     last: Option<u64>,
-    share: answer_memory::MemoryShare,
+    share: client::AnswerShare,
 ) -> Result<StartedStream, StartFailure> {
     let reply = reply.await?;
     if reply.refusal.is_some() || !reply.status.is_success() {
--- a/tests/hostile_clients/entry_clients.rs
+++ b/tests/hostile_clients/entry_clients.rs
@@ -19,6 +19,12 @@
 /// Size of a body that stops short of its end, in bytes.
 const BODY_BYTES: usize = 4 * 1024 * 1024 - 64 * 1024;
 
+/// Size of an answer of which a client reads nothing, in bytes.
+const LARGE_ANSWER_BYTES: usize = 2_000_000;
+
+/// Size of the buffer into which the system receives for a client, in bytes.
+const RECEIVE_BUFFER_BYTES: u32 = 4_096;
+
 /// Size of a small body that stops short of its end, in bytes.
 const SMALL_BODY_BYTES: usize = 9_000;
 
@@ -30,7 +36,7 @@
 
 /// A site with one process; its test is the only one that runs.
 struct EntrySite {
-    _site: fakes::SiteStand,
+    site: fakes::SiteStand,
     process: bounded_process::BoundedProcess,
     settings: settings::InstanceSettings,
     _turn: tokio::sync::MutexGuard<'static, ()>,
@@ -56,7 +62,7 @@
             process::Stdio::null(),
         );
         let site = Self {
-            _site: site,
+            site,
             process,
             settings,
             _turn: turn,
@@ -164,6 +170,23 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_nobody_reads_stay_within_memory() {
+    let mut site = EntrySite::start("answers", LIMITS, HELD_BYTES).await;
+    for server in &site.site.orders {
+        server.behave(fakes::ServiceBehaviour::AnswerLarge(LARGE_ANSWER_BYTES));
+    }
+    let request = "GET /orders/stock/1 HTTP/1.1\r\nHost: x\r\nX-Workspace: coilquote\r\n\r\n";
+    let payload = client_crowd::ClientPayload::new(|_| String::new(), request.into())
+        .repeated(40)
+        .receiving(RECEIVE_BUFFER_BYTES);
+
+    let address = site.settings.listen.callers;
+    let _crowd = client_crowd::ClientCrowd::gather(address, 80, payload).await;
+
+    site.assert_serves().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_connections_leave_descriptors_for_callers() {
     let mut site = EntrySite::start("connections", LIMITS, HELD_BYTES).await;
