--- a/components/admin/src/admin_client.rs
+++ b/components/admin/src/admin_client.rs
@@ -7,6 +7,9 @@
 
 use crate::{admin_error, engine_report, state_report};
 
+/// Largest report of an instance, in bytes.
+const REPORT_LIMIT_BYTES: usize = 64 * 1024 * 1024;
+
 /// Time within which an instance must answer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
@@ -90,7 +93,8 @@
                 status,
             });
         }
-        let body = answer.into_body().collect().await;
+        let body = http_body_util::Limited::new(answer.into_body(), REPORT_LIMIT_BYTES);
+        let body = body.collect().await;
         body.map(http_body_util::Collected::to_bytes)
             .map_err(|error| self.no_answer(path, error))
     }
--- a/components/intake/tests/body_reading.rs
+++ b/components/intake/tests/body_reading.rs
@@ -2,7 +2,6 @@
 
 use std::{convert, sync, time};
 
-use http_body_util::StreamBody;
 use intake::{ConnectionClass, IntakeError};
 
 /// Largest body in bytes.
@@ -41,7 +40,7 @@
         let piece = bytes::Bytes::from(vec![b'x'; piece_bytes]);
         Some((Ok(http_body::Frame::data(piece)), sent + 1))
     });
-    StreamBody::new(frames)
+    http_body_util::StreamBody::new(frames)
 }
 
 async fn read(
