intake: plainer names

Cause: reading the change as a newcomer: slow_lane, judge, owe_answer and bear needed explaining.

Change: small_piece_reads, has_room, mark_unsent, assert_serves_beside. No behaviour changes.

--- a/components/intake/src/body_reader.rs
+++ b/components/intake/src/body_reader.rs
@@ -125,8 +125,8 @@
 /// Lets other tasks run. Of all bodies in small pieces one is read at a time, so that ordinary
 /// requests don't wait for a turn of each.
 async fn give_turn(share: &request_share::RequestShare) -> Result<(), intake_error::IntakeError> {
-    let lane = share.slot().intake().slow_lane.acquire().await;
-    let _turn = lane.map_err(|_| intake_error::IntakeError::NoRoom)?;
+    let permit = share.slot().intake().small_piece_reads.acquire().await;
+    let _permit = permit.map_err(|_| intake_error::IntakeError::NoRoom)?;
     tokio::task::yield_now().await;
     Ok(())
 }
--- a/components/intake/src/connection_signal.rs
+++ b/components/intake/src/connection_signal.rs
@@ -12,7 +12,7 @@
     /// The [`CloseStep`] that was reached, or zero.
     step: atomic::AtomicU8,
     /// Whether an answer is whole and not yet known to be sent.
-    owes_answer: atomic::AtomicBool,
+    has_unsent_answer: atomic::AtomicBool,
     reader: waking::AtomicWaker,
     writer: waking::AtomicWaker,
 }
@@ -31,14 +31,15 @@
     }
 
     /// Records that an answer is whole, which is to be sent.
-    pub(crate) fn owe_answer(&self) {
-        self.owes_answer.store(true, atomic::Ordering::Release);
+    pub(crate) fn mark_unsent(&self) {
+        self.has_unsent_answer
+            .store(true, atomic::Ordering::Release);
     }
 
     /// Returns whether an answer was whole since the last call.
-    pub(crate) fn take_owed(&self) -> bool {
-        self.owes_answer.load(atomic::Ordering::Acquire)
-            && self.owes_answer.swap(false, atomic::Ordering::AcqRel)
+    pub(crate) fn take_unsent(&self) -> bool {
+        self.has_unsent_answer.load(atomic::Ordering::Acquire)
+            && self.has_unsent_answer.swap(false, atomic::Ordering::AcqRel)
     }
 
     /// Registers the task that reads, and returns whether the connection has reached a step.
--- a/components/intake/src/connection_slot.rs
+++ b/components/intake/src/connection_slot.rs
@@ -83,12 +83,12 @@
     /// Records that an answer is whole; its bytes count until they are sent.
     pub(crate) fn end_answer(&self) {
         self.set_phase(connection_phase::ConnectionPhase::Waiting);
-        self.inner.signal.owe_answer();
+        self.inner.signal.mark_unsent();
     }
 
     /// Records that all that was to be sent is sent.
     pub(crate) fn record_flush(&self) {
-        if self.inner.signal.take_owed() {
+        if self.inner.signal.take_unsent() {
             self.inner.intake.finish_answers(self.inner.key);
         }
     }
--- a/components/intake/src/shared_intake.rs
+++ b/components/intake/src/shared_intake.rs
@@ -8,7 +8,7 @@
 };
 
 /// Bodies in small pieces that are read at the same time.
-const SLOW_LANES: usize = 1;
+const SMALL_PIECE_READERS: usize = 1;
 
 /// Memory of an intake of its own, in bytes.
 const STANDALONE_BYTES: usize = 64 * 1024 * 1024;
@@ -35,8 +35,8 @@
     state: sync::Mutex<IntakeState>,
     /// Wakes requests that wait until others have freed their memory.
     freed: tokio::sync::Notify,
-    /// Held by a body in small pieces while some of them are read.
-    pub(crate) slow_lane: tokio::sync::Semaphore,
+    /// Permits to go on reading a body that arrives in small pieces.
+    pub(crate) small_piece_reads: tokio::sync::Semaphore,
     /// Held by connections that wait for a refused client to end.
     pub(crate) lingering: sync::Arc<tokio::sync::Semaphore>,
     counts: intake_counts::IntakeCounts,
@@ -69,7 +69,7 @@
                 signals: collections::HashMap::new(),
             }),
             freed: tokio::sync::Notify::new(),
-            slow_lane: tokio::sync::Semaphore::new(SLOW_LANES),
+            small_piece_reads: tokio::sync::Semaphore::new(SMALL_PIECE_READERS),
             lingering: sync::Arc::new(lingering),
             counts: intake_counts::IntakeCounts::default(),
         })
@@ -195,7 +195,7 @@
         loop {
             // Created before the decision, so that no notification after it is missed.
             let freed = self.freed.notified();
-            if self.judge(&decision)? {
+            if self.has_room(&decision)? {
                 return Ok(());
             }
             tokio::select! {
@@ -205,8 +205,8 @@
         }
     }
 
-    /// Runs a decision on room; returns whether there is some yet.
-    fn judge(
+    /// Runs a decision that counts bytes; returns whether they have room yet.
+    fn has_room(
         &self,
         decision: impl Fn(
             &mut connection_table::ConnectionTable,
--- a/tests/hostile_clients/caller_bodies.rs
+++ b/tests/hostile_clients/caller_bodies.rs
@@ -30,7 +30,7 @@
 }
 
 /// Lets clients send a payload and stay, and checks the process meanwhile.
-async fn bear(count: usize, payload: client_crowd::ClientPayload) {
+async fn assert_serves_beside(count: usize, payload: client_crowd::ClientPayload) {
     let mut site = node_site::NodeSite::start(1, LIMITS).await;
 
     let _crowd = client_crowd::ClientCrowd::gather(site.front(), count, payload).await;
@@ -41,28 +41,28 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unfinished_bodies_in_large_chunks_stay_within_memory() {
     let body_bytes = MAX_BODY_BYTES - LARGE_CHUNK_BYTES;
-    bear(40, chunked_payload(body_bytes, LARGE_CHUNK_BYTES)).await;
+    assert_serves_beside(40, chunked_payload(body_bytes, LARGE_CHUNK_BYTES)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unfinished_bodies_with_a_length_stay_within_memory() {
-    bear(40, sized_payload(MAX_BODY_BYTES - LARGE_CHUNK_BYTES)).await;
+    assert_serves_beside(40, sized_payload(MAX_BODY_BYTES - LARGE_CHUNK_BYTES)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unfinished_bodies_in_chunks_of_a_byte_stay_within_memory() {
-    bear(10, chunked_payload(400_000, 1)).await;
+    assert_serves_beside(10, chunked_payload(400_000, 1)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn many_small_unfinished_bodies_in_chunks_of_a_byte_stay_within_memory() {
-    bear(400, chunked_payload(10_000, 1)).await;
+    assert_serves_beside(400, chunked_payload(10_000, 1)).await;
 }
 
 // Each body is below any bound on a single one, and all together exceed the memory.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn many_middling_unfinished_bodies_stay_within_memory() {
-    bear(800, chunked_payload(120_000, 1_000)).await;
+    assert_serves_beside(800, chunked_payload(120_000, 1_000)).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/tests/hostile_clients/caller_connections.rs
+++ b/tests/hostile_clients/caller_connections.rs
@@ -17,7 +17,7 @@
 /// Size of a head below the limit, in bytes.
 const HEAD_BYTES: usize = 15_000;
 
-async fn bear(
+async fn assert_serves_beside(
     limits: bounded_process::ProcessLimits,
     count: usize,
     payload: client_crowd::ClientPayload,
@@ -36,28 +36,28 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_connections_leave_descriptors_for_callers() {
-    bear(FEW_DESCRIPTORS, 200, silent_payload()).await;
+    assert_serves_beside(FEW_DESCRIPTORS, 200, silent_payload()).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopped_heads_leave_descriptors_for_callers() {
     let head = |number| client_crowd::open_head("/order/x", number);
     let payload = client_crowd::ClientPayload::new(head, Vec::new());
-    bear(FEW_DESCRIPTORS, 200, payload).await;
+    assert_serves_beside(FEW_DESCRIPTORS, 200, payload).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn unfinished_bodies_leave_descriptors_for_callers() {
     let head = |number| client_crowd::sized_head("/order/x", number, 600);
     let payload = client_crowd::ClientPayload::new(head, vec![b'x'; 599]);
-    bear(FEW_DESCRIPTORS, 200, payload).await;
+    assert_serves_beside(FEW_DESCRIPTORS, 200, payload).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn stopped_heads_stay_within_memory() {
     let head = |number| client_crowd::open_head("/order/x", number) + "X-Filler: ";
     let payload = client_crowd::ClientPayload::new(head, vec![b'x'; HEAD_BYTES]);
-    bear(LITTLE_MEMORY, 1_500, payload).await;
+    assert_serves_beside(LITTLE_MEMORY, 1_500, payload).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -68,5 +68,5 @@
     }
     let head = |number| client_crowd::open_head("/order/x", number);
     let payload = client_crowd::ClientPayload::new(head, lines);
-    bear(LITTLE_MEMORY, 1_500, payload).await;
+    assert_serves_beside(LITTLE_MEMORY, 1_500, payload).await;
 }
