--- a/review/stand_in_3/first_worker.rs
+++ b/review/stand_in_3/first_worker.rs
@@ -12,7 +12,7 @@
 const CLIENTS: u64 = 60;
 
 /// Pause between the begins of two streams.
-const BEGIN_PAUSE: Duration = Duration::from_millis(30);
+const BEGIN_PAUSE: Duration = Duration::from_millis(80);
 
 /// Number of streams from which the rule counts.
 const MIN_STREAMS: usize = 12;
